--- /dev/null
+++ b/include/carawayhaven/exceptions.h
@@ -0,0 +1,52 @@
+#ifndef CARAWAYHAVEN_EXCEPTIONS_H_
+#define CARAWAYHAVEN_EXCEPTIONS_H_
+
+#include <stdexcept>
+#include <string>
+
+namespace carawayhaven {
+
+/// Place in a text, both counted from one. Zero means unknown.
+struct TextPosition {
+  unsigned line = 0;
+  unsigned column = 0;
+};
+
+/// Base of all exceptions of this library.
+class Error : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+/// An error at a place in a text that was read.
+class ParseError : public Error {
+ public:
+  /// The message becomes "line L, column C: message".
+  ParseError(TextPosition position, const std::string& message);
+
+  TextPosition position() const { return position_; }
+
+ private:
+  TextPosition position_;
+};
+
+class InvalidTokenError : public Error {
+ public:
+  using Error::Error;
+};
+
+/// A message on a wire that could not be decoded.
+class DecodeError : public Error {
+ public:
+  using Error::Error;
+};
+
+/// A listener, client or event loop could not be set up.
+class NetworkError : public Error {
+ public:
+  using Error::Error;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_EXCEPTIONS_H_
--- /dev/null
+++ b/include/carawayhaven/log_position.h
@@ -0,0 +1,22 @@
+#ifndef CARAWAYHAVEN_LOG_POSITION_H_
+#define CARAWAYHAVEN_LOG_POSITION_H_
+
+#include <compare>
+#include <cstdint>
+
+#include "carawayhaven/names.h"
+
+namespace carawayhaven {
+
+/// Position of an entry in the replication log of a group. Ordered by the term
+/// of the entry first: a longer log of an older term is behind.
+struct LogPosition {
+  Term term = 0;
+  std::uint64_t index = 0;
+
+  friend auto operator<=>(const LogPosition&, const LogPosition&) = default;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_LOG_POSITION_H_
--- /dev/null
+++ b/include/carawayhaven/outcome.h
@@ -0,0 +1,57 @@
+#ifndef CARAWAYHAVEN_OUTCOME_H_
+#define CARAWAYHAVEN_OUTCOME_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "carawayhaven/log_position.h"
+#include "carawayhaven/names.h"
+#include "carawayhaven/time.h"
+#include "carawayhaven/verdict.h"
+
+namespace carawayhaven {
+
+/// Why a request ended the way it did.
+enum class Reason {
+  kNone,
+  kInvalidRequest,
+  kUnknownService,
+  kDeadline,
+  kOverloaded,
+  kLeaving,
+  kBehind,
+  kStaleTerm,
+  kNotPrimary,
+  kBusy,
+  kConnectionLost,
+  kPeerLost,
+  kCancelled,
+  kConstraint,
+  kUnknownTransaction,
+  kStatementError,
+};
+
+/// Returns the stable text form, for example "deadline".
+std::string_view ReasonName(Reason reason);
+
+/// Returns the reason with that text form, or nothing.
+std::optional<Reason> ReasonFromName(std::string_view name);
+
+/// How a request ended.
+struct Outcome {
+  Verdict verdict = Verdict::kNotRun;
+  Reason reason = Reason::kNone;
+  /// Result as JSON text, or the message of a statement error.
+  std::string payload;
+  /// Log position that the answer reflects.
+  LogPosition position;
+  EndpointName served_by;
+  bool from_replica = false;
+  /// Set on early refusals: time after which a retry has a chance.
+  Duration retry_after{0};
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_OUTCOME_H_
--- /dev/null
+++ b/src/cli/main.cc
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/src/core/group/group_directory.h
@@ -0,0 +1,43 @@
+#ifndef CARAWAYHAVEN_CORE_GROUP_GROUP_DIRECTORY_H_
+#define CARAWAYHAVEN_CORE_GROUP_GROUP_DIRECTORY_H_
+
+#include <map>
+#include <string_view>
+
+#include "carawayhaven/names.h"
+#include "carawayhaven/time.h"
+#include "core/group/group_view.h"
+
+namespace carawayhaven {
+
+struct GroupUpdateMessage;
+struct ServiceConfig;
+
+/// Terms, primaries and endpoint positions as far as this proxy knows them.
+/// Not thread-safe; one loop, one thread.
+class GroupDirectory {
+ public:
+  /// Returns the view of the service's group. A group that is not known yet
+  /// starts in term 1 with the first declared endpoint as its primary.
+  const GroupView& ViewOf(const ServiceConfig& service);
+
+  /// Takes a newer term. Returns false, and changes nothing, when the term is
+  /// not higher than the known one.
+  bool Raise(const GroupUpdateMessage& update);
+
+  /// Returns the highest term known for the service, zero when unknown.
+  Term TermOf(std::string_view service) const;
+
+  void Observe(std::string_view endpoint, const EndpointObservation& seen);
+
+  /// Returns the last observation, or null.
+  const EndpointObservation* ObservationOf(std::string_view endpoint) const;
+
+ private:
+  std::map<ServiceName, GroupView, std::less<>> views_;
+  std::map<EndpointName, EndpointObservation, std::less<>> observations_;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_CORE_GROUP_GROUP_DIRECTORY_H_
--- /dev/null
+++ b/src/net/event_loop.h
@@ -0,0 +1,63 @@
+#ifndef CARAWAYHAVEN_NET_EVENT_LOOP_H_
+#define CARAWAYHAVEN_NET_EVENT_LOOP_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <utility>
+
+#include "carawayhaven/time.h"
+
+struct lws_context;
+
+namespace carawayhaven {
+
+/// The one loop of a process, on libwebsockets. All sockets and timers of the
+/// process belong to it. Not thread-safe: only RequestStop may be called from
+/// a signal handler, everything else from the thread that runs the loop.
+class EventLoop {
+ public:
+  using Callback = std::function<void()>;
+
+  /// Throws NetworkError when the context cannot be created.
+  EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  /// Current time of the steady clock.
+  static TimePoint Now();
+
+  /// Runs `callback` once, not before `delay` has passed, from the loop.
+  void RunAfter(Duration delay, Callback callback);
+
+  /// Runs `callback` from the loop as soon as possible, never from within.
+  void Post(Callback callback) {
+    RunAfter(Duration::zero(), std::move(callback));
+  }
+
+  /// Called once from the loop after SIGTERM or SIGINT. Installs the handlers.
+  void OnTerminationSignal(Callback callback);
+
+  /// Serves events until Stop is called.
+  void Run();
+  void Stop() { stopped_ = true; }
+
+  lws_context* context() const { return context_; }
+
+ private:
+  void RunDueTimers();
+  void ArmTimer();
+
+  class LwsTimer;
+
+  lws_context* context_ = nullptr;
+  std::multimap<TimePoint, Callback> timers_;
+  std::unique_ptr<LwsTimer> lws_timer_;
+  Callback on_termination_;
+  bool stopped_ = false;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_NET_EVENT_LOOP_H_
--- /dev/null
+++ b/src/net/http_client.h
@@ -0,0 +1,47 @@
+#ifndef CARAWAYHAVEN_NET_HTTP_CLIENT_H_
+#define CARAWAYHAVEN_NET_HTTP_CLIENT_H_
+
+#include <libwebsockets.h>
+
+#include <array>
+#include <functional>
+#include <string>
+
+#include "carawayhaven/time.h"
+#include "net/http_server.h"
+
+namespace carawayhaven {
+
+class EventLoop;
+
+/// A response, or status 0 when there was none: the request may have had an
+/// effect.
+using HttpResponseCallback = std::function<void(const HttpResponse&)>;
+
+/// Makes HTTP/1.1 requests. Must outlive the loop's last round. Not
+/// thread-safe.
+class HttpClient {
+ public:
+  explicit HttpClient(EventLoop& loop);
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  /// Sends the request to "IP:port". `done` is called exactly once, from the
+  /// loop, at the latest shortly after `timeout`.
+  void Send(const std::string& address, HttpRequest request, Duration timeout,
+            HttpResponseCallback done);
+
+ private:
+  struct Exchange;
+
+  static int HandleEvent(lws* wsi, lws_callback_reasons reason, void* user,
+                         void* in, size_t length);
+
+  EventLoop& loop_;
+  std::array<lws_protocols, 2> protocols_;
+  lws_vhost* vhost_ = nullptr;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_NET_HTTP_CLIENT_H_
--- /dev/null
+++ b/src/net/websocket_client.h
@@ -0,0 +1,40 @@
+#ifndef CARAWAYHAVEN_NET_WEBSOCKET_CLIENT_H_
+#define CARAWAYHAVEN_NET_WEBSOCKET_CLIENT_H_
+
+#include <libwebsockets.h>
+
+#include <array>
+#include <memory>
+#include <string_view>
+
+#include "net/websocket_connection.h"
+
+namespace carawayhaven {
+
+class EventLoop;
+
+/// Opens WebSocket connections. Must outlive the loop's last round. Not
+/// thread-safe.
+class WebSocketClient {
+ public:
+  explicit WebSocketClient(EventLoop& loop);
+  WebSocketClient(const WebSocketClient&) = delete;
+  WebSocketClient& operator=(const WebSocketClient&) = delete;
+
+  /// Starts to connect to "IP:port". `handler` must outlive the connection and
+  /// gets OnOpen or OnClose later, never from within the call.
+  std::shared_ptr<WebSocketConnection> Connect(std::string_view address,
+                                               WebSocketHandler& handler);
+
+ private:
+  static int HandleEvent(lws* wsi, lws_callback_reasons reason, void* user,
+                         void* in, size_t length);
+
+  EventLoop& loop_;
+  std::array<lws_protocols, 2> protocols_;
+  lws_vhost* vhost_ = nullptr;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_NET_WEBSOCKET_CLIENT_H_
--- /dev/null
+++ b/src/net/websocket_connection.cc
@@ -0,0 +1,89 @@
+#include "net/websocket_connection.h"
+
+#include <libwebsockets.h>
+
+#include <cstring>
+#include <vector>
+
+namespace carawayhaven {
+
+WebSocketConnection::WebSocketConnection(WebSocketHandler& handler)
+    : handler_(handler) {}
+
+void WebSocketConnection::Send(std::string_view message) {
+  if (closed_ || aborted_) return;
+  backlog_bytes_ += message.size();
+  if (backlog_bytes_ > kMaxBacklogBytes) {
+    CloseAfterSend();
+    outgoing_.clear();
+    return;
+  }
+  outgoing_.emplace_back(message);
+  if (wsi_ != nullptr) lws_callback_on_writable(wsi_);
+}
+
+void WebSocketConnection::CloseAfterSend() {
+  if (closed_) return;
+  close_after_send_ = true;
+  if (wsi_ != nullptr) lws_callback_on_writable(wsi_);
+}
+
+void WebSocketConnection::Abort() {
+  if (closed_) return;
+  aborted_ = true;
+  if (wsi_ != nullptr) {
+    lws_set_timeout(wsi_, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+  }
+}
+
+void WebSocketConnection::Attach(lws* wsi) {
+  wsi_ = wsi;
+  self_ = shared_from_this();
+}
+
+void WebSocketConnection::HandleOpen() {
+  if (aborted_) return;
+  handler_.OnOpen(shared_from_this());
+  if (!outgoing_.empty() || close_after_send_) lws_callback_on_writable(wsi_);
+}
+
+bool WebSocketConnection::HandleReceive(std::string_view part, bool final) {
+  if (aborted_) return false;
+  if (incoming_.size() + part.size() > kMaxMessageBytes) return false;
+  incoming_.append(part);
+  if (!final) return true;
+  const std::string message = std::move(incoming_);
+  incoming_.clear();
+  handler_.OnMessage(shared_from_this(), message);
+  return true;
+}
+
+bool WebSocketConnection::HandleWritable() {
+  if (aborted_) return false;
+  if (!outgoing_.empty()) {
+    const std::string message = std::move(outgoing_.front());
+    outgoing_.pop_front();
+    backlog_bytes_ -= message.size();
+    std::vector<unsigned char> buffer(LWS_PRE + message.size());
+    std::memcpy(buffer.data() + LWS_PRE, message.data(), message.size());
+    if (lws_write(wsi_, buffer.data() + LWS_PRE, message.size(),
+                  LWS_WRITE_TEXT) < 0) {
+      return false;
+    }
+  }
+  if (!outgoing_.empty()) {
+    lws_callback_on_writable(wsi_);
+    return true;
+  }
+  return !close_after_send_;
+}
+
+void WebSocketConnection::HandleClose() {
+  if (closed_) return;
+  closed_ = true;
+  wsi_ = nullptr;
+  const std::shared_ptr<WebSocketConnection> self = std::move(self_);
+  if (!aborted_) handler_.OnClose(self);
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/src/net/websocket_server.cc
@@ -0,0 +1,67 @@
+#include "net/websocket_server.h"
+
+#include "carawayhaven/error_messages.h"
+#include "carawayhaven/exceptions.h"
+#include "net/event_loop.h"
+
+namespace carawayhaven {
+namespace {
+
+// Part of a message that lws hands over at once; longer ones come in parts.
+constexpr size_t kReceiveBufferBytes = 16 * 1024;
+
+WebSocketConnection* ConnectionOf(lws* wsi) {
+  return static_cast<WebSocketConnection*>(lws_get_opaque_user_data(wsi));
+}
+
+}  // namespace
+
+WebSocketServer::WebSocketServer(EventLoop& loop, const std::string& ip,
+                                 std::uint16_t port, WebSocketHandler& handler)
+    : handler_(handler),
+      protocols_{{{"carawayhaven", &WebSocketServer::HandleEvent, 0,
+                   kReceiveBufferBytes, 0, this, 0},
+                  {nullptr, nullptr, 0, 0, 0, nullptr, 0}}} {
+  lws_context_creation_info info{};
+  info.port = port;
+  info.iface = ip.c_str();
+  info.protocols = protocols_.data();
+  const std::string vhost_name = "websocket-" + std::to_string(port);
+  info.vhost_name = vhost_name.c_str();
+  info.options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND;
+  if (lws_create_vhost(loop.context(), &info) == nullptr) {
+    throw NetworkError(error_messages::kListenFailed + std::to_string(port));
+  }
+}
+
+int WebSocketServer::HandleEvent(lws* wsi, lws_callback_reasons reason,
+                                 void* /*user*/, void* in, size_t length) {
+  switch (reason) {
+    case LWS_CALLBACK_ESTABLISHED: {
+      auto* server = static_cast<WebSocketServer*>(lws_get_protocol(wsi)->user);
+      auto connection = std::make_shared<WebSocketConnection>(server->handler_);
+      lws_set_opaque_user_data(wsi, connection.get());
+      connection->Attach(wsi);
+      connection->HandleOpen();
+      return 0;
+    }
+    case LWS_CALLBACK_RECEIVE: {
+      const bool final = lws_is_final_fragment(wsi) != 0 &&
+                         lws_remaining_packet_payload(wsi) == 0;
+      const std::string_view part(static_cast<const char*>(in), length);
+      return ConnectionOf(wsi)->HandleReceive(part, final) ? 0 : -1;
+    }
+    case LWS_CALLBACK_SERVER_WRITEABLE:
+      return ConnectionOf(wsi)->HandleWritable() ? 0 : -1;
+    case LWS_CALLBACK_CLOSED:
+      if (WebSocketConnection* connection = ConnectionOf(wsi)) {
+        lws_set_opaque_user_data(wsi, nullptr);
+        connection->HandleClose();
+      }
+      return 0;
+    default:
+      return 0;
+  }
+}
+
+}  // namespace carawayhaven
