Add the wire codecs and the libwebsockets adapters

Peer messages are FlatBuffers in length-prefixed frames; the verifier runs before anything is read. Callers and endpoints use JSON over WebSocket, the platform JSON over HTTP.

--- /dev/null
+++ b/src/net/peer_transport.cc
@@ -0,0 +1,157 @@
+#include "net/peer_transport.h"
+
+#include <utility>
+
+#include "carawayhaven/error_messages.h"
+#include "carawayhaven/exceptions.h"
+#include "net/address.h"
+#include "net/event_loop.h"
+#include "net/peer_connection.h"
+#include "wire/peer_codec.h"
+
+namespace carawayhaven {
+namespace {
+
+constexpr char kProtocolName[] = "peer";
+constexpr size_t kReceiveBufferBytes = 64 * 1024;
+
+PeerConnection* ConnectionOf(lws* wsi) {
+  return static_cast<PeerConnection*>(lws_get_opaque_user_data(wsi));
+}
+
+}  // namespace
+
+PeerTransport::PeerTransport(EventLoop& loop, HelloMessage self,
+                             PeerEvents& events)
+    : loop_(loop),
+      self_(std::move(self)),
+      events_(events),
+      protocols_{{{kProtocolName, &PeerTransport::HandleEvent, 0,
+                   kReceiveBufferBytes, 0, this, 0},
+                  {nullptr, nullptr, 0, 0, 0, nullptr, 0}}} {
+  const Address address = ParseAddress(self_.address);
+  lws_context_creation_info info{};
+  info.port = address.port;
+  info.iface = address.ip.c_str();
+  info.protocols = protocols_.data();
+  info.vhost_name = kProtocolName;
+  info.options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND |
+                 LWS_SERVER_OPTION_ADOPT_APPLY_LISTEN_ACCEPT_CONFIG;
+  info.listen_accept_role = "raw-skt";
+  info.listen_accept_protocol = kProtocolName;
+  vhost_ = lws_create_vhost(loop.context(), &info);
+  if (vhost_ == nullptr) {
+    throw NetworkError(error_messages::kListenFailed +
+                       std::to_string(address.port));
+  }
+}
+
+PeerTransport::~PeerTransport() = default;
+
+bool PeerTransport::Send(const VmName& vm, const PeerMessage& message) {
+  if (vm == self_.vm) {
+    loop_.Post([this, message] {
+      events_.OnPeerMessage(self_.vm, message, EventLoop::Now());
+    });
+    return true;
+  }
+  std::shared_ptr<PeerConnection>& connection = outgoing_[vm];
+  if (connection == nullptr) {
+    const auto address = addresses_.find(vm);
+    if (address == addresses_.end()) {
+      outgoing_.erase(vm);
+      return false;
+    }
+    connection = Connect(address->second);
+    connection->set_peer(vm);
+    connection->Send(EncodePeerMessage(self_, EventLoop::Now()));
+  }
+  return connection->Send(EncodePeerMessage(message, EventLoop::Now()));
+}
+
+void PeerTransport::SetAddress(const VmName& vm, std::string_view address) {
+  addresses_.insert_or_assign(vm, std::string(address));
+}
+
+std::shared_ptr<PeerConnection> PeerTransport::Connect(
+    const std::string& address_text) {
+  auto connection = std::make_shared<PeerConnection>(*this, true);
+  loop_.Post([this, connection, address_text] {
+    const Address address = ParseAddress(address_text);
+    lws_client_connect_info info{};
+    info.context = loop_.context();
+    info.vhost = vhost_;
+    info.address = address.ip.c_str();
+    info.host = info.address;
+    info.port = address.port;
+    info.method = "RAW";
+    info.local_protocol_name = kProtocolName;
+    info.opaque_user_data = connection.get();
+    connection->Attach(nullptr);
+    if (lws_client_connect_via_info(&info) == nullptr) {
+      connection->HandleClose();
+    }
+  });
+  return connection;
+}
+
+int PeerTransport::HandleEvent(lws* wsi, lws_callback_reasons reason,
+                               void* /*user*/, void* in, size_t length) {
+  PeerConnection* connection = ConnectionOf(wsi);
+  switch (reason) {
+    case LWS_CALLBACK_RAW_ADOPT: {
+      if (connection != nullptr) return 0;
+      auto* transport =
+          static_cast<PeerTransport*>(lws_get_protocol(wsi)->user);
+      auto accepted = std::make_shared<PeerConnection>(*transport, false);
+      lws_set_opaque_user_data(wsi, accepted.get());
+      accepted->Attach(wsi);
+      return 0;
+    }
+    case LWS_CALLBACK_RAW_CONNECTED:
+      if (connection != nullptr) connection->Attach(wsi);
+      return 0;
+    case LWS_CALLBACK_RAW_RX:
+      if (connection == nullptr) return -1;
+      return connection->HandleReceive(
+                 {static_cast<const std::uint8_t*>(in), length})
+                 ? 0
+                 : -1;
+    case LWS_CALLBACK_RAW_WRITEABLE:
+      if (connection == nullptr) return 0;
+      return connection->HandleWritable() ? 0 : -1;
+    case LWS_CALLBACK_RAW_CLOSE:
+    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
+    case LWS_CALLBACK_WSI_DESTROY:
+      if (connection != nullptr) {
+        lws_set_opaque_user_data(wsi, nullptr);
+        connection->HandleClose();
+      }
+      return 0;
+    default:
+      return 0;
+  }
+}
+
+// The first message of an accepted connection names its sender; anything else
+// before it is dropped.
+void PeerTransport::OnMessage(PeerConnection& connection,
+                              const PeerMessage& message) {
+  if (const auto* hello = std::get_if<HelloMessage>(&message)) {
+    connection.set_peer(hello->vm);
+    SetAddress(hello->vm, hello->address);
+  }
+  if (connection.peer().empty()) return;
+  events_.OnPeerMessage(connection.peer(), message, EventLoop::Now());
+}
+
+void PeerTransport::OnClosed(PeerConnection& connection) {
+  if (!connection.outgoing()) return;
+  const auto found = outgoing_.find(connection.peer());
+  if (found == outgoing_.end() || found->second.get() != &connection) return;
+  const VmName vm = found->first;
+  outgoing_.erase(found);
+  events_.OnPeerLost(vm, EventLoop::Now());
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/src/net/peer_transport.h
@@ -0,0 +1,68 @@
+#ifndef CARAWAYHAVEN_NET_PEER_TRANSPORT_H_
+#define CARAWAYHAVEN_NET_PEER_TRANSPORT_H_
+
+#include <libwebsockets.h>
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "core/peer_link.h"
+
+namespace carawayhaven {
+
+class EventLoop;
+class PeerConnection;
+
+/// Counters of the links between proxies.
+struct PeerTransportStats {
+  std::uint64_t messages_sent = 0;
+  std::uint64_t messages_received = 0;
+  std::uint64_t bytes_sent = 0;
+  std::uint64_t bytes_received = 0;
+  std::uint64_t malformed_frames = 0;
+};
+
+/// Links to other proxies over TCP: frames with FlatBuffers. One link for each
+/// direction a message was first sent in; an idle link stays open. A message
+/// to this VM itself is delivered through the loop. Not thread-safe.
+class PeerTransport : public PeerLink {
+ public:
+  /// Listens on the address of `self`. `events` must outlive the transport's
+  /// last event. Throws NetworkError when the port cannot be listened on.
+  PeerTransport(EventLoop& loop, HelloMessage self, PeerEvents& events);
+  ~PeerTransport() override;
+  PeerTransport(const PeerTransport&) = delete;
+  PeerTransport& operator=(const PeerTransport&) = delete;
+
+  bool Send(const VmName& vm, const PeerMessage& message) override;
+  void SetAddress(const VmName& vm, std::string_view address) override;
+
+  const PeerTransportStats& stats() const { return stats_; }
+
+ private:
+  friend class PeerConnection;
+
+  static int HandleEvent(lws* wsi, lws_callback_reasons reason, void* user,
+                         void* in, size_t length);
+
+  std::shared_ptr<PeerConnection> Connect(const std::string& address);
+  void OnMessage(PeerConnection& connection, const PeerMessage& message);
+  void OnClosed(PeerConnection& connection);
+
+  EventLoop& loop_;
+  HelloMessage self_;
+  PeerEvents& events_;
+  std::array<lws_protocols, 2> protocols_;
+  lws_vhost* vhost_ = nullptr;
+  std::map<VmName, std::string, std::less<>> addresses_;
+  std::map<VmName, std::shared_ptr<PeerConnection>, std::less<>> outgoing_;
+  PeerTransportStats stats_;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_NET_PEER_TRANSPORT_H_
--- /dev/null
+++ b/src/net/platform_client.cc
@@ -0,0 +1,118 @@
+#include "net/platform_client.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "carawayhaven/exceptions.h"
+#include "net/event_loop.h"
+#include "wire/json_fields.h"
+
+namespace carawayhaven {
+namespace {
+
+// The store answers in milliseconds; a call without an answer for this long is
+// taken for lost.
+constexpr Duration kCallTimeout = std::chrono::milliseconds(1000);
+// The store ends a watch without changes after 30 s.
+constexpr Duration kWatchTimeout = std::chrono::seconds(40);
+
+std::string ObjectPath(std::string_view path) {
+  return "/objects/" + std::string(path);
+}
+
+ObjectVersion VersionOf(const HttpResponse& response) {
+  ObjectVersion version = 0;
+  const std::string& text = response.etag;
+  std::from_chars(text.data(), text.data() + text.size(), version);
+  return version;
+}
+
+StoreStatus StatusOf(int http_status) {
+  switch (http_status) {
+    case 200:
+    case 201:
+      return StoreStatus::kOk;
+    case 404:
+      return StoreStatus::kNotFound;
+    case 412:
+      return StoreStatus::kConflict;
+    case 429:
+      return StoreStatus::kOverloaded;
+    default:
+      return StoreStatus::kUnknown;
+  }
+}
+
+StoreReply ObjectReply(const std::string& path, const HttpResponse& response) {
+  StoreReply reply;
+  reply.status = StatusOf(response.status);
+  reply.object = {path, response.body, VersionOf(response)};
+  return reply;
+}
+
+// Reads the list of changed objects. A malformed list is an unknown outcome.
+StoreReply WatchReply(const HttpResponse& response) {
+  StoreReply reply;
+  reply.status = StatusOf(response.status);
+  if (reply.status != StoreStatus::kOk) return reply;
+  try {
+    const nlohmann::json list = ParseJsonObject(response.body);
+    reply.revision = RequiredNumber(list, "revision");
+    for (const nlohmann::json& entry : list.at("objects")) {
+      reply.objects.push_back({RequiredString(entry, "path"),
+                               RequiredString(entry, "value"),
+                               RequiredNumber(entry, "version")});
+    }
+  } catch (const std::exception&) {
+    return StoreReply{};
+  }
+  return reply;
+}
+
+}  // namespace
+
+PlatformClient::PlatformClient(EventLoop& loop, std::string address)
+    : address_(std::move(address)), client_(loop) {}
+
+void PlatformClient::Get(std::string_view path, StoreCallback callback) {
+  ++calls_;
+  HttpRequest request;
+  request.method = "GET";
+  request.path = ObjectPath(path);
+  client_.Send(address_, std::move(request), kCallTimeout,
+               [path = std::string(path),
+                callback = std::move(callback)](const HttpResponse& response) {
+                 callback(ObjectReply(path, response));
+               });
+}
+
+void PlatformClient::Put(std::string_view path, std::string_view value,
+                         ObjectVersion expected, StoreCallback callback) {
+  ++calls_;
+  HttpRequest request;
+  request.method = "PUT";
+  request.path = ObjectPath(path);
+  request.if_match = std::to_string(expected);
+  request.body = value;
+  client_.Send(address_, std::move(request), kCallTimeout,
+               [path = std::string(path),
+                callback = std::move(callback)](const HttpResponse& response) {
+                 callback(ObjectReply(path, response));
+               });
+}
+
+void PlatformClient::Watch(std::string_view prefix, ObjectVersion after,
+                           StoreCallback callback) {
+  ++calls_;
+  HttpRequest request;
+  request.method = "GET";
+  request.path = ObjectPath(prefix);
+  request.query = "watch=" + std::to_string(after);
+  client_.Send(address_, std::move(request), kWatchTimeout,
+               [callback = std::move(callback)](const HttpResponse& response) {
+                 callback(WatchReply(response));
+               });
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/src/wire/json_fields.cc
@@ -0,0 +1,51 @@
+#include "wire/json_fields.h"
+
+#include "carawayhaven/error_messages.h"
+#include "carawayhaven/exceptions.h"
+
+namespace carawayhaven {
+namespace {
+
+[[noreturn]] void ThrowBadField(const char* key) {
+  throw DecodeError(std::string(error_messages::kMissingField) + key);
+}
+
+}  // namespace
+
+nlohmann::json ParseJsonObject(std::string_view text) {
+  nlohmann::json parsed =
+      nlohmann::json::parse(text, nullptr, /*allow_exceptions=*/false);
+  if (!parsed.is_object()) throw DecodeError(error_messages::kMalformedJson);
+  return parsed;
+}
+
+std::string RequiredString(const nlohmann::json& object, const char* key) {
+  const auto found = object.find(key);
+  if (found == object.end() || !found->is_string()) ThrowBadField(key);
+  return found->get<std::string>();
+}
+
+std::uint64_t RequiredNumber(const nlohmann::json& object, const char* key) {
+  const auto found = object.find(key);
+  if (found == object.end() || !found->is_number_unsigned()) ThrowBadField(key);
+  return found->get<std::uint64_t>();
+}
+
+std::string OptionalString(const nlohmann::json& object, const char* key) {
+  return object.contains(key) ? RequiredString(object, key) : std::string();
+}
+
+std::uint64_t OptionalNumber(const nlohmann::json& object, const char* key,
+                             std::uint64_t fallback) {
+  return object.contains(key) ? RequiredNumber(object, key) : fallback;
+}
+
+bool OptionalBool(const nlohmann::json& object, const char* key,
+                  bool fallback) {
+  const auto found = object.find(key);
+  if (found == object.end()) return fallback;
+  if (!found->is_boolean()) ThrowBadField(key);
+  return found->get<bool>();
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/src/wire/json_fields.h
@@ -0,0 +1,26 @@
+#ifndef CARAWAYHAVEN_WIRE_JSON_FIELDS_H_
+#define CARAWAYHAVEN_WIRE_JSON_FIELDS_H_
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace carawayhaven {
+
+/// Parses a JSON object. Throws DecodeError when the text is not one.
+nlohmann::json ParseJsonObject(std::string_view text);
+
+/// Typed access to the fields of an object. The required forms throw
+/// DecodeError when the field is missing; all throw it for a wrong type.
+std::string RequiredString(const nlohmann::json& object, const char* key);
+std::uint64_t RequiredNumber(const nlohmann::json& object, const char* key);
+std::string OptionalString(const nlohmann::json& object, const char* key);
+std::uint64_t OptionalNumber(const nlohmann::json& object, const char* key,
+                             std::uint64_t fallback);
+bool OptionalBool(const nlohmann::json& object, const char* key, bool fallback);
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_WIRE_JSON_FIELDS_H_
--- /dev/null
+++ b/src/wire/peer_codec.cc
@@ -0,0 +1,290 @@
+#include "wire/peer_codec.h"
+
+#include <string>
+#include <utility>
+
+#include "carawayhaven/error_messages.h"
+#include "carawayhaven/exceptions.h"
+#include "peer_generated.h"
+
+namespace carawayhaven {
+namespace {
+
+constexpr std::int64_t kNoMaxAge = -1;
+
+using flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+
+std::string Text(const flatbuffers::String* text) { return text->str(); }
+
+wire::Position Encode(const LogPosition& position) {
+  return {position.term, position.index};
+}
+
+LogPosition Decode(const wire::Position* position) {
+  if (position == nullptr) return {};
+  return {position->term(), position->index()};
+}
+
+// Converts an enum value from the wire. Throws DecodeError above `last`.
+template <typename Enum>
+Enum DecodeEnum(std::uint8_t value, Enum last) {
+  if (value > static_cast<std::uint8_t>(last)) {
+    throw DecodeError(error_messages::kMalformedPeerMessage);
+  }
+  return static_cast<Enum>(value);
+}
+
+// Encodes each kind of message; the visitor returns the union's type and value.
+class Encoder {
+ public:
+  using Payload = std::pair<wire::Payload, Offset<void>>;
+
+  Encoder(FlatBufferBuilder& builder, TimePoint now)
+      : builder_(builder), now_(now) {}
+
+  Payload operator()(const HelloMessage& hello) {
+    return {
+        wire::Payload_Hello,
+        wire::CreateHello(builder_, String(hello.vm), String(hello.data_centre),
+                          String(hello.address), hello.incarnation)
+            .Union()};
+  }
+
+  Payload operator()(const ForwardMessage& forward) {
+    const auto endpoint = String(forward.endpoint);
+    const auto request = EncodeRequest(forward.request);
+    return {wire::Payload_Forward,
+            wire::CreateForward(builder_, forward.correlation, endpoint,
+                                forward.term, request)
+                .Union()};
+  }
+
+  Payload operator()(const ForwardReplyMessage& reply) {
+    const Outcome& outcome = reply.outcome;
+    const auto payload = String(outcome.payload);
+    const auto served_by = String(outcome.served_by);
+    const wire::Position position = Encode(outcome.position);
+    return {wire::Payload_ForwardReply,
+            wire::CreateForwardReply(
+                builder_, reply.correlation, reply.term,
+                static_cast<std::uint8_t>(outcome.verdict),
+                static_cast<std::uint8_t>(outcome.reason), payload, &position,
+                served_by, outcome.from_replica, outcome.retry_after.count())
+                .Union()};
+  }
+
+  Payload operator()(const HeartbeatMessage& heartbeat) {
+    std::vector<Offset<wire::VmRecord>> changes;
+    for (const VmRecord& record : heartbeat.changes) {
+      changes.push_back(EncodeVmRecord(record));
+    }
+    const auto sender = EncodeVmRecord(heartbeat.sender);
+    const auto change_vector = builder_.CreateVector(changes);
+    return {wire::Payload_Heartbeat,
+            wire::CreateHeartbeat(builder_, sender, change_vector,
+                                  heartbeat.digest.count, heartbeat.digest.hash,
+                                  heartbeat.reply)
+                .Union()};
+  }
+
+  Payload operator()(const ConfigUpdateMessage& update) {
+    const auto team = String(update.team);
+    const auto text = String(update.text);
+    return {
+        wire::Payload_ConfigUpdate,
+        wire::CreateConfigUpdate(builder_, team, update.version, text).Union()};
+  }
+
+  Payload operator()(const ConfigRequestMessage& request) {
+    std::vector<Offset<wire::TeamVersion>> versions;
+    for (const TeamVersion& entry : request.versions) {
+      versions.push_back(
+          wire::CreateTeamVersion(builder_, String(entry.team), entry.version));
+    }
+    const auto vector = builder_.CreateVector(versions);
+    return {wire::Payload_ConfigRequest,
+            wire::CreateConfigRequest(builder_, vector).Union()};
+  }
+
+  Payload operator()(const GroupUpdateMessage& update) {
+    std::vector<wire::Position> starts;
+    for (const LogPosition& start : update.term_starts) {
+      starts.push_back(Encode(start));
+    }
+    const auto service = String(update.service);
+    const auto primary = String(update.primary);
+    const auto vector = builder_.CreateVectorOfStructs(starts);
+    return {
+        wire::Payload_GroupUpdate,
+        wire::CreateGroupUpdate(builder_, service, update.term, primary, vector)
+            .Union()};
+  }
+
+  Payload operator()(const SuspectReportMessage& report) {
+    const auto service = String(report.service);
+    const auto primary = String(report.primary);
+    const auto observer = String(report.observer);
+    return {wire::Payload_SuspectReport,
+            wire::CreateSuspectReport(builder_, service, report.term, primary,
+                                      observer, report.suspected)
+                .Union()};
+  }
+
+ private:
+  Offset<flatbuffers::String> String(const std::string& text) {
+    return builder_.CreateString(text);
+  }
+
+  Offset<wire::VmRecord> EncodeVmRecord(const VmRecord& record) {
+    const auto vm = String(record.vm);
+    const auto data_centre = String(record.data_centre);
+    const auto address = String(record.address);
+    return wire::CreateVmRecord(builder_, vm, data_centre, address,
+                                record.incarnation, record.sequence,
+                                static_cast<std::uint8_t>(record.state));
+  }
+
+  Offset<wire::Request> EncodeRequest(const Request& request) {
+    const auto service = String(request.service);
+    const auto team = String(request.team);
+    const auto statement = String(request.statement);
+    const auto parameters = String(request.parameters);
+    const auto id = String(request.id.value);
+    const auto transaction = String(request.transaction);
+    const auto traceparent = String(request.traceparent);
+    const wire::Position min_position = Encode(request.min_position);
+    const std::int64_t max_age =
+        request.max_age ? request.max_age->count() : kNoMaxAge;
+    return wire::CreateRequest(
+        builder_, service, team, statement, parameters,
+        static_cast<std::uint8_t>(request.access), request.idempotent, id,
+        request.id.attempt, max_age, (request.deadline - now_).count(),
+        &min_position, static_cast<std::uint8_t>(request.kind), transaction,
+        traceparent);
+  }
+
+  FlatBufferBuilder& builder_;
+  TimePoint now_;
+};
+
+VmRecord DecodeVmRecord(const wire::VmRecord& record) {
+  return {Text(record.vm()),      Text(record.data_centre()),
+          Text(record.address()), record.incarnation(),
+          record.sequence(),      DecodeEnum(record.state(), VmState::kDead)};
+}
+
+Request DecodeRequest(const wire::Request& from, TimePoint now) {
+  Request request;
+  request.kind = DecodeEnum(from.kind(), RequestKind::kResolve);
+  request.service = Text(from.service());
+  request.team = Text(from.team());
+  request.statement = Text(from.statement());
+  request.parameters = Text(from.parameters());
+  request.access = DecodeEnum(from.access(), AccessMode::kWrite);
+  request.idempotent = from.idempotent();
+  request.id = {Text(from.request_id()), from.attempt()};
+  if (from.max_age_us() >= 0) request.max_age = Duration(from.max_age_us());
+  request.deadline = now + Duration(from.time_left_us());
+  request.min_position = Decode(from.min_position());
+  request.transaction = Text(from.transaction());
+  request.traceparent = Text(from.traceparent());
+  return request;
+}
+
+ForwardMessage DecodeForward(const wire::Forward& forward, TimePoint now) {
+  return {forward.correlation(), Text(forward.endpoint()), forward.term(),
+          DecodeRequest(*forward.request(), now)};
+}
+
+ForwardReplyMessage DecodeForwardReply(const wire::ForwardReply& reply) {
+  Outcome outcome;
+  outcome.verdict = DecodeEnum(reply.verdict(), Verdict::kMayHaveRun);
+  outcome.reason = DecodeEnum(reply.reason(), Reason::kStatementError);
+  outcome.payload = Text(reply.payload());
+  outcome.position = Decode(reply.position());
+  outcome.served_by = Text(reply.served_by());
+  outcome.from_replica = reply.from_replica();
+  outcome.retry_after = Duration(reply.retry_after_us());
+  return {reply.correlation(), reply.term(), std::move(outcome)};
+}
+
+HeartbeatMessage DecodeHeartbeat(const wire::Heartbeat& heartbeat) {
+  HeartbeatMessage message;
+  message.sender = DecodeVmRecord(*heartbeat.sender());
+  for (const wire::VmRecord* record : *heartbeat.changes()) {
+    message.changes.push_back(DecodeVmRecord(*record));
+  }
+  message.digest = {heartbeat.digest_count(), heartbeat.digest_hash()};
+  message.reply = heartbeat.reply();
+  return message;
+}
+
+ConfigRequestMessage DecodeConfigRequest(const wire::ConfigRequest& request) {
+  ConfigRequestMessage message;
+  for (const wire::TeamVersion* entry : *request.versions()) {
+    message.versions.push_back({Text(entry->team()), entry->version()});
+  }
+  return message;
+}
+
+GroupUpdateMessage DecodeGroupUpdate(const wire::GroupUpdate& update) {
+  GroupUpdateMessage message{
+      Text(update.service()), update.term(), Text(update.primary()), {}};
+  for (const wire::Position* start : *update.term_starts()) {
+    message.term_starts.push_back(Decode(start));
+  }
+  return message;
+}
+
+}  // namespace
+
+std::vector<std::uint8_t> EncodePeerMessage(const PeerMessage& message,
+                                            TimePoint now) {
+  FlatBufferBuilder builder;
+  const auto [type, payload] = std::visit(Encoder(builder, now), message);
+  builder.Finish(wire::CreatePeerMessage(builder, type, payload));
+  return {builder.GetBufferPointer(),
+          builder.GetBufferPointer() + builder.GetSize()};
+}
+
+PeerMessage DecodePeerMessage(std::span<const std::uint8_t> bytes,
+                              TimePoint now) {
+  flatbuffers::Verifier verifier(bytes.data(), bytes.size());
+  if (!wire::VerifyPeerMessageBuffer(verifier)) {
+    throw DecodeError(error_messages::kMalformedPeerMessage);
+  }
+  const wire::PeerMessage& message = *wire::GetPeerMessage(bytes.data());
+  switch (message.payload_type()) {
+    case wire::Payload_Hello: {
+      const wire::Hello& hello = *message.payload_as_Hello();
+      return HelloMessage{Text(hello.vm()), Text(hello.data_centre()),
+                          Text(hello.address()), hello.incarnation()};
+    }
+    case wire::Payload_Forward:
+      return DecodeForward(*message.payload_as_Forward(), now);
+    case wire::Payload_ForwardReply:
+      return DecodeForwardReply(*message.payload_as_ForwardReply());
+    case wire::Payload_Heartbeat:
+      return DecodeHeartbeat(*message.payload_as_Heartbeat());
+    case wire::Payload_ConfigUpdate: {
+      const wire::ConfigUpdate& update = *message.payload_as_ConfigUpdate();
+      return ConfigUpdateMessage{Text(update.team()), update.version(),
+                                 Text(update.text())};
+    }
+    case wire::Payload_ConfigRequest:
+      return DecodeConfigRequest(*message.payload_as_ConfigRequest());
+    case wire::Payload_GroupUpdate:
+      return DecodeGroupUpdate(*message.payload_as_GroupUpdate());
+    case wire::Payload_SuspectReport: {
+      const wire::SuspectReport& report = *message.payload_as_SuspectReport();
+      return SuspectReportMessage{Text(report.service()), report.term(),
+                                  Text(report.primary()),
+                                  Text(report.observer()), report.suspected()};
+    }
+    default:
+      throw DecodeError(error_messages::kMalformedPeerMessage);
+  }
+}
+
+}  // namespace carawayhaven
