--- /dev/null
+++ b/src/net/caller_server.cc
@@ -0,0 +1,136 @@
+#include "net/caller_server.h"
+
+#include <utility>
+
+#include "carawayhaven/error_messages.h"
+#include "carawayhaven/exceptions.h"
+#include "net/address.h"
+#include "net/event_loop.h"
+
+namespace carawayhaven {
+namespace {
+
+// The token advances to the position of a write that was acknowledged; a read
+// changes nothing that the session wrote.
+bool AdvancesToken(const Request& request, const Outcome& outcome) {
+  if (outcome.verdict != Verdict::kRan) return false;
+  switch (request.kind) {
+    case RequestKind::kStatement:
+      return request.access == AccessMode::kWrite &&
+             request.transaction.empty();
+    case RequestKind::kCommit:
+    case RequestKind::kResolve:
+      return true;
+    default:
+      return false;
+  }
+}
+
+}  // namespace
+
+CallerServer::CallerServer(EventLoop& loop, const std::string& address,
+                           std::size_t max_sessions, CallerLimits limits,
+                           CallerHandler& handler)
+    : max_sessions_(max_sessions),
+      limits_(limits),
+      handler_(handler),
+      server_(loop, ParseAddress(address).ip, ParseAddress(address).port,
+              *this) {}
+
+void CallerServer::AnnounceLeaving() {
+  leaving_ = true;
+  for (const auto& [socket, session] : sessions_) {
+    socket->Send(EncodeLeavingNotice());
+  }
+}
+
+void CallerServer::OnOpen(const std::shared_ptr<WebSocketConnection>& socket) {
+  if (leaving_ || sessions_.size() >= max_sessions_) {
+    ++stats_.sessions_refused;
+    socket->Send(EncodeLeavingNotice());
+    socket->CloseAfterSend();
+    return;
+  }
+  ++stats_.sessions_opened;
+  sessions_.emplace(socket, Session{});
+}
+
+// A malformed message ends its session: the bytes that follow cannot be
+// trusted either. A well-formed message with a bad field gets an answer.
+void CallerServer::OnMessage(const std::shared_ptr<WebSocketConnection>& socket,
+                             std::string_view message) {
+  const auto found = sessions_.find(socket);
+  if (found == sessions_.end()) return;
+  ++stats_.requests;
+  try {
+    CallerRequest decoded =
+        DecodeCallerRequest(message, limits_, EventLoop::Now());
+    if (found->second.in_flight >= kMaxInFlightPerSession) {
+      Outcome refusal;
+      refusal.reason = Reason::kOverloaded;
+      socket->Send(EncodeCallerAnswer(decoded.id, refusal, decoded.token, ""));
+      return;
+    }
+    Start(socket, std::move(decoded));
+  } catch (const Error& error) {
+    ++stats_.invalid_messages;
+    const std::uint64_t id = PeekCallerRequestId(message);
+    socket->Send(EncodeCallerError(id, error.what()));
+    if (id == 0) socket->CloseAfterSend();
+  }
+}
+
+void CallerServer::OnClose(const std::shared_ptr<WebSocketConnection>& socket) {
+  const auto found = sessions_.find(socket);
+  if (found == sessions_.end()) return;
+  const Session session = std::move(found->second);
+  sessions_.erase(found);
+  for (const auto& [transaction, service] : session.transactions) {
+    handler_.OnTransactionAbandoned(service, transaction);
+  }
+}
+
+void CallerServer::Start(const std::shared_ptr<WebSocketConnection>& socket,
+                         CallerRequest message) {
+  ++sessions_.at(socket).in_flight;
+  ++in_flight_;
+  Request request = message.request;
+  handler_.OnCallerRequest(
+      std::move(request),
+      [this, socket, message = std::move(message)](
+          const Outcome& outcome, std::string_view transaction) {
+        Answer(socket, message, outcome, transaction);
+      });
+}
+
+void CallerServer::Answer(const std::shared_ptr<WebSocketConnection>& socket,
+                          const CallerRequest& message, const Outcome& outcome,
+                          std::string_view transaction) {
+  --in_flight_;
+  const Request& request = message.request;
+  const auto found = sessions_.find(socket);
+  if (found == sessions_.end()) {
+    // The caller went away while its begin was on the way.
+    if (request.kind == RequestKind::kBegin &&
+        outcome.verdict == Verdict::kRan) {
+      handler_.OnTransactionAbandoned(request.service,
+                                      TransactionId(transaction));
+    }
+    return;
+  }
+  Session& session = found->second;
+  --session.in_flight;
+  if (request.kind == RequestKind::kBegin && outcome.verdict == Verdict::kRan) {
+    session.transactions.emplace(transaction, request.service);
+  } else if (request.kind == RequestKind::kCommit ||
+             request.kind == RequestKind::kRollback) {
+    session.transactions.erase(request.transaction);
+  }
+  SessionToken token = message.token;
+  if (AdvancesToken(request, outcome)) {
+    token.Advance(request.service, outcome.position);
+  }
+  socket->Send(EncodeCallerAnswer(message.id, outcome, token, transaction));
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/test/standins/replication.h
@@ -0,0 +1,113 @@
+#ifndef CARAWAYHAVEN_TEST_STANDINS_REPLICATION_H_
+#define CARAWAYHAVEN_TEST_STANDINS_REPLICATION_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "carawayhaven/log_position.h"
+#include "carawayhaven/names.h"
+#include "carawayhaven/time.h"
+#include "net/websocket_client.h"
+#include "net/websocket_connection.h"
+#include "standins/endpoint_state.h"
+
+namespace carawayhaven {
+class EventLoop;
+}  // namespace carawayhaven
+
+namespace carawayhaven::standins {
+
+/// Terms, roles and asynchronous log replication of one endpoint. The primary
+/// sends its log to the other endpoints of the group after a settable lag.
+class Replication : private WebSocketHandler {
+ public:
+  Replication(EventLoop& loop, EndpointState& state, std::string name,
+              std::map<std::string, std::string> peer_addresses);
+
+  Term term() const { return term_; }
+  bool is_primary() const { return primary_role_; }
+  const std::string& primary() const { return primary_; }
+  /// Age of the data by this endpoint's own clock; zero on a primary that has
+  /// just been confirmed.
+  Duration Age() const;
+
+  void BecomeFirstPrimary();
+  void FollowFirst(const std::string& primary);
+
+  /// Appends an entry in the current term. Must be the primary.
+  LogPosition Append(LogEntry entry);
+
+  /// Calls `done(true)` after a replica has confirmed the index in a round
+  /// that began after this call, or `done(false)` when a higher term is seen.
+  void Confirm(std::uint64_t min_index, std::function<void(bool)> done);
+
+  enum class FenceResult { kGranted, kStale, kRefused };
+  FenceResult Fence(Term term, const std::string& candidate);
+  bool Promote(Term term, const std::string& candidate);
+  bool Follow(Term term, const std::string& primary);
+
+  /// Handles a message of the replication stream; returns the answer.
+  nlohmann::json HandleAppend(const nlohmann::json& message);
+
+  void set_lag(Duration lag) { lag_ = lag; }
+  void set_link_delay(Duration delay) { link_delay_ = delay; }
+  void set_cut(bool cut) { cut_ = cut; }
+  void set_frozen(bool frozen) { frozen_ = frozen; }
+
+ private:
+  struct Peer {
+    std::string address;
+    std::shared_ptr<WebSocketConnection> socket;
+    bool open = false;
+    std::uint64_t next_index = 1;
+    std::uint64_t match_index = 0;
+    std::uint64_t acked_round = 0;
+    std::int64_t ask = 0;
+    std::uint64_t ask_index = 0;
+  };
+  struct Confirmation {
+    std::uint64_t min_index = 0;
+    std::uint64_t round = 0;
+    std::function<void(bool)> done;
+  };
+
+  void OnOpen(const std::shared_ptr<WebSocketConnection>& socket) override;
+  void OnMessage(const std::shared_ptr<WebSocketConnection>& socket,
+                 std::string_view text) override;
+  void OnClose(const std::shared_ptr<WebSocketConnection>& socket) override;
+
+  Peer* PeerOf(const WebSocketConnection* socket);
+  void Heartbeat();
+  void SendAppends();
+  void SendAppend(Peer& peer);
+  void HandleAck(Peer& peer, const nlohmann::json& ack);
+  void ReleaseConfirmations();
+  void StepDown();
+
+  EventLoop& loop_;
+  EndpointState& state_;
+  std::string name_;
+  WebSocketClient client_;
+  std::map<std::string, Peer> peers_;
+  Term term_ = 1;
+  bool primary_role_ = false;
+  std::string primary_;
+  std::string granted_candidate_;
+  std::vector<TimePoint> appended_at_;
+  std::uint64_t round_ = 0;
+  std::vector<Confirmation> confirmations_;
+  TimePoint fresh_as_of_;
+  Duration lag_{0};
+  Duration link_delay_{0};
+  bool cut_ = false;
+  bool frozen_ = false;
+};
+
+}  // namespace carawayhaven::standins
+
+#endif  // CARAWAYHAVEN_TEST_STANDINS_REPLICATION_H_
