--- /dev/null
+++ b/util/load/statistics.h
@@ -0,0 +1,57 @@
+#ifndef CARAWAYHAVEN_UTIL_LOAD_STATISTICS_H_
+#define CARAWAYHAVEN_UTIL_LOAD_STATISTICS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "carawayhaven/time.h"
+
+namespace carawayhaven::load {
+
+/// Counts and latencies of a run. Not thread-safe.
+class Statistics {
+ public:
+  void CountAnswer(const std::string& verdict, const std::string& reason);
+  void CountRead(bool accepts_age, bool from_replica);
+  void CountStaleRead() { ++stale_reads_; }
+  void AddShortLatency(Duration latency) { short_latency_.push_back(latency); }
+
+  /// A write of a service was acknowledged; `sent_at` is when it was sent.
+  void AddAcknowledgement(const std::string& service, TimePoint sent_at,
+                          TimePoint now);
+  void MarkFailure(const std::string& service, TimePoint now);
+
+  /// Time from the failure to the first acknowledgement of a write that was
+  /// sent after it; negative when there was none.
+  Duration FailoverGap() const;
+  Duration ShortLatency(double quantile) const;
+
+  const std::map<std::string, std::uint64_t>& verdicts() const {
+    return verdicts_;
+  }
+  const std::map<std::string, std::uint64_t>& reasons() const {
+    return reasons_;
+  }
+  std::uint64_t stale_reads() const { return stale_reads_; }
+  /// Share of the reads that accept an age which a replica served.
+  double ReplicaShare() const;
+  std::uint64_t answers() const { return answers_; }
+
+ private:
+  std::map<std::string, std::uint64_t> verdicts_;
+  std::map<std::string, std::uint64_t> reasons_;
+  std::uint64_t answers_ = 0;
+  std::uint64_t aged_reads_ = 0;
+  std::uint64_t replica_reads_ = 0;
+  std::uint64_t stale_reads_ = 0;
+  std::vector<Duration> short_latency_;
+  std::string failed_service_;
+  TimePoint failed_at_;
+  TimePoint recovered_at_;
+};
+
+}  // namespace carawayhaven::load
+
+#endif  // CARAWAYHAVEN_UTIL_LOAD_STATISTICS_H_
