--- a/util/load/caller.h
+++ b/util/load/caller.h
@@ -33,7 +33,7 @@
   Duration think_time{20'000};
   std::uint64_t timeout_ms = 4000;
   /// No new operation starts after this.
-  TimePoint ends_at;
+  TimePoint ends_at{};
 };
 
 /// One caller in a closed loop: an operation, a pause, the next one. It changes
--- a/util/load/main.cc
+++ b/util/load/main.cc
@@ -97,7 +97,9 @@
                  Workload::ForUsers(options_.users),
                  options_.proxies,
                  options_.services,
-                 std::chrono::milliseconds(options_.think_ms)},
+                 std::chrono::milliseconds(options_.think_ms),
+                 4000,
+                 TimePoint{}},
         check_(context_, [this](bool complete) { Finish(complete); }) {}
 
   int Execute() {
