--- /dev/null
+++ b/src/core/limits/circuit_breaker.h
@@ -0,0 +1,41 @@
+#ifndef CARAWAYHAVEN_CORE_LIMITS_CIRCUIT_BREAKER_H_
+#define CARAWAYHAVEN_CORE_LIMITS_CIRCUIT_BREAKER_H_
+
+#include <cstdint>
+
+#include "carawayhaven/time.h"
+
+namespace carawayhaven {
+
+/// Stops attempts after consecutive failures and probes with one attempt at a
+/// time until one succeeds. Not thread-safe.
+class CircuitBreaker {
+ public:
+  static constexpr std::uint32_t kFailureThreshold = 5;
+  static constexpr Duration kFirstPause = std::chrono::milliseconds(200);
+  static constexpr Duration kLongestPause = std::chrono::seconds(5);
+
+  /// Returns whether an attempt may start. In the half-open state the first
+  /// call that returns true takes the only probe.
+  bool TryAcquire(TimePoint now);
+
+  void OnSuccess();
+  void OnFailure(TimePoint now);
+
+  /// True from the moment it opens until an attempt succeeds.
+  bool is_open() const { return open_; }
+
+  /// Time of the next probe; TimePoint::max() when closed or probing.
+  TimePoint RetryAt() const;
+
+ private:
+  bool open_ = false;
+  bool probing_ = false;
+  std::uint32_t failures_ = 0;
+  Duration pause_ = kFirstPause;
+  TimePoint retry_at_{};
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_CORE_LIMITS_CIRCUIT_BREAKER_H_
--- /dev/null
+++ b/src/core/queue/admission_control.cc
@@ -0,0 +1,16 @@
+#include "core/queue/admission_control.h"
+
+#include <algorithm>
+
+namespace carawayhaven {
+
+std::optional<Duration> AdmissionControl::Refuse(const QueueLoad& load,
+                                                 Duration cost,
+                                                 Duration remaining) {
+  Duration wait = load.backlog / load.slots;
+  if (load.all_slots_busy) wait += cost / (2 * load.slots);
+  if (wait + cost <= remaining) return std::nullopt;
+  return std::max(wait + cost - remaining, kShortestRetry);
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/src/core/queue/cost_estimator.cc
@@ -0,0 +1,71 @@
+#include "core/queue/cost_estimator.h"
+
+#include <xxhash.h>
+
+#include <chrono>
+
+#include "carawayhaven/request.h"
+
+namespace carawayhaven {
+namespace {
+
+constexpr double kCostQuantile = 0.9;
+/// Below this number the median of the endpoint says too little.
+constexpr std::uint64_t kLeastObservations = 20;
+
+}  // namespace
+
+std::uint64_t CostEstimator::FingerprintOf(const Request& request) {
+  const std::uint64_t service =
+      XXH3_64bits(request.service.data(), request.service.size());
+  return XXH3_64bits_withSeed(
+      request.statement.data(), request.statement.size(),
+      service + static_cast<std::uint64_t>(request.kind));
+}
+
+void CostEstimator::Observe(std::uint64_t fingerprint, Duration run_time) {
+  all_.Add(run_time);
+  HistogramOf(fingerprint).Add(run_time);
+}
+
+void CostEstimator::ObserveRunning(std::uint64_t fingerprint,
+                                   Duration elapsed) {
+  HistogramOf(fingerprint).Add(elapsed);
+}
+
+CostEstimate CostEstimator::Estimate(std::uint64_t fingerprint) const {
+  const auto found = by_fingerprint_.find(fingerprint);
+  if (found == by_fingerprint_.end()) {
+    const Duration median = all_.Quantile(0.5);
+    return {median, median, false};
+  }
+  const DecayingHistogram& histogram = found->second->second;
+  return {histogram.Mean(), histogram.Quantile(kCostQuantile), true};
+}
+
+Duration CostEstimator::LongLimit() const {
+  if (all_.count() < kLeastObservations) return Duration::max();
+  return std::chrono::duration_cast<Duration>(all_.Quantile(0.5) *
+                                              long_factor_);
+}
+
+bool CostEstimator::IsLong(std::uint64_t fingerprint) const {
+  return Estimate(fingerprint).p90 > LongLimit();
+}
+
+DecayingHistogram& CostEstimator::HistogramOf(std::uint64_t fingerprint) {
+  const auto found = by_fingerprint_.find(fingerprint);
+  if (found != by_fingerprint_.end()) {
+    recent_.splice(recent_.begin(), recent_, found->second);
+    return found->second->second;
+  }
+  if (by_fingerprint_.size() >= kMaxFingerprints) {
+    by_fingerprint_.erase(recent_.back().first);
+    recent_.pop_back();
+  }
+  recent_.emplace_front(fingerprint, DecayingHistogram());
+  by_fingerprint_[fingerprint] = recent_.begin();
+  return recent_.front().second;
+}
+
+}  // namespace carawayhaven
--- a/src/core/queue/endpoint_pool.cc
+++ b/src/core/queue/endpoint_pool.cc
@@ -2,364 +2,535 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
+
+#include "core/endpoint_command.h"
+#include "core/queue/admission_control.h"
+#include "core/queue/answer_outcome.h"
 
 namespace carawayhaven {
 namespace {
 
-bool NeedsConfirmation(const Request& request, AcknowledgeMode mode) {
-  if (request.kind == RequestKind::kBegin ||
-      request.kind == RequestKind::kRollback) {
-    return false;
-  }
-  const bool in_open_transaction =
-      !request.transaction.empty() && request.kind == RequestKind::kStatement;
-  if (in_open_transaction) return false;
-  if (request.kind == RequestKind::kStatement &&
-      request.access == AccessMode::kRead) {
-    return !request.max_age.has_value();
-  }
-  return mode == AcknowledgeMode::kReplica;
+/// The confirmation tracker has one connection of its own.
+std::size_t StatementConnections(const EndpointPoolOptions& options) {
+  constexpr std::uint32_t reserved = EndpointPool::kReservedConnections + 1;
+  return options.connections > reserved ? options.connections - reserved : 1;
 }
 
-Outcome OutcomeOf(const EndpointAnswer& answer, const Request& request) {
-  Outcome outcome;
-  outcome.position = answer.position;
-  outcome.payload = answer.payload;
-  outcome.from_replica = answer.role == EndpointRole::kReplica;
-  switch (answer.status) {
-    case EndpointStatus::kOk:
-      outcome.verdict = request.kind == RequestKind::kResolve && !answer.ran
-                            ? Verdict::kNotRun
-                            : Verdict::kRan;
-      return outcome;
-    case EndpointStatus::kDuplicate:
-      outcome.verdict = Verdict::kRan;
-      return outcome;
-    case EndpointStatus::kConflict:
-      outcome.verdict = Verdict::kRan;
-      outcome.reason = Reason::kConstraint;
-      return outcome;
-    case EndpointStatus::kBehind:
-      outcome.reason = Reason::kBehind;
-      return outcome;
-    case EndpointStatus::kStaleTerm:
-      outcome.reason = Reason::kStaleTerm;
-      return outcome;
-    case EndpointStatus::kNotPrimary:
-    case EndpointStatus::kRefused:
-      outcome.reason = Reason::kNotPrimary;
-      return outcome;
-    case EndpointStatus::kBusy:
-      outcome.reason = Reason::kBusy;
-      return outcome;
-    case EndpointStatus::kCancelled:
-      outcome.reason = Reason::kCancelled;
-      return outcome;
-    case EndpointStatus::kError:
-      outcome.reason = Reason::kStatementError;
-      return outcome;
-  }
-  return outcome;
+/// A refused statement says nothing about its run time.
+bool RanOnEndpoint(EndpointStatus status) {
+  return status == EndpointStatus::kOk || status == EndpointStatus::kConflict ||
+         status == EndpointStatus::kError;
+}
+
+Duration Scaled(Duration value, double factor) {
+  return std::chrono::duration_cast<Duration>(value * factor);
 }
 
 }  // namespace
 
 EndpointPool::EndpointPool(EndpointPoolOptions options, EndpointLink& link,
                            EndpointPoolHandler& handler)
-    : options_(std::move(options)), link_(link), handler_(handler) {}
+    : options_(std::move(options)),
+      handler_(handler),
+      link_(link),
+      costs_(options_.policy.long_factor),
+      queue_(options_.policy),
+      connections_(options_.address, options_.slots + 1,
+                   StatementConnections(options_), link, *this,
+                   next_correlation_),
+      confirmations_(options_.address, link, *this, next_correlation_,
+                     completions_) {}
 
-EndpointPool::~EndpointPool() {
-  for (const auto& [id, connection] : connections_) link_.Close(id);
-  if (confirm_connection_ != 0) link_.Close(confirm_connection_);
-}
+EndpointPool::~EndpointPool() = default;
 
 void EndpointPool::Submit(Request request, Term term, OutcomeCallback done,
                           TimePoint now) {
   SetTerm(term);
-  Work work{std::move(request), std::move(done)};
-  if (draining_ && work.request.transaction.empty()) {
-    EndWork(work, Verdict::kNotRun, Reason::kLeaving);
-    return;
+  Work work;
+  work.request = std::move(request);
+  work.done = std::move(done);
+  work.arrival = now;
+  work.fingerprint = CostEstimator::FingerprintOf(work.request);
+  const bool in_transaction = !work.request.transaction.empty() &&
+                              work.request.kind != RequestKind::kBegin &&
+                              work.request.kind != RequestKind::kResolve;
+  if (in_transaction) {
+    EnqueueInTransaction(std::move(work), now);
+  } else {
+    work.starts_write = IsWrite(work.request);
+    Enqueue(std::move(work), now);
   }
-  queue_.push_back(std::move(work));
   Dispatch(now);
+  completions_.Flush();
 }
 
-void EndpointPool::SetTerm(Term term) { term_ = std::max(term_, term); }
+void EndpointPool::SetTerm(Term term) {
+  if (term <= term_) return;
+  term_ = term;
+  confirmations_.SetTerm(term);
+  completions_.Flush();
+}
 
-void EndpointPool::Drain(TimePoint /*now*/) {
+void EndpointPool::Hold(TimePoint /*now*/) { holding_ = true; }
+
+void EndpointPool::Release(TimePoint now) {
+  holding_ = false;
+  Dispatch(now);
+  completions_.Flush();
+}
+
+bool EndpointPool::HasWritesInFlight() const {
+  return confirmations_.has_writes() || !transactions_.empty() ||
+         std::any_of(running_.begin(), running_.end(), [](const auto& entry) {
+           return IsWrite(entry.second.work.request);
+         });
+}
+
+void EndpointPool::Drain(TimePoint now) {
+  if (draining_) return;
   draining_ = true;
-  std::deque<Work> waiting = std::exchange(queue_, {});
-  for (Work& work : waiting) {
+  drain_deadline_ = now + options_.drain_timeout;
+  for (Work& work : queue_.TakeAllThatNeedConnection()) {
     EndWork(work, Verdict::kNotRun, Reason::kLeaving);
   }
+  connections_.Drain();
+  completions_.Flush();
 }
 
 bool EndpointPool::idle() const {
-  const auto in_use = [](const auto& entry) {
-    return entry.second.busy || !entry.second.transaction.empty();
-  };
-  return queue_.empty() && unconfirmed_.empty() &&
-         std::none_of(connections_.begin(), connections_.end(), in_use);
+  return queue_.size() == 0 && running_.empty() && transactions_.empty() &&
+         confirmations_.size() == 0;
+}
+
+PoolStats EndpointPool::stats() const {
+  PoolStats stats = totals_;
+  stats.queued_short = queue_.size(WorkClass::kShort);
+  stats.queued_long = queue_.size(WorkClass::kLong);
+  stats.running = running_.size();
+  stats.running_long = running_long_;
+  stats.connections = connections_.size() + confirmations_.connections();
+  stats.open_transactions = transactions_.size();
+  stats.awaiting_confirmation = confirmations_.size();
+  stats.breaker_open = connections_.breaker().is_open();
+  stats.confirmed = confirmations_.confirmed();
+  stats.unconfirmed = confirmations_.unconfirmed();
+  stats.silent_connections += connections_.silent();
+  return stats;
 }
 
 void EndpointPool::Tick(TimePoint now) {
-  std::deque<Work> kept;
-  for (Work& work : std::exchange(queue_, {})) {
-    if (work.request.deadline <= now) {
-      EndWork(work, Verdict::kNotRun, Reason::kDeadline);
-    } else {
-      kept.push_back(std::move(work));
+  for (Work& work : queue_.TakeExpired(now)) {
+    ++totals_.expired_in_queue;
+    EndWork(work, Verdict::kNotRun, Reason::kDeadline);
+    const auto found = transactions_.find(work.request.transaction);
+    if (!work.needs_connection && found != transactions_.end()) {
+      found->second.queued = 0;
+      connections_.Hold(found->second.connection, now);
     }
   }
-  queue_ = std::move(kept);
-  for (auto& [id, connection] : connections_) {
-    if (connection.busy && connection.work.done != nullptr &&
-        connection.work.request.deadline <= now) {
-      EndWork(connection.work, Verdict::kMayHaveRun, Reason::kDeadline);
-    }
-  }
-  std::vector<Unconfirmed> waiting;
-  for (Unconfirmed& entry : std::exchange(unconfirmed_, {})) {
-    if (entry.work.request.deadline <= now) {
-      EndWork(entry.work, Verdict::kMayHaveRun, Reason::kDeadline);
-    } else {
-      waiting.push_back(std::move(entry));
-    }
-  }
-  unconfirmed_ = std::move(waiting);
+  TickRunning(now);
+  TickTransactions(now);
+  confirmations_.Tick(now);
+  connections_.Tick(term_, now);
   Dispatch(now);
+  completions_.Flush();
 }
 
 TimePoint EndpointPool::NextTick() const {
-  TimePoint next = TimePoint::max();
-  for (const Work& work : queue_) next = std::min(next, work.request.deadline);
-  for (const auto& [id, connection] : connections_) {
-    if (connection.busy && connection.work.done != nullptr) {
-      next = std::min(next, connection.work.request.deadline);
-    }
+  if (!warmed_up_) return TimePoint{};
+  TimePoint next = std::min({queue_.NextDeadline(), connections_.NextTick(),
+                             confirmations_.NextTick()});
+  for (const auto& [id, running] : running_) {
+    const TimePoint deadline = running.work.request.deadline;
+    next =
+        std::min({next, running.long_at,
+                  running.work.done ? deadline : deadline + kLateAnswerGrace});
+  }
+  if (connections_.FirstHeldAt() != TimePoint::max()) {
+    next = std::min(
+        next, connections_.FirstHeldAt() +
+                  (missing_connections_ > 0 ? options_.transaction_grace
+                                            : options_.transaction_idle_limit));
   }
-  for (const Unconfirmed& entry : unconfirmed_) {
-    next = std::min(next, entry.work.request.deadline);
+  if (!transactions_.empty()) next = std::min(next, drain_deadline_);
+  if (options_.policy.extra_slot_when_aged &&
+      running_.size() < options_.slots && running_long_ <= LongSlots()) {
+    const Work* head =
+        queue_.Oldest(WorkClass::kLong, {connections_.free() > 0, !holding_});
+    if (head != nullptr && running_long_ == LongSlots()) {
+      next = std::min(next, head->arrival + AgeLimit(*head));
+    }
   }
   return next;
 }
 
 void EndpointPool::OnConnectionOpened(ConnectionId connection, TimePoint now) {
-  if (connection == confirm_connection_) {
-    confirm_connection_open_ = true;
-    SendConfirm(now);
-    return;
+  if (confirmations_.Owns(connection)) {
+    confirmations_.OnOpened(now);
+  } else if (connections_.Contains(connection)) {
+    connections_.OnOpened(connection, now);
+    Dispatch(now);
   }
-  const auto found = connections_.find(connection);
-  if (found == connections_.end()) return;
-  found->second.open = true;
-  Dispatch(now);
+  completions_.Flush();
 }
 
 void EndpointPool::OnConnectionClosed(ConnectionId connection, TimePoint now) {
-  if (connection == confirm_connection_) {
-    confirm_connection_ = 0;
-    confirm_connection_open_ = false;
-    confirm_correlation_ = 0;
-    return;
+  if (confirmations_.Owns(connection)) {
+    confirmations_.OnClosed(now);
+  } else if (connections_.Contains(connection)) {
+    connections_.OnClosed(connection, now);
+    CloseConnection(connection, Reason::kConnectionLost);
+    Dispatch(now);
   }
-  const auto found = connections_.find(connection);
-  if (found == connections_.end()) return;
-  Connection lost = std::move(found->second);
-  connections_.erase(found);
-  if (lost.busy) {
-    --running_;
-    const bool uncommitted = !lost.transaction.empty() &&
-                             lost.work.request.kind != RequestKind::kCommit;
-    EndWork(lost.work, uncommitted ? Verdict::kNotRun : Verdict::kMayHaveRun,
-            Reason::kConnectionLost);
-  }
-  Dispatch(now);
+  completions_.Flush();
 }
 
 void EndpointPool::OnAnswer(ConnectionId connection,
                             const EndpointAnswer& answer, TimePoint now) {
   handler_.OnEndpointAnswer(options_.endpoint, answer, now);
-  if (connection == confirm_connection_) {
-    if (answer.correlation != confirm_correlation_) return;
-    confirm_correlation_ = 0;
-    OnConfirmed(answer);
-    SendConfirm(now);
+  if (confirmations_.Owns(connection)) {
+    if (!confirmations_.OnAnswer(answer, now)) ++totals_.stray_answers;
+    completions_.Flush();
     return;
   }
-  const auto found = connections_.find(connection);
-  if (found == connections_.end() || !found->second.busy ||
-      found->second.correlation != answer.correlation) {
-    return;
+  const auto found = running_.find(connection);
+  if (found != running_.end() &&
+      found->second.correlation == answer.correlation) {
+    Running running = std::move(found->second);
+    running_.erase(found);
+    if (running.counts_as_long) --running_long_;
+    Finish(connection, std::move(running), answer, now);
+  } else if (!connections_.Contains(connection) ||
+             !connections_.OnAnswer(connection, answer.correlation, now)) {
+    ++totals_.stray_answers;
   }
-  Finish(found->second, answer, now);
   Dispatch(now);
+  completions_.Flush();
 }
 
-void EndpointPool::Finish(Connection& connection, const EndpointAnswer& answer,
-                          TimePoint now) {
-  connection.busy = false;
-  --running_;
-  Work work = std::exchange(connection.work, {});
-  const RequestKind kind = work.request.kind;
-  if (kind == RequestKind::kCommit || kind == RequestKind::kRollback) {
-    connection.transaction.clear();
-  }
-  if (work.done == nullptr) return;
-  Outcome outcome = OutcomeOf(answer, work.request);
-  outcome.served_by = options_.endpoint;
-  const bool had_effect = answer.status == EndpointStatus::kOk ||
-                          answer.status == EndpointStatus::kDuplicate ||
-                          answer.status == EndpointStatus::kConflict;
-  if (had_effect && NeedsConfirmation(work.request, options_.acknowledge)) {
-    unconfirmed_.push_back(
-        {std::move(work), std::move(outcome), confirm_round_ + 1});
-    SendConfirm(now);
+void EndpointPool::Enqueue(Work work, TimePoint now) {
+  if (draining_) {
+    EndWork(work, Verdict::kNotRun, Reason::kLeaving);
     return;
   }
-  work.done(outcome);
+  if (Admit(work, now)) queue_.Push(std::move(work));
 }
 
-// One confirmation is outstanding at a time and releases everything that had
-// run before it was sent. A separate connection keeps it out of the queue.
-void EndpointPool::SendConfirm(TimePoint /*now*/) {
-  if (unconfirmed_.empty() || confirm_correlation_ != 0) return;
-  if (confirm_connection_ == 0) {
-    confirm_connection_ = link_.Open(options_.address, *this);
+void EndpointPool::EnqueueInTransaction(Work work, TimePoint now) {
+  const auto found = transactions_.find(work.request.transaction);
+  if (found == transactions_.end()) {
+    // An earlier copy of the commit may have run; only a resolve can tell.
+    const bool commit = work.request.kind == RequestKind::kCommit;
+    EndWork(work, commit ? Verdict::kMayHaveRun : Verdict::kNotRun,
+            Reason::kUnknownTransaction);
     return;
   }
-  if (!confirm_connection_open_) return;
-  EndpointCommand command;
-  command.operation = EndpointOperation::kConfirm;
-  command.correlation = next_correlation_++;
-  command.term = term_;
-  for (const Unconfirmed& entry : unconfirmed_) {
-    command.min_position =
-        std::max(command.min_position, entry.outcome.position);
-  }
-  if (link_.Send(confirm_connection_, command)) {
-    confirm_correlation_ = command.correlation;
-    ++confirm_round_;
-  }
-}
-
-void EndpointPool::OnConfirmed(const EndpointAnswer& answer) {
-  std::vector<Unconfirmed> kept;
-  for (Unconfirmed& entry : std::exchange(unconfirmed_, {})) {
-    const bool released =
-        answer.status == EndpointStatus::kOk && entry.round <= confirm_round_;
-    if (answer.status == EndpointStatus::kStaleTerm ||
-        answer.status == EndpointStatus::kNotPrimary) {
-      EndWork(entry.work, Verdict::kMayHaveRun, Reason::kStaleTerm);
-    } else if (released) {
-      entry.work.done(entry.outcome);
-    } else {
-      kept.push_back(std::move(entry));
-    }
+  Transaction& transaction = found->second;
+  if (transaction.queued != 0 || running_.contains(transaction.connection)) {
+    EndWork(work, Verdict::kNotRun, Reason::kBusy);
+    return;
   }
-  std::move(unconfirmed_.begin(), unconfirmed_.end(), std::back_inserter(kept));
-  unconfirmed_ = std::move(kept);
+  work.needs_connection = false;
+  if (!Admit(work, now)) return;
+  connections_.Resume(transaction.connection);
+  transaction.queued = queue_.Push(std::move(work));
+}
+
+bool EndpointPool::Admit(Work& work, TimePoint now) {
+  const QueuePolicy& policy = options_.policy;
+  if (work.request.deadline <= now) {
+    EndWork(work, Verdict::kNotRun, Reason::kDeadline);
+    return false;
+  }
+  const CostEstimate estimate = costs_.Estimate(work.fingerprint);
+  work.cost = estimate.mean;
+  if (policy.limit_long_work && costs_.IsLong(work.fingerprint)) {
+    work.work_class = WorkClass::kLong;
+  }
+  const bool is_long = work.work_class == WorkClass::kLong;
+  QueueLoad load;
+  load.backlog = queue_.BacklogBefore(work.work_class, work.request.team);
+  load.slots =
+      is_long ? LongSlots()
+              : options_.slots - std::min(running_long_, options_.slots - 1);
+  load.all_slots_busy = running_.size() >= options_.slots;
+  // A refused commit or rollback would only keep the transaction open longer.
+  const bool ends_transaction = work.request.kind == RequestKind::kCommit ||
+                                work.request.kind == RequestKind::kRollback;
+  if (ends_transaction) return true;
+  if (queue_.IsFull(work.request.team)) {
+    ++totals_.refused;
+    EndWork(work, Verdict::kNotRun, Reason::kOverloaded,
+            std::max<Duration>(load.backlog / load.slots,
+                               AdmissionControl::kShortestRetry));
+    return false;
+  }
+  if (!policy.admission_control) return true;
+  const auto retry_after =
+      AdmissionControl::Refuse(load, estimate.p90, work.request.deadline - now);
+  if (!retry_after) return true;
+  ++totals_.refused;
+  EndWork(work, Verdict::kNotRun, Reason::kOverloaded, *retry_after);
+  return false;
 }
 
 void EndpointPool::Dispatch(TimePoint now) {
-  std::deque<Work> kept;
-  for (Work& work : std::exchange(queue_, {})) {
-    const ConnectionId id =
-        running_ < options_.slots ? FindConnectionFor(work.request) : 0;
-    if (id != 0) {
-      StartOn(id, connections_[id], std::move(work), now);
-      continue;
-    }
-    const bool transaction_gone =
-        !work.request.transaction.empty() &&
-        work.request.kind != RequestKind::kBegin &&
-        std::none_of(connections_.begin(), connections_.end(),
-                     [&work](const auto& entry) {
-                       return entry.second.transaction ==
-                              work.request.transaction;
-                     });
-    if (transaction_gone) {
-      EndWork(work, Verdict::kNotRun, Reason::kUnknownTransaction);
-    } else {
-      kept.push_back(std::move(work));
-    }
+  warmed_up_ = true;
+  while (running_.size() < options_.slots) {
+    std::optional<Work> work = NextWork(now);
+    if (!work) break;
+    Start(std::move(*work), now);
   }
-  std::move(queue_.begin(), queue_.end(), std::back_inserter(kept));
-  queue_ = std::move(kept);
-  const std::size_t wanted =
-      std::min<std::size_t>(options_.slots + 1, options_.connections);
-  while (!queue_.empty() && connections_.size() < wanted) {
-    connections_.emplace(link_.Open(options_.address, *this), Connection{});
+  missing_connections_ = connections_.Maintain(StartableForConnection(), now);
+  ReclaimTransactions(missing_connections_, now);
+  if (connections_.breaker().is_open() && connections_.size() == 0) {
+    const TimePoint retry_at = connections_.breaker().RetryAt();
+    for (Work& work : queue_.TakeAllThatNeedConnection()) {
+      EndWork(work, Verdict::kNotRun, Reason::kConnectionLost, retry_at - now);
+    }
   }
 }
 
-ConnectionId EndpointPool::FindConnectionFor(const Request& request) {
-  const bool joins =
-      !request.transaction.empty() && request.kind != RequestKind::kBegin;
-  for (auto& [id, connection] : connections_) {
-    if (!connection.open || connection.busy) continue;
-    if (joins ? connection.transaction == request.transaction
-              : connection.transaction.empty()) {
-      return id;
+std::optional<Work> EndpointPool::NextWork(TimePoint now) {
+  const QueuePolicy& policy = options_.policy;
+  const Eligibility eligible{connections_.free() > 0, !holding_};
+  while (true) {
+    const Work* long_head = queue_.Oldest(WorkClass::kLong, eligible);
+    const bool aged = long_head != nullptr && IsAged(*long_head, now);
+    const std::uint32_t long_slots =
+        LongSlots() + (aged && policy.extra_slot_when_aged ? 1 : 0);
+    const bool long_allowed =
+        long_head != nullptr && running_long_ < long_slots;
+    const bool long_first = long_allowed && aged && policy.age_long_work;
+    std::optional<Work> work;
+    if (!long_first) work = queue_.Pop(WorkClass::kShort, eligible);
+    if (!work && long_allowed) work = queue_.Pop(WorkClass::kLong, eligible);
+    if (!work) return std::nullopt;
+    const auto transaction = transactions_.find(work->request.transaction);
+    const bool has_transaction =
+        !work->needs_connection && transaction != transactions_.end();
+    // Its fingerprint may have turned out to be long while it waited.
+    if (policy.limit_long_work && work->work_class == WorkClass::kShort &&
+        costs_.IsLong(work->fingerprint)) {
+      work->work_class = WorkClass::kLong;
+      work->cost = costs_.Estimate(work->fingerprint).mean;
+      const WorkId id = queue_.Push(std::move(*work));
+      if (has_transaction) transaction->second.queued = id;
+      continue;
     }
+    if (has_transaction) transaction->second.queued = 0;
+    return work;
   }
-  return 0;
 }
 
-void EndpointPool::StartOn(ConnectionId id, Connection& connection, Work work,
-                           TimePoint /*now*/) {
-  EndpointCommand command = MakeCommand(work.request);
+bool EndpointPool::IsAged(const Work& head, TimePoint now) const {
+  return now - head.arrival >= AgeLimit(head);
+}
+
+Duration EndpointPool::AgeLimit(const Work& head) const {
+  return std::min(Scaled(head.cost, options_.policy.ageing_factor),
+                  options_.policy.ageing_limit);
+}
+
+void EndpointPool::Start(Work work, TimePoint now) {
+  const Request& request = work.request;
+  if (request.kind == RequestKind::kBegin &&
+      transactions_.contains(request.transaction)) {
+    EndWork(work, Verdict::kNotRun, Reason::kBusy);
+    return;
+  }
+  const ConnectionId id =
+      work.needs_connection ? connections_.Take()
+                            : transactions_.at(request.transaction).connection;
+  EndpointCommand command = CommandFor(request);
   command.correlation = next_correlation_++;
+  command.term = term_;
   if (!link_.Send(id, command)) {
     EndWork(work, Verdict::kNotRun, Reason::kConnectionLost);
+    CloseConnection(id, Reason::kConnectionLost);
     return;
   }
-  if (work.request.kind == RequestKind::kBegin) {
-    connection.transaction = work.request.transaction;
+  if (request.kind == RequestKind::kBegin) {
+    transactions_[request.transaction].connection = id;
+    transaction_of_[id] = request.transaction;
+  }
+  Running running;
+  running.correlation = command.correlation;
+  running.term = command.term;
+  running.started = now;
+  running.counts_as_long = work.work_class == WorkClass::kLong;
+  if (running.counts_as_long) ++running_long_;
+  const Duration limit = costs_.LongLimit();
+  if (!running.counts_as_long && limit != Duration::max() &&
+      options_.policy.limit_long_work && options_.policy.reclassify_running) {
+    running.long_at = now + limit;
   }
-  connection.busy = true;
-  connection.correlation = command.correlation;
-  connection.work = std::move(work);
-  ++running_;
+  running.work = std::move(work);
+  running_.emplace(id, std::move(running));
 }
 
-EndpointCommand EndpointPool::MakeCommand(const Request& request) const {
-  EndpointCommand command;
+void EndpointPool::Finish(ConnectionId id, Running running,
+                          const EndpointAnswer& answer, TimePoint now) {
+  Work& work = running.work;
+  const Duration run_time = now - running.started;
+  if (RanOnEndpoint(answer.status)) {
+    costs_.Observe(work.fingerprint, run_time);
+  }
+  queue_.Charge(work.work_class, work.request.team, run_time - work.cost);
+  SettleConnection(id, work.request, answer.status, now);
+  if (work.done == nullptr) return;
+  Outcome outcome = OutcomeOf(answer, work.request);
+  outcome.served_by = options_.endpoint;
+  if (NeedsConfirmation(work.request, answer, options_.acknowledge)) {
+    confirmations_.Add(std::move(work), std::move(outcome), running.term, now);
+  } else {
+    completions_.Add(work, std::move(outcome));
+  }
+}
+
+void EndpointPool::SettleConnection(ConnectionId id, const Request& request,
+                                    EndpointStatus status, TimePoint now) {
+  const auto found = transaction_of_.find(id);
+  if (found == transaction_of_.end()) {
+    connections_.Return(id, now);
+    return;
+  }
+  const bool ok = status == EndpointStatus::kOk;
   switch (request.kind) {
-    case RequestKind::kStatement:
-      command.operation = EndpointOperation::kExecute;
-      break;
-    case RequestKind::kBegin:
-      command.operation = EndpointOperation::kBegin;
-      break;
     case RequestKind::kCommit:
-      command.operation = EndpointOperation::kCommit;
-      break;
+      if (ok || status == EndpointStatus::kConflict) break;
+      CloseConnection(id, Reason::kUnknownTransaction);
+      return;
     case RequestKind::kRollback:
-      command.operation = EndpointOperation::kRollback;
-      break;
-    case RequestKind::kResolve:
-      command.operation = EndpointOperation::kResolve;
-      break;
+      if (ok) break;
+      CloseConnection(id, Reason::kUnknownTransaction);
+      return;
+    case RequestKind::kBegin:
+      if (!ok) {
+        CloseConnection(id, Reason::kUnknownTransaction);
+        return;
+      }
+      [[fallthrough]];
+    default:
+      connections_.Hold(id, now);
+      return;
   }
-  command.term = term_;
-  command.statement = request.statement;
-  command.parameters = request.parameters;
-  command.access = request.access;
-  command.id = request.id;
-  command.max_age = request.max_age;
-  command.min_position = request.min_position;
-  return command;
+  ForgetTransaction(id, Reason::kUnknownTransaction);
+  connections_.Return(id, now);
 }
 
-void EndpointPool::EndWork(Work& work, Verdict verdict, Reason reason) {
-  if (work.done == nullptr) return;
+void EndpointPool::TickRunning(TimePoint now) {
+  std::vector<ConnectionId> silent;
+  for (auto& [id, running] : running_) {
+    if (running.long_at <= now) {
+      running.long_at = TimePoint::max();
+      running.counts_as_long = true;
+      ++running_long_;
+      costs_.ObserveRunning(running.work.fingerprint, now - running.started);
+    }
+    const TimePoint deadline = running.work.request.deadline;
+    if (deadline > now) continue;
+    const bool uncommitted = transaction_of_.contains(id) &&
+                             running.work.request.kind != RequestKind::kCommit;
+    if (uncommitted || deadline + kLateAnswerGrace <= now) {
+      silent.push_back(id);
+    } else {
+      EndWork(running.work, Verdict::kMayHaveRun, Reason::kDeadline);
+    }
+  }
+  for (ConnectionId id : silent) {
+    ++totals_.silent_connections;
+    CloseConnection(id, Reason::kDeadline);
+  }
+}
+
+void EndpointPool::TickTransactions(TimePoint now) {
+  while (const ConnectionId id =
+             connections_.HeldSince(now - options_.transaction_idle_limit)) {
+    ++totals_.reclaimed_transactions;
+    CloseConnection(id, Reason::kUnknownTransaction);
+  }
+  if (now < drain_deadline_) return;
+  drain_deadline_ = TimePoint::max();
+  std::vector<ConnectionId> open;
+  for (const auto& [id, transaction] : transaction_of_) {
+    const auto found = running_.find(id);
+    const bool committing =
+        found != running_.end() &&
+        found->second.work.request.kind == RequestKind::kCommit;
+    if (!committing) open.push_back(id);
+  }
+  for (ConnectionId id : open) CloseConnection(id, Reason::kLeaving);
+}
+
+// Closing the connection rolls the transaction back, whatever state it is in.
+void EndpointPool::ReclaimTransactions(std::size_t wanted, TimePoint now) {
+  std::size_t closed = 0;
+  while (closed < wanted) {
+    const ConnectionId id =
+        connections_.HeldSince(now - options_.transaction_grace);
+    if (id == 0) break;
+    ++totals_.reclaimed_transactions;
+    CloseConnection(id, Reason::kUnknownTransaction);
+    ++closed;
+  }
+  if (closed == 0) return;
+  missing_connections_ = connections_.Maintain(StartableForConnection(), now);
+}
+
+void EndpointPool::CloseConnection(ConnectionId id, Reason reason) {
+  connections_.Close(id);
+  const auto found = running_.find(id);
+  if (found != running_.end()) {
+    Running running = std::move(found->second);
+    running_.erase(found);
+    if (running.counts_as_long) --running_long_;
+    EndRunning(running, reason);
+  }
+  ForgetTransaction(id, reason);
+}
+
+void EndpointPool::EndRunning(Running& running, Reason reason) {
+  const Request& request = running.work.request;
+  // An uncommitted transaction ends with its connection.
+  const bool uncommitted = !request.transaction.empty() &&
+                           request.kind != RequestKind::kCommit &&
+                           request.kind != RequestKind::kResolve;
+  EndWork(running.work, uncommitted ? Verdict::kNotRun : Verdict::kMayHaveRun,
+          reason);
+}
+
+void EndpointPool::ForgetTransaction(ConnectionId id, Reason reason) {
+  const auto found = transaction_of_.find(id);
+  if (found == transaction_of_.end()) return;
+  const auto transaction = transactions_.find(found->second);
+  if (std::optional<Work> work = queue_.Remove(transaction->second.queued)) {
+    EndWork(*work, Verdict::kNotRun, reason);
+  }
+  transactions_.erase(transaction);
+  transaction_of_.erase(found);
+}
+
+void EndpointPool::EndWork(Work& work, Verdict verdict, Reason reason,
+                           Duration retry_after) {
   Outcome outcome;
   outcome.verdict = verdict;
   outcome.reason = reason;
   outcome.served_by = options_.endpoint;
-  std::exchange(work.done, nullptr)(outcome);
+  outcome.retry_after = retry_after;
+  completions_.Add(work, std::move(outcome));
+}
+
+std::size_t EndpointPool::StartableForConnection() const {
+  return std::min<std::size_t>(queue_.WaitingForConnection(!holding_),
+                               options_.slots - running_.size());
+}
+
+std::uint32_t EndpointPool::LongSlots() const {
+  if (!options_.policy.limit_long_work) return options_.slots;
+  return std::max(1U, static_cast<std::uint32_t>(options_.slots *
+                                                 options_.policy.long_share));
 }
 
 }  // namespace carawayhaven
--- a/src/core/queue/endpoint_pool.h
+++ b/src/core/queue/endpoint_pool.h
@@ -2,11 +2,9 @@
 #define CARAWAYHAVEN_CORE_QUEUE_ENDPOINT_POOL_H_
 
 #include <cstdint>
-#include <deque>
-#include <functional>
 #include <map>
+#include <optional>
 #include <string>
-#include <vector>
 
 #include "carawayhaven/names.h"
 #include "carawayhaven/outcome.h"
@@ -14,13 +12,18 @@
 #include "carawayhaven/time.h"
 #include "core/config/team_config.h"
 #include "core/endpoint_answer.h"
-#include "core/endpoint_command.h"
 #include "core/endpoint_link.h"
+#include "core/queue/completions.h"
+#include "core/queue/confirmation_tracker.h"
+#include "core/queue/connection_pool.h"
+#include "core/queue/cost_estimator.h"
+#include "core/queue/pool_stats.h"
+#include "core/queue/queue_policy.h"
+#include "core/queue/work.h"
+#include "core/queue/work_queue.h"
 
 namespace carawayhaven {
 
-using OutcomeCallback = std::function<void(const Outcome&)>;
-
 /// Is told what a pool learns of its endpoint.
 class EndpointPoolHandler {
  public:
@@ -40,13 +43,27 @@
   std::uint32_t slots = 3;
   std::uint32_t connections = 20;
   AcknowledgeMode acknowledge = AcknowledgeMode::kReplica;
+  QueuePolicy policy;
+  /// A transaction idle for that long is rolled back.
+  Duration transaction_idle_limit = std::chrono::seconds(30);
+  /// The same while requests wait for a connection.
+  Duration transaction_grace = std::chrono::seconds(2);
+  /// Time that open transactions have after Drain.
+  Duration drain_timeout = std::chrono::seconds(10);
 };
 
-/// Owns the connections, the queue and the slots of one endpoint. Never has
-/// more statements outstanding than the endpoint has slots. Not thread-safe;
-/// one loop, one thread.
+/// Runs the requests for one endpoint. Never has more statements outstanding
+/// than the endpoint has slots: a transaction holds a connection, and only a
+/// running statement holds a slot. Not thread-safe; one loop, one thread.
 class EndpointPool : public EndpointEvents {
  public:
+  // Connections of the endpoint that the pool leaves to others: 3 for
+  // monitoring, 1 for a new owner while ownership changes.
+  static constexpr std::uint32_t kReservedConnections = 4;
+  // An answer that is just late leaves the connection usable; after that the
+  // connection counts as silent.
+  static constexpr Duration kLateAnswerGrace = std::chrono::milliseconds(250);
+
   /// `link` and `handler` must outlive the pool.
   EndpointPool(EndpointPoolOptions options, EndpointLink& link,
                EndpointPoolHandler& handler);
@@ -55,20 +72,36 @@
   EndpointPool& operator=(const EndpointPool&) = delete;
 
   /// Queues a request; `done` is called exactly once, possibly from within
-  /// the call. `term` is the sender's view of the group's term.
+  /// the call. `term` is the sender's view of the group's term. A transaction
+  /// has one request at a time; a second one ends as kNotRun with kBusy.
   void Submit(Request request, Term term, OutcomeCallback done, TimePoint now);
 
   /// Raises the term that commands carry. A lower term is ignored.
   void SetTerm(Term term);
 
+  /// Holds new writes and new transactions in the queue, during a planned
+  /// change of primary. Open transactions go on.
+  void Hold(TimePoint now);
+
+  /// Ends Hold; the held requests run.
+  void Release(TimePoint now);
+
+  /// True while a write runs or waits for its confirmation, or a transaction
+  /// is open.
+  bool HasWritesInFlight() const;
+
   /// Ends with kNotRun all that waits and takes no new work; what is in flight
-  /// goes on. Open transactions go on until their caller ends them.
+  /// goes on. Open transactions go on until their caller ends them, at most
+  /// for `drain_timeout`.
   void Drain(TimePoint now);
 
   /// True when nothing waits, runs or holds a transaction open.
   bool idle() const;
 
+  PoolStats stats() const;
+
   /// Ends requests whose deadline has passed and does the pool's timed work.
+  /// The first call opens the initial connections.
   void Tick(TimePoint now);
   TimePoint NextTick() const;
 
@@ -78,50 +111,74 @@
                 TimePoint now) override;
 
  private:
-  struct Work {
-    Request request;
-    OutcomeCallback done;
-  };
-  struct Connection {
-    bool open = false;
-    bool busy = false;
-    CorrelationId correlation = 0;
+  /// A statement on the endpoint. It keeps its slot after its deadline, until
+  /// its answer arrives or its connection is closed.
+  struct Running {
     Work work;
-    TransactionId transaction;
+    CorrelationId correlation = 0;
+    Term term = 0;
+    TimePoint started;
+    bool counts_as_long = false;
+    /// When it starts to count as long.
+    TimePoint long_at = TimePoint::max();
   };
-  /// A write or a current read that has run and waits for a confirmation.
-  struct Unconfirmed {
-    Work work;
-    Outcome outcome;
-    /// Confirm round that may release it: one that began after it had run.
-    std::uint64_t round = 0;
+  struct Transaction {
+    ConnectionId connection = 0;
+    /// Its request in the queue; zero when there is none.
+    WorkId queued = 0;
   };
+  using Transactions = std::map<TransactionId, Transaction>;
 
+  void Enqueue(Work work, TimePoint now);
+  void EnqueueInTransaction(Work work, TimePoint now);
+  bool Admit(Work& work, TimePoint now);
   void Dispatch(TimePoint now);
-  void StartOn(ConnectionId id, Connection& connection, Work work,
-               TimePoint now);
-  ConnectionId FindConnectionFor(const Request& request);
-  void Finish(Connection& connection, const EndpointAnswer& answer,
+  std::optional<Work> NextWork(TimePoint now);
+  bool IsAged(const Work& head, TimePoint now) const;
+  Duration AgeLimit(const Work& head) const;
+  void Start(Work work, TimePoint now);
+  void Finish(ConnectionId id, Running running, const EndpointAnswer& answer,
               TimePoint now);
-  void EndWork(Work& work, Verdict verdict, Reason reason);
-  void SendConfirm(TimePoint now);
-  void OnConfirmed(const EndpointAnswer& answer);
-  EndpointCommand MakeCommand(const Request& request) const;
+  /// Frees or keeps the connection of a statement that was answered, or closes
+  /// it when the state of its transaction is unknown.
+  void SettleConnection(ConnectionId id, const Request& request,
+                        EndpointStatus status, TimePoint now);
+  void TickRunning(TimePoint now);
+  void TickTransactions(TimePoint now);
+  void ReclaimTransactions(std::size_t wanted, TimePoint now);
+  /// Closes the connection and ends its statement and its transaction.
+  void CloseConnection(ConnectionId id, Reason reason);
+  /// Ends the transaction's queued request and forgets the transaction.
+  void ForgetTransaction(ConnectionId id, Reason reason);
+  void EndRunning(Running& running, Reason reason);
+  void EndWork(Work& work, Verdict verdict, Reason reason,
+               Duration retry_after = Duration{0});
+  std::size_t StartableForConnection() const;
+  std::uint32_t LongSlots() const;
 
   EndpointPoolOptions options_;
-  EndpointLink& link_;
   EndpointPoolHandler& handler_;
+  EndpointLink& link_;
+  CorrelationId next_correlation_ = 1;
+  Completions completions_;
+  CostEstimator costs_;
+  WorkQueue queue_;
+  ConnectionPool connections_;
+  ConfirmationTracker confirmations_;
   Term term_ = 0;
+  /// The initial connections were requested.
+  bool warmed_up_ = false;
+  bool holding_ = false;
   bool draining_ = false;
-  std::deque<Work> queue_;
-  std::map<ConnectionId, Connection> connections_;
-  ConnectionId confirm_connection_ = 0;
-  bool confirm_connection_open_ = false;
-  CorrelationId confirm_correlation_ = 0;
-  std::uint64_t confirm_round_ = 0;
-  std::vector<Unconfirmed> unconfirmed_;
-  CorrelationId next_correlation_ = 1;
-  std::uint32_t running_ = 0;
+  TimePoint drain_deadline_ = TimePoint::max();
+  /// At most one for each slot.
+  std::map<ConnectionId, Running> running_;
+  std::uint32_t running_long_ = 0;
+  Transactions transactions_;
+  std::map<ConnectionId, TransactionId> transaction_of_;
+  /// More connections are needed than the limit allows.
+  std::size_t missing_connections_ = 0;
+  PoolStats totals_;
 };
 
 }  // namespace carawayhaven
--- /dev/null
+++ b/src/core/queue/work.h
@@ -0,0 +1,34 @@
+#ifndef CARAWAYHAVEN_CORE_QUEUE_WORK_H_
+#define CARAWAYHAVEN_CORE_QUEUE_WORK_H_
+
+#include <cstdint>
+#include <functional>
+
+#include "carawayhaven/outcome.h"
+#include "carawayhaven/request.h"
+#include "carawayhaven/time.h"
+
+namespace carawayhaven {
+
+using OutcomeCallback = std::function<void(const Outcome&)>;
+
+enum class WorkClass { kShort, kLong };
+
+/// A request on its way through a pool.
+struct Work {
+  Request request;
+  OutcomeCallback done;
+  std::uint64_t fingerprint = 0;
+  /// Expected run time, the mean for its fingerprint.
+  Duration cost{0};
+  TimePoint arrival;
+  WorkClass work_class = WorkClass::kShort;
+  /// False for work of an open transaction, which has its own connection.
+  bool needs_connection = true;
+  /// True for what has to wait during a planned change of primary.
+  bool starts_write = false;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_CORE_QUEUE_WORK_H_
--- /dev/null
+++ b/test/queue/endpoint_pool_test.cc
@@ -0,0 +1,363 @@
+#include "core/queue/endpoint_pool.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "queue/fake_endpoint.h"
+
+namespace carawayhaven {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class IgnoreAnswers : public EndpointPoolHandler {
+ public:
+  void OnEndpointAnswer(const EndpointName&, const EndpointAnswer&,
+                        TimePoint) override {}
+};
+
+class EndpointPoolTest : public testing::Test {
+ protected:
+  EndpointPoolTest() : EndpointPoolTest(20) {}
+
+  explicit EndpointPoolTest(std::uint32_t connections) {
+    EndpointPoolOptions options;
+    options.endpoint = "e";
+    options.connections = connections;
+    pool_ = std::make_unique<EndpointPool>(options, link_, handler_);
+    pool_->Tick(now_);
+    link_.FinishOpening(*pool_, now_);
+  }
+
+  static Request Read() {
+    Request request;
+    request.service = "s";
+    request.team = "t";
+    request.statement = "select";
+    request.max_age = seconds(1);
+    return request;
+  }
+
+  static Request Write() {
+    Request request = Read();
+    request.access = AccessMode::kWrite;
+    request.max_age.reset();
+    return request;
+  }
+
+  static Request InTransaction(RequestKind kind, const std::string& id) {
+    Request request = Write();
+    request.kind = kind;
+    request.transaction = id;
+    return request;
+  }
+
+  // Returns the index of the outcome in `outcomes_`.
+  std::size_t Submit(Request request, Duration time_left = seconds(60)) {
+    request.deadline = now_ + time_left;
+    const std::size_t index = outcomes_.size();
+    outcomes_.emplace_back();
+    pool_->Submit(
+        std::move(request), 1,
+        [this, index](const Outcome& o) { outcomes_[index].push_back(o); },
+        now_);
+    return index;
+  }
+
+  void AnswerLast(EndpointStatus status = EndpointStatus::kOk) {
+    FakeEndpoint::Answer(*pool_, link_.sent.back(), now_, status);
+  }
+
+  void Begin(const std::string& id) {
+    Submit(InTransaction(RequestKind::kBegin, id));
+    AnswerLast();
+  }
+
+  // Lets time pass, with a Tick at each time that the pool asks for.
+  // Heartbeats are answered unless `silent`.
+  void Advance(Duration duration, bool silent = false) {
+    const TimePoint end = now_ + duration;
+    while (pool_->NextTick() <= end) {
+      ASSERT_GE(pool_->NextTick(), now_) << "a timer in the past never ends";
+      now_ = pool_->NextTick();
+      const std::size_t before = link_.sent.size();
+      pool_->Tick(now_);
+      for (std::size_t i = before; i < link_.sent.size() && !silent; ++i) {
+        if (link_.sent[i].command.operation == EndpointOperation::kStatus) {
+          FakeEndpoint::Answer(*pool_, FakeEndpoint::Sent(link_.sent[i]), now_);
+        }
+      }
+    }
+    now_ = end;
+  }
+
+  void ExpectOutcome(std::size_t index, Verdict verdict, Reason reason) {
+    ASSERT_EQ(outcomes_[index].size(), 1U);
+    EXPECT_EQ(VerdictName(outcomes_[index][0].verdict), VerdictName(verdict));
+    EXPECT_EQ(ReasonName(outcomes_[index][0].reason), ReasonName(reason));
+  }
+
+  TimePoint now_{seconds(1)};
+  FakeEndpoint link_;
+  IgnoreAnswers handler_;
+  std::unique_ptr<EndpointPool> pool_;
+  std::vector<std::vector<Outcome>> outcomes_;
+};
+
+// Guards against more statements on the endpoint than it has slots.
+TEST_F(EndpointPoolTest, MoreRequestsThanSlotsOnlySlotsAreOutstanding) {
+  for (int i = 0; i < 10; ++i) Submit(Read());
+  EXPECT_EQ(link_.SentOf(EndpointOperation::kExecute).size(), 3U);
+  AnswerLast();
+  EXPECT_EQ(link_.SentOf(EndpointOperation::kExecute).size(), 4U);
+}
+
+// Guards against a verdict "not run" for a statement that was sent.
+TEST_F(EndpointPoolTest, ConnectionLostAfterSendMayHaveRun) {
+  const auto write = Submit(Write());
+  link_.Lose(link_.sent.back().connection, *pool_, now_);
+  ExpectOutcome(write, Verdict::kMayHaveRun, Reason::kConnectionLost);
+}
+
+// Guards against a slot lost for good, or freed while the statement may run.
+TEST_F(EndpointPoolTest, AnswerAfterDeadlineFreesSlotAndEndsNothingTwice) {
+  const auto write = Submit(Write(), milliseconds(50));
+  const FakeEndpoint::Sent sent = link_.sent.back();
+  Advance(milliseconds(60));
+  ExpectOutcome(write, Verdict::kMayHaveRun, Reason::kDeadline);
+  EXPECT_EQ(pool_->stats().running, 1U);
+  FakeEndpoint::Answer(*pool_, sent, now_);
+  FakeEndpoint::Answer(*pool_, sent, now_);
+  EXPECT_EQ(outcomes_[write].size(), 1U);
+  EXPECT_EQ(pool_->stats().running, 0U);
+  EXPECT_EQ(pool_->stats().stray_answers, 1U);
+}
+
+// Guards against a silent connection that keeps its slot for ever.
+TEST_F(EndpointPoolTest, NoAnswerAtAllConnectionIsClosedAndReplaced) {
+  Submit(Write(), milliseconds(50));
+  const ConnectionId silent = link_.sent.back().connection;
+  Advance(milliseconds(400));
+  EXPECT_TRUE(link_.closed.contains(silent));
+  EXPECT_EQ(link_.opening.size(), 1U);
+  EXPECT_EQ(pool_->stats().running, 0U);
+}
+
+// Guards against an answer that is given to the wrong request.
+TEST_F(EndpointPoolTest, ForeignCorrelationIsDropped) {
+  const auto read = Submit(Read());
+  FakeEndpoint::Sent foreign = link_.sent.back();
+  foreign.command.correlation += 100;
+  FakeEndpoint::Answer(*pool_, foreign, now_);
+  EXPECT_TRUE(outcomes_[read].empty());
+}
+
+// Guards against an acknowledgement by a confirm that began before the write.
+TEST_F(EndpointPoolTest, WriteEndsOnlyByConfirmThatBeganAfterItRan) {
+  const auto first = Submit(Write());
+  AnswerLast();
+  link_.FinishOpening(*pool_, now_);
+  const FakeEndpoint::Sent confirm = link_.sent.back();
+  ASSERT_EQ(confirm.command.operation, EndpointOperation::kConfirm);
+  const auto second = Submit(Write());
+  AnswerLast();
+  FakeEndpoint::Answer(*pool_, confirm, now_);
+  ExpectOutcome(first, Verdict::kRan, Reason::kNone);
+  EXPECT_TRUE(outcomes_[second].empty());
+  AnswerLast();
+  ExpectOutcome(second, Verdict::kRan, Reason::kNone);
+}
+
+// Guards against writes that end early because only the confirm connection was
+// lost.
+TEST_F(EndpointPoolTest, ConfirmConnectionLostWriteWaitsForNewOne) {
+  const auto write = Submit(Write());
+  AnswerLast();
+  link_.FinishOpening(*pool_, now_);
+  link_.Lose(link_.sent.back().connection, *pool_, now_);
+  EXPECT_TRUE(outcomes_[write].empty());
+  link_.FinishOpening(*pool_, now_);
+  AnswerLast();
+  ExpectOutcome(write, Verdict::kRan, Reason::kNone);
+}
+
+// Guards against a write stuck behind a confirm connection that went silent.
+TEST_F(EndpointPoolTest, ConfirmConnectionSilentIsReplaced) {
+  const auto write = Submit(Write());
+  AnswerLast();
+  link_.FinishOpening(*pool_, now_);
+  const ConnectionId silent = link_.sent.back().connection;
+  Advance(milliseconds(510), true);
+  EXPECT_TRUE(link_.closed.contains(silent));
+  link_.FinishOpening(*pool_, now_);
+  FakeEndpoint::Answer(*pool_, link_.sent.back(), now_);
+  ExpectOutcome(write, Verdict::kRan, Reason::kNone);
+}
+
+// Guards against an acknowledgement by a primary that has been replaced.
+TEST_F(EndpointPoolTest, TermRisesBeforeConfirmWriteMayHaveRun) {
+  const auto write = Submit(Write());
+  AnswerLast();
+  pool_->SetTerm(2);
+  ExpectOutcome(write, Verdict::kMayHaveRun, Reason::kStaleTerm);
+}
+
+TEST_F(EndpointPoolTest, StaleTermConfirmWriteMayHaveRun) {
+  const auto write = Submit(Write());
+  AnswerLast();
+  link_.FinishOpening(*pool_, now_);
+  AnswerLast(EndpointStatus::kStaleTerm);
+  ExpectOutcome(write, Verdict::kMayHaveRun, Reason::kStaleTerm);
+}
+
+// Guards against a wrong "not run" for a commit whose first copy has run.
+TEST_F(EndpointPoolTest, CommitOfUnknownTransactionMayHaveRun) {
+  const auto commit = Submit(InTransaction(RequestKind::kCommit, "x"));
+  ExpectOutcome(commit, Verdict::kMayHaveRun, Reason::kUnknownTransaction);
+  const auto statement = Submit(InTransaction(RequestKind::kStatement, "x"));
+  ExpectOutcome(statement, Verdict::kNotRun, Reason::kUnknownTransaction);
+}
+
+// Guards against statements of two transactions on one connection.
+TEST_F(EndpointPoolTest, TransactionKeepsItsConnectionUntilCommitAnswered) {
+  Begin("a");
+  const ConnectionId own = link_.sent.back().connection;
+  for (int i = 0; i < 9; ++i) Submit(Read());
+  for (const auto& sent : link_.SentOf(EndpointOperation::kExecute)) {
+    EXPECT_NE(sent.connection, own);
+  }
+  EXPECT_EQ(pool_->stats().running, 3U);
+  AnswerLast();
+  AnswerLast();
+  AnswerLast();
+  EXPECT_EQ(pool_->stats().open_transactions, 1U);
+  Submit(InTransaction(RequestKind::kCommit, "a"));
+  while (pool_->stats().open_transactions > 0) AnswerLast();
+  EXPECT_EQ(link_.SentOf(EndpointOperation::kCommit).at(0).connection, own);
+}
+
+TEST_F(EndpointPoolTest, TransactionStatementUnansweredAtDeadlineIsRolledBack) {
+  Begin("a");
+  auto statement = InTransaction(RequestKind::kStatement, "a");
+  const auto index = Submit(statement, milliseconds(50));
+  const ConnectionId own = link_.sent.back().connection;
+  Advance(milliseconds(50));
+  EXPECT_TRUE(link_.closed.contains(own));
+  ExpectOutcome(index, Verdict::kNotRun, Reason::kDeadline);
+}
+
+class EndpointPoolWithFewConnections : public EndpointPoolTest {
+ protected:
+  // Leaves three connections for statements.
+  EndpointPoolWithFewConnections() : EndpointPoolTest(8) {}
+};
+
+// Guards against transactions that are ended without need, or too many.
+TEST_F(EndpointPoolWithFewConnections,
+       OneRequestWaitsOnlyOldestIdleIsReclaimed) {
+  Begin("a");
+  const ConnectionId oldest = link_.sent.back().connection;
+  Advance(milliseconds(10));
+  Begin("b");
+  Begin("c");
+  Advance(seconds(5));
+  EXPECT_EQ(pool_->stats().open_transactions, 3U);
+  const auto read = Submit(Read());
+  EXPECT_TRUE(link_.closed.contains(oldest));
+  EXPECT_EQ(pool_->stats().open_transactions, 2U);
+  link_.FinishOpening(*pool_, now_);
+  AnswerLast();
+  ExpectOutcome(read, Verdict::kRan, Reason::kNone);
+}
+
+TEST_F(EndpointPoolWithFewConnections, DemandWithinGraceNothingIsReclaimed) {
+  Begin("a");
+  Begin("b");
+  Begin("c");
+  Submit(Read());
+  Advance(milliseconds(1900));
+  EXPECT_EQ(pool_->stats().open_transactions, 3U);
+  Advance(milliseconds(200));
+  EXPECT_EQ(pool_->stats().open_transactions, 2U);
+}
+
+TEST_F(EndpointPoolTest, TransactionIdleForLimitIsClosed) {
+  Begin("a");
+  Advance(seconds(31));
+  EXPECT_EQ(pool_->stats().open_transactions, 0U);
+}
+
+TEST_F(EndpointPoolTest, DrainLeavesTransactionItsTimeThenEndsIt) {
+  Begin("a");
+  pool_->Drain(now_);
+  ExpectOutcome(Submit(Read()), Verdict::kNotRun, Reason::kLeaving);
+  Advance(seconds(9));
+  EXPECT_FALSE(pool_->idle());
+  const auto late = Submit(InTransaction(RequestKind::kStatement, "a"));
+  Advance(seconds(2));
+  ExpectOutcome(late, Verdict::kNotRun, Reason::kLeaving);
+  EXPECT_TRUE(pool_->idle());
+}
+
+// Guards against a new statement on a connection that went silent.
+TEST_F(EndpointPoolTest, HeartbeatUnansweredIdleConnectionsAreReplaced) {
+  const std::set<ConnectionId> before = link_.open;
+  Advance(milliseconds(2300), true);
+  EXPECT_EQ(link_.closed, before);
+  EXPECT_EQ(link_.opening.size(), before.size());
+}
+
+TEST_F(EndpointPoolTest, HeartbeatAnsweredConnectionsStay) {
+  Advance(seconds(20));
+  EXPECT_TRUE(link_.closed.empty());
+}
+
+// Guards against requests that wait for an endpoint that refuses connections.
+TEST_F(EndpointPoolTest, OpeningKeepsFailingWaitingRequestsEndNotRun) {
+  const std::set<ConnectionId> open = link_.open;
+  for (ConnectionId id : open) link_.Lose(id, *pool_, now_);
+  const auto write = Submit(Write());
+  for (int i = 0; i < 3; ++i) link_.FailOpening(*pool_, now_);
+  ExpectOutcome(write, Verdict::kNotRun, Reason::kConnectionLost);
+  EXPECT_TRUE(pool_->stats().breaker_open);
+  EXPECT_TRUE(link_.opening.empty());
+  Advance(milliseconds(200));
+  EXPECT_EQ(link_.opening.size(), 1U);
+}
+
+// Guards against a write on the old primary during a planned change.
+TEST_F(EndpointPoolTest, HoldDelaysWritesButNotReads) {
+  pool_->Hold(now_);
+  Submit(Write());
+  EXPECT_TRUE(link_.sent.empty());
+  EXPECT_FALSE(pool_->HasWritesInFlight());
+  Submit(Read());
+  EXPECT_EQ(link_.sent.size(), 1U);
+  pool_->Release(now_);
+  EXPECT_EQ(link_.sent.size(), 2U);
+  EXPECT_TRUE(pool_->HasWritesInFlight());
+}
+
+// Guards against stragglers on all slots after one was seen to run long.
+TEST_F(EndpointPoolTest, StatementRunsLongNextOfItsKindIsLimitedToShare) {
+  for (int i = 0; i < 30; ++i) {
+    Submit(Read());
+    now_ += milliseconds(1);
+    AnswerLast();
+  }
+  Request straggler = Read();
+  straggler.statement = "rebuild";
+  Submit(straggler);
+  Advance(milliseconds(20));
+  EXPECT_EQ(pool_->stats().running_long, 1U);
+  Submit(straggler);
+  EXPECT_EQ(pool_->stats().queued_long, 1U);
+  Submit(Read());
+  EXPECT_EQ(pool_->stats().running, 2U);
+}
+
+}  // namespace
+}  // namespace carawayhaven
