--- a/include/carawayhaven/error_messages.h
+++ b/include/carawayhaven/error_messages.h
@@ -17,6 +17,40 @@
 inline constexpr char kListenFailed[] = "cannot listen on port ";
 inline constexpr char kMalformedAddress[] =
     "not an address of the form IP:port: ";
+inline constexpr char kConfigTooLarge[] =
+    "configuration text exceeds the size limit of 256 KiB";
+inline constexpr char kUnknownKey[] = "unknown key: ";
+inline constexpr char kNearestKey[] = "; did you mean ";
+inline constexpr char kMissingKey[] = "missing key: ";
+inline constexpr char kWrongType[] = "wrong type of ";
+inline constexpr char kOutOfRange[] = "value out of range: ";
+inline constexpr char kMalformedName[] =
+    "not a name of 1 to 64 characters a-z, 0-9, '-' or '_': ";
+inline constexpr char kBadAcknowledge[] =
+    "acknowledge must be \"replica\" or \"primary\", not ";
+inline constexpr char kTooFewConnections[] =
+    "connections must be at least slots + 4 (monitor and handover)";
+inline constexpr char kDuplicateName[] = "name is declared twice: ";
+inline constexpr char kDuplicateAddress[] = "address is used twice: ";
+inline constexpr char kNoEndpoint[] = "service has no endpoint";
+inline constexpr char kTooManyDeclaredServices[] =
+    "more than 512 services in one text";
+inline constexpr char kTooManyEndpoints[] =
+    "more than 9 endpoints in one service";
+inline constexpr char kOtherTeam[] =
+    "the text declares another team than the one it is submitted for: ";
+inline constexpr char kServiceTaken[] = "name belongs to another team: ";
+inline constexpr char kMalformedTeamObject[] =
+    "object is not JSON with \"submission\" and \"text\"";
+inline constexpr char kSubmitConflict[] =
+    "another submission was first; read the winning version, merge and submit "
+    "from it: version ";
+inline constexpr char kSubmitUnavailable[] =
+    "the store did not answer; nothing was changed; submit again later";
+inline constexpr char kSubmitUnknown[] =
+    "the store did not answer after the update was sent; it may have taken "
+    "effect; read the team's object back and compare, or submit again from the "
+    "same version (safe: at most one takes effect): submission ";
 inline constexpr char kContextFailed[] = "cannot create the event loop";
 
 }  // namespace carawayhaven::error_messages
--- /dev/null
+++ b/src/core/config/config_digest_source.h
@@ -0,0 +1,18 @@
+#ifndef CARAWAYHAVEN_CORE_CONFIG_CONFIG_DIGEST_SOURCE_H_
+#define CARAWAYHAVEN_CORE_CONFIG_CONFIG_DIGEST_SOURCE_H_
+
+namespace carawayhaven {
+
+struct ConfigDigest;
+
+/// Gives the digest that heartbeats carry. Not thread-safe.
+class ConfigDigestSource {
+ public:
+  virtual ~ConfigDigestSource() = default;
+
+  virtual const ConfigDigest& digest() const = 0;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_CORE_CONFIG_CONFIG_DIGEST_SOURCE_H_
--- /dev/null
+++ b/src/core/config/config_distributor.cc
@@ -0,0 +1,234 @@
+#include "core/config/config_distributor.h"
+
+#include <algorithm>
+#include <limits>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "core/membership/member_view.h"
+
+namespace carawayhaven {
+namespace {
+
+// Least time between two watches, should the store answer them at once.
+constexpr Duration kWatchMinGap = std::chrono::milliseconds(20);
+// Sorts after every team name; ends the last of several requests.
+constexpr char kAfterAllTeams[] = "~";
+constexpr std::uint64_t kNothingNewer =
+    std::numeric_limits<std::uint64_t>::max();
+
+}  // namespace
+
+ConfigDistributor::ConfigDistributor(ConfigStore& configs,
+                                     PlatformStore& platform, PeerLink& link,
+                                     const MemberView& members,
+                                     std::mt19937_64& random)
+    : configs_(configs),
+      platform_(platform),
+      link_(link),
+      members_(members),
+      random_(random),
+      alive_(std::make_shared<ConfigDistributor*>(this)) {}
+
+void ConfigDistributor::OnAccepted(std::string_view team, std::uint64_t version,
+                                   std::string_view value, TimePoint now) {
+  now_ = now;
+  if (Apply(team, version, value, now)) Spread(team, version, value, {});
+}
+
+void ConfigDistributor::OnPeerMessage(const VmName& vm,
+                                      const PeerMessage& message,
+                                      TimePoint now) {
+  now_ = now;
+  if (const auto* update = std::get_if<ConfigUpdateMessage>(&message)) {
+    OnUpdate(vm, *update, now);
+  } else if (const auto* request =
+                 std::get_if<ConfigRequestMessage>(&message)) {
+    OnRequest(vm, *request);
+  } else if (const auto* heartbeat = std::get_if<HeartbeatMessage>(&message)) {
+    OnDigest(vm, heartbeat->digest, now);
+  }
+}
+
+void ConfigDistributor::OnPeerLost(const VmName& vm, TimePoint /*now*/) {
+  if (vm == asked_) request_not_before_ = TimePoint::min();
+}
+
+void ConfigDistributor::Tick(TimePoint now) {
+  now_ = now;
+  next_tick_ = now + kWatchCheckPeriod;
+  if (watching_) return;
+  if (listed_ &&
+      !members_.IsFirstInDataCentre(kWatchKey, kWatchersInDataCentre)) {
+    return;
+  }
+  if (now < watch_not_before_) {
+    next_tick_ = std::min(next_tick_, watch_not_before_);
+    return;
+  }
+  StartWatch();
+}
+
+void ConfigDistributor::OnUpdate(const VmName& from,
+                                 const ConfigUpdateMessage& update,
+                                 TimePoint now) {
+  if (!Apply(update.team, update.version, update.text, now)) return;
+  // The answers to a request can be hundreds of versions that the peers hold
+  // already. News from the same peer in that time reaches the others by the
+  // digests.
+  if (from == asked_ && now < asked_until_) return;
+  Spread(update.team, update.version, update.text, from);
+}
+
+void ConfigDistributor::OnRequest(const VmName& from,
+                                  const ConfigRequestMessage& request) {
+  const auto& teams = configs_.teams();
+  auto entry = teams.begin();
+  auto end = teams.end();
+  if (!request.versions.empty()) {
+    entry = teams.lower_bound(request.versions.front().team);
+    end = teams.upper_bound(request.versions.back().team);
+  }
+  std::map<std::string_view, std::uint64_t> known;
+  for (const TeamVersion& version : request.versions) {
+    known[version.team] = version.version;
+  }
+  std::size_t bytes = 0;
+  for (; entry != end && bytes < kMaxAnswerBytes; ++entry) {
+    const auto& [name, team] = *entry;
+    const auto held = known.find(name);
+    const std::uint64_t version = held == known.end() ? 0 : held->second;
+    const auto send = [&](std::uint64_t number, const std::string& value) {
+      bytes += value.size();
+      if (link_.Send(from, ConfigUpdateMessage{name, number, value})) {
+        ++counters_.updates_sent;
+      }
+    };
+    // The good version goes first, so that a proxy that starts while a bad
+    // version is the newest one has the same version in force as the others.
+    if (team.version > version) send(team.version, team.value);
+    if (team.seen > team.version && team.seen > version) {
+      send(team.seen, team.bad_value);
+    }
+  }
+}
+
+void ConfigDistributor::OnDigest(const VmName& from, const ConfigDigest& digest,
+                                 TimePoint now) {
+  if (digest == configs_.digest()) {
+    differs_since_ = TimePoint::max();
+    // A proxy that starts and agrees with a peer needs no list of the store;
+    // this spares the store when a rack of VMs starts at once.
+    if (digest.count > 0) listed_ = true;
+    return;
+  }
+  if (digest.count == 0) return;
+  differs_since_ = std::min(differs_since_, now);
+  const bool settling = last_change_ != TimePoint::min() &&
+                        now - last_change_ < kSettleTime &&
+                        now - differs_since_ < kRequestPeriod;
+  if (settling || now < request_not_before_) return;
+  SendRequest(from, now);
+}
+
+bool ConfigDistributor::Apply(std::string_view team, std::uint64_t version,
+                              std::string_view value, TimePoint now) {
+  switch (configs_.Apply(team, version, value)) {
+    case ApplyResult::kStale:
+      return false;
+    case ApplyResult::kApplied:
+      ++counters_.applied;
+      break;
+    case ApplyResult::kRejected:
+      ++counters_.rejected;
+      break;
+  }
+  last_change_ = now;
+  return true;
+}
+
+void ConfigDistributor::Spread(std::string_view team, std::uint64_t version,
+                               std::string_view value, const VmName& except) {
+  // A value that no frame can carry is left to the store alone.
+  const bool too_long = value.size() > TeamObject::kMaxBytes;
+  const ConfigUpdateMessage update{TeamName(team), version,
+                                   std::string(too_long ? "" : value)};
+  std::vector<VmName> peers = members_.Peers();
+  std::erase(peers, except);
+  const std::size_t count = std::min(kUpdateFanOut, peers.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    std::swap(peers[i], peers[i + random_() % (peers.size() - i)]);
+    if (link_.Send(peers[i], update)) ++counters_.updates_sent;
+  }
+}
+
+void ConfigDistributor::SendRequest(const VmName& to, TimePoint now) {
+  ConfigRequestMessage request;
+  const auto& teams = configs_.teams();
+  const bool split = teams.size() > kMaxTeamsPerRequest;
+  // A split request covers the names from its first to its last entry. A last
+  // entry that asks for nothing newer marks the end of its range.
+  if (split) request.versions.push_back({"", 0});
+  bool sent = true;
+  for (const auto& [name, team] : teams) {
+    if (request.versions.size() >= kMaxTeamsPerRequest) {
+      request.versions.push_back({name, kNothingNewer});
+      sent = link_.Send(to, request) && sent;
+      ++counters_.requests_sent;
+      request.versions.clear();
+    }
+    request.versions.push_back({name, team.version});
+  }
+  if (split) {
+    request.versions.push_back({kAfterAllTeams, kNothingNewer});
+  } else if (!teams.empty()) {
+    request.versions.insert(request.versions.begin(), {"", 0});
+    request.versions.push_back({kAfterAllTeams, kNothingNewer});
+  }
+  sent = link_.Send(to, request) && sent;
+  ++counters_.requests_sent;
+  if (!sent) return;
+  request_not_before_ = now + kRequestPeriod;
+  asked_ = to;
+  asked_until_ = now + kAnswerWindow;
+}
+
+void ConfigDistributor::StartWatch() {
+  watching_ = true;
+  ++counters_.store_calls;
+  watch_not_before_ = now_ + kWatchMinGap;
+  const std::weak_ptr<ConfigDistributor*> alive = alive_;
+  platform_.Watch(kTeamsPrefix, revision_, [alive](const StoreReply& reply) {
+    if (const auto self = alive.lock()) (*self)->OnWatchReply(reply);
+  });
+}
+
+void ConfigDistributor::OnWatchReply(const StoreReply& reply) {
+  watching_ = false;
+  next_tick_ = TimePoint::min();
+  if (reply.status != StoreStatus::kOk) {
+    const auto jitter = static_cast<Duration::rep>(
+        random_() % static_cast<std::uint64_t>(backoff_.count()));
+    // The callback has no time of its own and now_ can be a check period old.
+    watch_not_before_ =
+        now_ + kWatchCheckPeriod + std::max(Duration(jitter), kWatchMinGap);
+    backoff_ = std::min(backoff_ * 2, kWatchBackoffMax);
+    return;
+  }
+  backoff_ = kWatchBackoffMin;
+  const bool first = !listed_;
+  listed_ = true;
+  revision_ = std::max(revision_, reply.revision);
+  const std::string_view prefix = kTeamsPrefix;
+  for (const StoredObject& object : reply.objects) {
+    if (!object.path.starts_with(prefix)) continue;
+    const std::string_view team =
+        std::string_view(object.path).substr(prefix.size());
+    if (!Apply(team, object.version, object.value, now_)) continue;
+    // The list that a proxy reads at its start is no news to others.
+    if (!first) Spread(team, object.version, object.value, {});
+  }
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/src/core/config/config_store.cc
@@ -0,0 +1,158 @@
+#include "core/config/config_store.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <tuple>
+#include <utility>
+
+#include "carawayhaven/error_messages.h"
+
+namespace carawayhaven {
+namespace {
+
+// A service that a team declares, with its place in the order of claims.
+struct Claim {
+  std::uint64_t since = 0;
+  const TeamName* team = nullptr;
+  const ServiceConfig* service = nullptr;
+};
+
+std::uint64_t HashOf(std::string_view team, std::uint64_t seen,
+                     std::uint64_t version) {
+  const std::array<std::uint64_t, 2> versions{seen, version};
+  return XXH3_64bits_withSeed(team.data(), team.size(),
+                              XXH3_64bits(versions.data(), sizeof(versions)));
+}
+
+}  // namespace
+
+ApplyResult ConfigStore::Apply(std::string_view team, std::uint64_t version,
+                               std::string_view value) {
+  const auto found = teams_.find(team);
+  if (version == 0 ||
+      (found != teams_.end() && version <= found->second.version)) {
+    return ApplyResult::kStale;
+  }
+  const std::uint64_t seen = found == teams_.end() ? 0 : found->second.seen;
+  std::vector<ConfigError> errors;
+  std::optional<TeamObject> object = TeamObject::Parse(value);
+  TeamConfigResult parsed;
+  if (!object.has_value()) {
+    errors.push_back({{}, error_messages::kMalformedTeamObject});
+  } else {
+    parsed = TeamConfigParser::Parse(object->text);
+    errors = std::move(parsed.errors);
+    if (parsed.config.has_value() && parsed.config->team != team) {
+      errors.push_back(
+          {{1, 1}, error_messages::kOtherTeam + parsed.config->team});
+    }
+  }
+  // A good version below the highest one seen is still taken when it is above
+  // the one in force: the proxy met the bad version first.
+  if (!errors.empty() && version <= seen) return ApplyResult::kStale;
+
+  Team& entry = found == teams_.end() ? teams_[TeamName(team)] : found->second;
+  if (entry.seen != 0) {
+    digest_.hash ^= HashOf(team, entry.seen, entry.version);
+  } else {
+    ++digest_.count;
+  }
+  entry.seen = std::max(seen, version);
+  const bool good = errors.empty();
+  if (good) {
+    entry.version = version;
+    entry.value = value;
+    entry.config =
+        std::make_shared<const TeamConfig>(*std::move(parsed.config));
+    entry.since = std::move(object->since);
+    if (entry.seen == version) {
+      entry.bad_value.clear();
+      entry.errors.clear();
+    }
+    index_valid_ = false;
+  } else {
+    // A value over the limit is not kept, since no peer message can carry it.
+    entry.bad_value = value.size() > TeamObject::kMaxBytes ? "" : value;
+    entry.errors = std::move(errors);
+  }
+  digest_.hash ^= HashOf(team, entry.seen, entry.version);
+  return good ? ApplyResult::kApplied : ApplyResult::kRejected;
+}
+
+const ConfigStore::Team* ConfigStore::FindTeam(std::string_view team) const {
+  const auto found = teams_.find(team);
+  return found == teams_.end() ? nullptr : &found->second;
+}
+
+const ServiceConfig* ConfigStore::FindService(std::string_view name) const {
+  RebuildIndex();
+  const auto found = services_.find(name);
+  return found == services_.end() ? nullptr : found->second.service;
+}
+
+TeamName ConfigStore::TeamOf(std::string_view service) const {
+  RebuildIndex();
+  const auto found = services_.find(service);
+  return found == services_.end() ? TeamName() : *found->second.team;
+}
+
+EndpointEntry ConfigStore::FindEndpoint(std::string_view name) const {
+  RebuildIndex();
+  const auto found = endpoints_.find(name);
+  if (found == endpoints_.end()) return {};
+  const EndpointPlace& place = found->second;
+  return {place.endpoint, place.service.service, *place.service.team};
+}
+
+std::vector<ServiceName> ConfigStore::Services() const {
+  RebuildIndex();
+  std::vector<ServiceName> names;
+  names.reserve(services_.size());
+  for (const auto& [name, entry] : services_) names.push_back(name);
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
+void ConfigStore::RebuildIndex() const {
+  if (index_valid_) return;
+  index_valid_ = true;
+  services_.clear();
+  endpoints_.clear();
+  std::vector<Claim> claims;
+  for (const auto& [name, team] : teams_) {
+    if (team.config == nullptr) continue;
+    for (const ServiceConfig& service : team.config->services) {
+      const auto since = team.since.find(service.name);
+      // A claim cannot be younger than the version that makes it.
+      claims.push_back({since == team.since.end()
+                            ? team.version
+                            : std::min(since->second, team.version),
+                        &name, &service});
+    }
+  }
+  // The oldest claim wins. The order is a function of the versions in force, so
+  // every proxy that holds them comes to the same services.
+  std::sort(claims.begin(), claims.end(), [](const Claim& a, const Claim& b) {
+    return std::tie(a.since, *a.team, a.service->name) <
+           std::tie(b.since, *b.team, b.service->name);
+  });
+  for (const Claim& claim : claims) {
+    const ServiceConfig& service = *claim.service;
+    const bool taken =
+        services_.contains(service.name) ||
+        std::any_of(service.endpoints.begin(), service.endpoints.end(),
+                    [this](const EndpointConfig& endpoint) {
+                      return endpoints_.contains(endpoint.name);
+                    });
+    if (taken) continue;
+    const ServiceEntry entry{&service, claim.team};
+    services_.emplace(service.name, entry);
+    for (const EndpointConfig& endpoint : service.endpoints) {
+      endpoints_.emplace(endpoint.name, EndpointPlace{&endpoint, entry});
+    }
+  }
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/src/core/config/config_store.h
@@ -0,0 +1,103 @@
+#ifndef CARAWAYHAVEN_CORE_CONFIG_CONFIG_STORE_H_
+#define CARAWAYHAVEN_CORE_CONFIG_CONFIG_STORE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "core/config/config_digest_source.h"
+#include "core/config/service_directory.h"
+#include "core/config/team_config.h"
+#include "core/config/team_config_parser.h"
+#include "core/config/team_object.h"
+#include "core/peer_message.h"
+
+namespace carawayhaven {
+
+/// What became of a version given to the store.
+enum class ApplyResult {
+  /// Not newer than what is known; nothing changed.
+  kStale,
+  /// In force now.
+  kApplied,
+  /// Newer, but its text is bad: the last good version stays in force, and the
+  /// bad version is remembered so that nothing older is taken.
+  kRejected,
+};
+
+/// The configuration of all teams on this proxy. The version in force of a team
+/// only rises. The services in force depend on the newest good versions alone,
+/// not on the order in which they arrived. Not thread-safe.
+class ConfigStore : public ServiceDirectory, public ConfigDigestSource {
+ public:
+  /// What is known of one team.
+  struct Team {
+    /// Zero: no good version is known.
+    std::uint64_t version = 0;
+    /// JSON value of the version in force.
+    std::string value;
+    /// Highest version seen; above `version` when its text was bad.
+    std::uint64_t seen = 0;
+    /// JSON value of the version seen when it is a bad one.
+    std::string bad_value;
+    std::vector<ConfigError> errors;
+    std::shared_ptr<const TeamConfig> config;
+    std::map<ServiceName, std::uint64_t, std::less<>> since;
+  };
+
+  /// Takes the value of the object `teams/<team>` at a version.
+  ApplyResult Apply(std::string_view team, std::uint64_t version,
+                    std::string_view value);
+
+  /// Digest of the versions in force and seen of all teams.
+  const ConfigDigest& digest() const override { return digest_; }
+
+  /// Returns the team, or null when none of its versions is known. Valid until
+  /// the next Apply.
+  const Team* FindTeam(std::string_view team) const;
+  const std::map<TeamName, Team, std::less<>>& teams() const { return teams_; }
+
+  const ServiceConfig* FindService(std::string_view name) const override;
+  TeamName TeamOf(std::string_view service) const override;
+  EndpointEntry FindEndpoint(std::string_view name) const override;
+  std::vector<ServiceName> Services() const override;
+
+ private:
+  struct StringHash {
+    using is_transparent = void;
+    std::size_t operator()(std::string_view text) const {
+      return std::hash<std::string_view>{}(text);
+    }
+  };
+  template <typename Value>
+  using NameMap =
+      std::unordered_map<std::string, Value, StringHash, std::equal_to<>>;
+
+  struct ServiceEntry {
+    const ServiceConfig* service = nullptr;
+    const TeamName* team = nullptr;
+  };
+  struct EndpointPlace {
+    const EndpointConfig* endpoint = nullptr;
+    ServiceEntry service;
+  };
+
+  void RebuildIndex() const;
+
+  std::map<TeamName, Team, std::less<>> teams_;
+  ConfigDigest digest_;
+  // The index is rebuilt at the first read after a change, so that a proxy that
+  // starts and applies hundreds of teams in a row builds it once.
+  mutable bool index_valid_ = true;
+  mutable NameMap<ServiceEntry> services_;
+  mutable NameMap<EndpointPlace> endpoints_;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_CORE_CONFIG_CONFIG_STORE_H_
--- /dev/null
+++ b/src/core/config/config_submitter.cc
@@ -0,0 +1,312 @@
+#include "core/config/config_submitter.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <utility>
+
+#include "carawayhaven/error_messages.h"
+#include "core/config/config_distributor.h"
+
+namespace carawayhaven {
+
+ConfigSubmitter::ConfigSubmitter(const ConfigStore& configs,
+                                 ConfigDistributor& distributor,
+                                 PlatformStore& platform,
+                                 std::mt19937_64& random)
+    : configs_(configs),
+      distributor_(distributor),
+      platform_(platform),
+      random_(random),
+      alive_(std::make_shared<ConfigSubmitter*>(this)) {}
+
+void ConfigSubmitter::Submit(std::string_view team, std::string_view text,
+                             ObjectVersion base, SubmitCallback done,
+                             TimePoint now) {
+  now_ = now;
+  TeamConfigResult parsed = TeamConfigParser::Parse(text);
+  if (parsed.config.has_value()) {
+    if (parsed.config->team != team) {
+      parsed.errors.push_back(
+          {{1, 1}, error_messages::kOtherTeam + parsed.config->team});
+    } else {
+      CheckOwners(*parsed.config, parsed.errors);
+    }
+  }
+  if (!parsed.errors.empty()) {
+    SubmitResult result;
+    result.status = SubmitStatus::kInvalid;
+    result.errors = std::move(parsed.errors);
+    done(result);
+    return;
+  }
+  const std::string id = NewId();
+  Submission& submission = submissions_[id];
+  submission.team = team;
+  submission.config = *std::move(parsed.config);
+  submission.object.submission = id;
+  submission.object.text = text;
+  submission.base = base;
+  submission.done = std::move(done);
+  submission.deadline = now + kSubmitTimeout;
+  submission.next = now;
+  if (base == 0) {
+    Prepare(submission, nullptr);
+  } else if (const ConfigStore::Team* known = configs_.FindTeam(team);
+             known != nullptr && known->version == base) {
+    const std::optional<TeamObject> object = TeamObject::Parse(known->value);
+    Prepare(submission, object.has_value() ? &*object : nullptr);
+  }
+  Call(id, submission, now);
+}
+
+void ConfigSubmitter::Tick(TimePoint now) {
+  now_ = now;
+  std::vector<std::string> due;
+  for (const auto& [id, submission] : submissions_) {
+    if (std::min(submission.next, submission.deadline) <= now) {
+      due.push_back(id);
+    }
+  }
+  for (const std::string& id : due) {
+    const auto found = submissions_.find(id);
+    if (found == submissions_.end()) continue;
+    Submission& submission = found->second;
+    if (submission.deadline <= now) {
+      EndLate(id, submission);
+    } else if (submission.calling) {
+      OnReply(id, submission.call, StoreReply{});
+    } else {
+      Call(id, submission, now);
+    }
+  }
+}
+
+TimePoint ConfigSubmitter::NextTick() const {
+  TimePoint next = TimePoint::max();
+  for (const auto& [id, submission] : submissions_) {
+    next = std::min({next, submission.next, submission.deadline});
+  }
+  return next;
+}
+
+void ConfigSubmitter::CheckOwners(const TeamConfig& config,
+                                  std::vector<ConfigError>& errors) const {
+  for (const ServiceConfig& service : config.services) {
+    const TeamName owner = configs_.TeamOf(service.name);
+    if (!owner.empty() && owner != config.team) {
+      errors.push_back({{},
+                        error_messages::kServiceTaken + service.name +
+                            " (team " + owner + ")"});
+    }
+    for (const EndpointConfig& endpoint : service.endpoints) {
+      const TeamName endpoint_owner = configs_.FindEndpoint(endpoint.name).team;
+      if (!endpoint_owner.empty() && endpoint_owner != config.team) {
+        errors.push_back({{},
+                          error_messages::kServiceTaken + endpoint.name +
+                              " (team " + endpoint_owner + ")"});
+      }
+    }
+  }
+}
+
+void ConfigSubmitter::Prepare(Submission& submission, const TeamObject* base) {
+  if (base != nullptr) {
+    // The claims on services that stay are older than this version; those of
+    // services that the base was the first to declare date from the base.
+    const TeamConfigResult before = TeamConfigParser::Parse(base->text);
+    for (const ServiceConfig& service : submission.config.services) {
+      const auto since = base->since.find(service.name);
+      if (since != base->since.end()) {
+        submission.object.since.insert(*since);
+        continue;
+      }
+      if (!before.config.has_value()) continue;
+      const auto& declared = before.config->services;
+      if (std::any_of(declared.begin(), declared.end(),
+                      [&](const ServiceConfig& other) {
+                        return other.name == service.name;
+                      })) {
+        submission.object.since.emplace(service.name, submission.base);
+      }
+    }
+    submission.object.earlier = base->earlier;
+    submission.object.earlier.insert(submission.object.earlier.begin(),
+                                     {base->submission, submission.base});
+    if (submission.object.earlier.size() > TeamObject::kMaxEarlier) {
+      submission.object.earlier.resize(TeamObject::kMaxEarlier);
+    }
+  }
+  submission.value = submission.object.Format();
+  submission.step = Step::kUpdate;
+}
+
+void ConfigSubmitter::Call(const std::string& id, Submission& submission,
+                           TimePoint now) {
+  submission.calling = true;
+  submission.call = next_call_++;
+  submission.next = now + kSubmitCallTimeout;
+  const std::weak_ptr<ConfigSubmitter*> alive = alive_;
+  const auto callback = [alive, id,
+                         call = submission.call](const StoreReply& reply) {
+    if (const auto self = alive.lock()) (*self)->OnReply(id, call, reply);
+  };
+  const std::string path = kTeamsPrefix + submission.team;
+  if (submission.step == Step::kUpdate) {
+    platform_.Put(path, submission.value, submission.base, callback);
+  } else {
+    platform_.Get(path, callback);
+  }
+}
+
+void ConfigSubmitter::OnReply(const std::string& id, std::uint64_t call,
+                              const StoreReply& reply) {
+  const auto found = submissions_.find(id);
+  if (found == submissions_.end()) return;
+  Submission& submission = found->second;
+  // The first attempt of an update may be answered late, after its time-out:
+  // only an answer that says it took effect is of use then.
+  if (!submission.calling || submission.call != call) return;
+  submission.calling = false;
+  if (reply.status == StoreStatus::kOverloaded) {
+    RetryLater(submission);
+    return;
+  }
+  switch (submission.step) {
+    case Step::kReadBase:
+      OnBase(id, submission, reply);
+      return;
+    case Step::kUpdate:
+      OnUpdated(id, submission, reply);
+      return;
+    case Step::kReadBack:
+      OnReadBack(id, submission, reply);
+      return;
+  }
+}
+
+void ConfigSubmitter::OnBase(const std::string& id, Submission& submission,
+                             const StoreReply& reply) {
+  if (reply.status == StoreStatus::kNotFound) {
+    EndConflict(id, 0);
+  } else if (reply.status != StoreStatus::kOk) {
+    RetryLater(submission);
+  } else if (reply.object.version != submission.base) {
+    EndConflict(id, reply.object.version);
+  } else {
+    const std::optional<TeamObject> base =
+        TeamObject::Parse(reply.object.value);
+    Prepare(submission, base.has_value() ? &*base : nullptr);
+    Call(id, submission, now_);
+  }
+}
+
+void ConfigSubmitter::OnUpdated(const std::string& id, Submission& submission,
+                                const StoreReply& reply) {
+  if (reply.status == StoreStatus::kOk) {
+    Accept(id, reply.object.version);
+  } else if (reply.status == StoreStatus::kConflict &&
+             !submission.may_have_run) {
+    EndConflict(id, reply.object.version);
+  } else {
+    // kUnknown, or a conflict that an earlier copy of this very update may have
+    // caused.
+    submission.may_have_run = true;
+    submission.step = Step::kReadBack;
+    Call(id, submission, now_);
+  }
+}
+
+void ConfigSubmitter::OnReadBack(const std::string& id, Submission& submission,
+                                 const StoreReply& reply) {
+  if (reply.status == StoreStatus::kNotFound) {
+    if (submission.base != 0) {
+      EndConflict(id, 0);
+      return;
+    }
+    submission.step = Step::kUpdate;
+    RetryLater(submission);
+    return;
+  }
+  if (reply.status != StoreStatus::kOk) {
+    RetryLater(submission);
+    return;
+  }
+  if (reply.object.version == submission.base) {
+    // Not in effect so far. A second copy settles it: the store takes one of
+    // the two at most.
+    submission.step = Step::kUpdate;
+    RetryLater(submission);
+    return;
+  }
+  const std::optional<TeamObject> object =
+      TeamObject::Parse(reply.object.value);
+  if (object.has_value()) {
+    if (object->submission == id) {
+      Accept(id, reply.object.version);
+      return;
+    }
+    // It took effect and was followed by another one since.
+    for (const EarlierSubmission& earlier : object->earlier) {
+      if (earlier.submission == id) {
+        Accept(id, earlier.version);
+        return;
+      }
+    }
+  }
+  EndConflict(id, reply.object.version);
+}
+
+void ConfigSubmitter::RetryLater(Submission& submission) {
+  const auto range = static_cast<std::uint64_t>(submission.backoff.count());
+  submission.next = now_ + kSubmitBackoffMin +
+                    Duration(static_cast<Duration::rep>(random_() % range));
+  submission.backoff = std::min(submission.backoff * 2, kSubmitBackoffMax);
+}
+
+void ConfigSubmitter::Accept(const std::string& id, ObjectVersion version) {
+  const Submission& submission = submissions_.at(id);
+  distributor_.OnAccepted(submission.team, version, submission.value, now_);
+  SubmitResult result;
+  result.status = SubmitStatus::kAccepted;
+  result.version = version;
+  End(id, std::move(result));
+}
+
+void ConfigSubmitter::EndConflict(const std::string& id,
+                                  ObjectVersion version) {
+  SubmitResult result;
+  result.status = SubmitStatus::kConflict;
+  result.version = version;
+  result.message = error_messages::kSubmitConflict + std::to_string(version);
+  End(id, std::move(result));
+}
+
+void ConfigSubmitter::EndLate(const std::string& id,
+                              const Submission& submission) {
+  const bool sent = submission.may_have_run ||
+                    (submission.step == Step::kUpdate && submission.calling);
+  SubmitResult result;
+  result.status = sent ? SubmitStatus::kUnknown : SubmitStatus::kUnavailable;
+  result.message = sent ? error_messages::kSubmitUnknown + id
+                        : error_messages::kSubmitUnavailable;
+  End(id, std::move(result));
+}
+
+void ConfigSubmitter::End(const std::string& id, SubmitResult result) {
+  const auto found = submissions_.find(id);
+  const SubmitCallback done = std::move(found->second.done);
+  submissions_.erase(found);
+  result.submission = id;
+  done(result);
+}
+
+std::string ConfigSubmitter::NewId() {
+  std::array<char, 33> text{};
+  std::snprintf(text.data(), text.size(), "%016llx%016llx",
+                static_cast<unsigned long long>(random_()),
+                static_cast<unsigned long long>(random_()));
+  return text.data();
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/src/core/membership/membership.h
@@ -0,0 +1,114 @@
+#ifndef CARAWAYHAVEN_CORE_MEMBERSHIP_MEMBERSHIP_H_
+#define CARAWAYHAVEN_CORE_MEMBERSHIP_MEMBERSHIP_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "carawayhaven/names.h"
+#include "carawayhaven/time.h"
+#include "core/membership/gossip.h"
+#include "core/membership/member_table.h"
+#include "core/membership/member_view.h"
+#include "core/membership/owner_resolver.h"
+#include "core/peer_link.h"
+#include "core/peer_message.h"
+
+namespace carawayhaven {
+
+/// What a proxy knows of itself at its start.
+struct MembershipOptions {
+  VmName vm;
+  DataCentreName data_centre;
+  /// "IP:port" on which peers reach this VM.
+  std::string address;
+  /// Above zero, and higher at each start of the process on this VM, for
+  /// example the wall-clock time in microseconds.
+  std::uint64_t incarnation = 1;
+};
+
+/// One VM of the platform's list.
+struct ListedVm {
+  VmName vm;
+  DataCentreName data_centre;
+  std::string address;
+  bool leaving = false;
+};
+
+/// The VMs that this proxy believes to be alive, and the owners of pools that
+/// follow from them. Not thread-safe; one loop, one thread.
+class Membership : public OwnerResolver, public MemberView, public PeerEvents {
+ public:
+  /// `link`, `digests` and `random` must outlive it.
+  Membership(MembershipOptions options, PeerLink& link,
+             const ConfigDigestSource& digests, std::mt19937_64& random);
+
+  /// Takes the platform's list. It lags, so a VM that heartbeats have told of
+  /// is not changed by it; unknown VMs are seeds, alive until found silent.
+  void OnVmList(std::span<const ListedVm> vms, TimePoint now);
+
+  /// Handles Hello and Heartbeat; ignores all other messages.
+  void OnPeerMessage(const VmName& vm, const PeerMessage& message,
+                     TimePoint now) override;
+  void OnPeerLost(const VmName& vm, TimePoint now) override;
+
+  /// Announces that this VM leaves; from then on it owns no pool.
+  void Leave(TimePoint now);
+
+  std::vector<VmName> OwnersOf(const EndpointConfig& endpoint,
+                               std::size_t count) const override;
+  const VmName& self() const override { return table_.self().vm; }
+
+  const VmName& self_vm() const override { return table_.self().vm; }
+  const std::vector<VmName>& Peers() const override {
+    return table_.Reachable();
+  }
+  bool IsFirstInDataCentre(std::string_view key,
+                           std::size_t count) const override;
+
+  /// Rises when the owner of some endpoint may have changed.
+  std::uint64_t revision() const { return table_.revision(); }
+
+  void Tick(TimePoint now) { gossip_.Tick(now); }
+  TimePoint NextTick() const { return gossip_.NextTick(); }
+
+  const MemberTable& table() const { return table_; }
+  const GossipCounters& counters() const { return gossip_.counters(); }
+
+ private:
+  struct StringHash {
+    using is_transparent = void;
+    std::size_t operator()(std::string_view text) const {
+      return std::hash<std::string_view>{}(text);
+    }
+  };
+  struct CachedOwners {
+    DataCentreName data_centre;
+    std::vector<VmName> vms;
+    bool complete = false;
+  };
+
+  void DropStaleCache() const;
+
+  MemberTable table_;
+  Gossip gossip_;
+  /// Owners by endpoint name, valid for one revision of the table: the front
+  /// asks for each request, and hashing 138 VMs takes microseconds.
+  mutable std::unordered_map<EndpointName, CachedOwners, StringHash,
+                             std::equal_to<>>
+      owners_;
+  mutable std::unordered_map<std::string, std::vector<VmName>, StringHash,
+                             std::equal_to<>>
+      first_in_data_centre_;
+  mutable std::uint64_t cached_revision_ = 0;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_CORE_MEMBERSHIP_MEMBERSHIP_H_
