--- /dev/null
+++ b/src/core/route/forwarder.cc
@@ -0,0 +1,91 @@
+#include "core/route/forwarder.h"
+
+#include <utility>
+
+#include "core/config/team_config.h"
+#include "core/membership/owner_resolver.h"
+#include "core/peer_link.h"
+#include "core/peer_message.h"
+
+namespace carawayhaven {
+namespace {
+
+// The owner and two that replace it: a third simultaneous failure is left to
+// the back-off, in which the membership takes notice.
+constexpr std::size_t kOwnersTried = 3;
+
+}  // namespace
+
+Forwarder::Forwarder(const OwnerResolver& owners, PeerLink& peers)
+    : owners_(owners), peers_(peers) {}
+
+std::optional<ForwardLeg> Forwarder::Forward(RequestKey key,
+                                             const EndpointConfig& endpoint,
+                                             Term term, const Request& request,
+                                             const std::set<VmName>& skipped) {
+  for (const VmName& owner : owners_.OwnersOf(endpoint, kOwnersTried)) {
+    if (skipped.contains(owner)) continue;
+    auto leg = ForwardTo(owner, key, endpoint.name, term, request);
+    if (leg) return leg;
+  }
+  return std::nullopt;
+}
+
+std::optional<ForwardLeg> Forwarder::ForwardTo(const VmName& owner,
+                                               RequestKey key,
+                                               const EndpointName& endpoint,
+                                               Term term,
+                                               const Request& request) {
+  ForwardLeg leg{next_correlation_++,
+                 key,
+                 owner,
+                 endpoint,
+                 term,
+                 request.kind == RequestKind::kResolve};
+  if (!peers_.Send(owner,
+                   ForwardMessage{leg.correlation, endpoint, term, request})) {
+    return std::nullopt;
+  }
+  legs_.emplace(leg.correlation, leg);
+  legs_of_owner_[owner].insert(leg.correlation);
+  return leg;
+}
+
+std::optional<ForwardLeg> Forwarder::Take(CorrelationId correlation,
+                                          const VmName& from) {
+  const auto found = legs_.find(correlation);
+  if (found == legs_.end() || found->second.owner != from) return std::nullopt;
+  return Forget(correlation);
+}
+
+const ForwardLeg* Forwarder::Find(CorrelationId correlation) const {
+  const auto found = legs_.find(correlation);
+  return found == legs_.end() ? nullptr : &found->second;
+}
+
+std::optional<ForwardLeg> Forwarder::Forget(CorrelationId correlation) {
+  const auto found = legs_.find(correlation);
+  if (found == legs_.end()) return std::nullopt;
+  ForwardLeg leg = std::move(found->second);
+  legs_.erase(found);
+  const auto of_owner = legs_of_owner_.find(leg.owner);
+  if (of_owner != legs_of_owner_.end()) {
+    of_owner->second.erase(correlation);
+    if (of_owner->second.empty()) legs_of_owner_.erase(of_owner);
+  }
+  return leg;
+}
+
+std::vector<ForwardLeg> Forwarder::TakeAllOf(const VmName& owner) {
+  std::vector<ForwardLeg> taken;
+  const auto found = legs_of_owner_.find(owner);
+  if (found == legs_of_owner_.end()) return taken;
+  const std::set<CorrelationId> correlations = std::move(found->second);
+  legs_of_owner_.erase(found);
+  for (const CorrelationId correlation : correlations) {
+    if (auto leg = Forget(correlation)) taken.push_back(std::move(*leg));
+  }
+  return taken;
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/src/core/route/forwarder.h
@@ -0,0 +1,76 @@
+#ifndef CARAWAYHAVEN_CORE_ROUTE_FORWARDER_H_
+#define CARAWAYHAVEN_CORE_ROUTE_FORWARDER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "carawayhaven/names.h"
+#include "carawayhaven/request.h"
+
+namespace carawayhaven {
+
+class OwnerResolver;
+class PeerLink;
+struct EndpointConfig;
+
+/// Identifies a request within its front.
+using RequestKey = std::uint64_t;
+
+/// A message to an owner that has not been answered.
+struct ForwardLeg {
+  CorrelationId correlation = 0;
+  RequestKey request = 0;
+  VmName owner;
+  EndpointName endpoint;
+  Term term = 0;
+  bool resolves = false;
+};
+
+/// Sends requests to pool owners and matches the replies to them. Correlation
+/// ids never repeat. Not thread-safe.
+class Forwarder {
+ public:
+  /// Both must outlive the forwarder.
+  Forwarder(const OwnerResolver& owners, PeerLink& peers);
+
+  /// Sends to the first owner in rendezvous order that takes the message and is
+  /// not in `skipped`. Returns nothing when there is none; then nothing was
+  /// sent.
+  std::optional<ForwardLeg> Forward(RequestKey key,
+                                    const EndpointConfig& endpoint, Term term,
+                                    const Request& request,
+                                    const std::set<VmName>& skipped);
+
+  /// Sends to that owner only.
+  std::optional<ForwardLeg> ForwardTo(const VmName& owner, RequestKey key,
+                                      const EndpointName& endpoint, Term term,
+                                      const Request& request);
+
+  /// Removes and returns the leg; nothing when the correlation id is unknown or
+  /// was sent to another VM.
+  std::optional<ForwardLeg> Take(CorrelationId correlation, const VmName& from);
+
+  /// Returns the leg, or null when it has been answered or forgotten.
+  const ForwardLeg* Find(CorrelationId correlation) const;
+
+  /// Removes and returns the leg; a later reply to it is unknown.
+  std::optional<ForwardLeg> Forget(CorrelationId correlation);
+
+  /// Removes and returns the legs to that VM, oldest first.
+  std::vector<ForwardLeg> TakeAllOf(const VmName& owner);
+
+ private:
+  const OwnerResolver& owners_;
+  PeerLink& peers_;
+  CorrelationId next_correlation_ = 1;
+  std::unordered_map<CorrelationId, ForwardLeg> legs_;
+  std::map<VmName, std::set<CorrelationId>> legs_of_owner_;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_CORE_ROUTE_FORWARDER_H_
--- a/src/core/route/front.cc
+++ b/src/core/route/front.cc
@@ -1,20 +1,19 @@
 #include "core/route/front.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 #include "core/config/service_directory.h"
 #include "core/config/team_config.h"
-#include "core/group/group_directory.h"
 #include "core/membership/owner_resolver.h"
-#include "core/peer_link.h"
+#include "core/route/attempt.h"
 
 namespace carawayhaven {
 namespace {
 
 Outcome NotRun(Reason reason) {
   Outcome outcome;
-  outcome.verdict = Verdict::kNotRun;
   outcome.reason = reason;
   return outcome;
 }
@@ -23,91 +22,255 @@
 
 Front::Front(const ServiceDirectory& services, GroupDirectory& groups,
              const OwnerResolver& owners, PeerLink& peers,
-             std::mt19937_64& random)
-    : services_(services),
-      groups_(groups),
+             std::mt19937_64& random, FrontOptions options)
+    : options_(std::move(options)),
+      services_(services),
       owners_(owners),
-      peers_(peers),
-      random_(random) {}
+      random_(random),
+      terms_(groups),
+      forwarder_(owners, peers),
+      selector_(groups, options_, random),
+      request_ids_(owners.self(), options_.incarnation),
+      transaction_ids_("t/" + owners.self(), options_.incarnation) {}
 
-void Front::Submit(Request request, OutcomeCallback done, TimePoint /*now*/) {
-  const ServiceConfig* service = services_.FindService(request.service);
-  if (service == nullptr) {
-    done(NotRun(Reason::kUnknownService));
+void Front::Submit(Request request, OutcomeCallback done, TimePoint now) {
+  Outcome refusal;
+  if (request.deadline <= now) refusal = NotRun(Reason::kDeadline);
+  if (refusal.reason != Reason::kNone || !Prepare(request, refusal)) {
+    ++stats_.not_run;
+    done(refusal);
     return;
   }
-  const EndpointName endpoint = SelectEndpoint(request);
-  const EndpointEntry entry = services_.FindEndpoint(endpoint);
-  const std::vector<VmName> owners = owners_.OwnersOf(*entry.endpoint, 1);
-  if (owners.empty()) {
-    done(NotRun(Reason::kPeerLost));
-    return;
+  auto state = std::make_shared<RequestState>();
+  state->key = next_key_++;
+  state->request = std::move(request);
+  state->done = std::move(done);
+  requests_.emplace(state->key, state);
+  BudgetOf(state->request.service).OnRequest();
+  if (state->request.kind == RequestKind::kResolve) {
+    StartResolve(*state, Reason::kNone, now);
+  } else {
+    Route(*state, now);
+  }
+}
+
+bool Front::Prepare(Request& request, Outcome& refusal) {
+  if (services_.FindService(request.service) == nullptr) {
+    refusal = NotRun(Reason::kUnknownService);
+    return false;
+  }
+  if (request.team.empty()) request.team = services_.TeamOf(request.service);
+  const bool is_begin = request.kind == RequestKind::kBegin;
+  const bool is_step = !request.transaction.empty() && !is_begin &&
+                       request.kind != RequestKind::kResolve;
+  OpenTransaction* transaction =
+      is_step || is_begin ? transactions_.Find(request.transaction) : nullptr;
+  if (draining_ && transaction == nullptr) {
+    refusal = NotRun(Reason::kLeaving);
+    return false;
+  }
+  const bool ends_transaction = request.kind == RequestKind::kCommit ||
+                                request.kind == RequestKind::kRollback;
+  if (ends_transaction || is_step) {
+    if (transaction == nullptr || transaction->commits ||
+        transaction->service != request.service) {
+      refusal = NotRun(Reason::kUnknownTransaction);
+      return false;
+    }
+  }
+  if (is_begin && request.transaction.empty()) {
+    request.transaction = transaction_ids_.Next();
+  } else if (is_begin && transaction != nullptr) {
+    refusal = NotRun(Reason::kInvalidRequest);
+    return false;
+  }
+  const bool is_resolve = request.kind == RequestKind::kResolve;
+  const bool is_commit = request.kind == RequestKind::kCommit;
+  const bool is_write = request.kind == RequestKind::kStatement && !is_step &&
+                        request.access == AccessMode::kWrite;
+  if (!is_resolve && !is_commit && !is_write) return true;
+  if (request.id.attempt > attempt::kMaxCallerAttempt) {
+    refusal = NotRun(Reason::kInvalidRequest);
+    return false;
   }
-  if (request.team.empty()) request.team = entry.team;
-  const CorrelationId correlation = next_correlation_++;
-  ForwardMessage message{correlation, endpoint, groups_.ViewOf(*service).term,
-                         request};
-  requests_.emplace(correlation, Pending{std::move(request), std::move(done),
-                                         owners.front()});
-  if (!peers_.Send(owners.front(), message)) {
-    End(correlation, NotRun(Reason::kPeerLost));
+  if (request.id.value.empty()) {
+    if (is_resolve || (is_write && !request.idempotent)) {
+      refusal = NotRun(Reason::kInvalidRequest);
+      return false;
+    }
+    request.id.value = request_ids_.Next();
   }
+  request.id.attempt = is_resolve ? attempt::LastOf(request.id.attempt)
+                                  : attempt::FirstOf(request.id.attempt);
+  if (is_commit) transaction->commits = true;
+  return true;
 }
 
-void Front::OnForwardReply(const VmName& /*from*/,
-                           const ForwardReplyMessage& reply,
-                           TimePoint /*now*/) {
-  End(reply.correlation, reply.outcome);
+void Front::AbandonTransaction(const TransactionId& id, TimePoint now) {
+  const OpenTransaction* found = transactions_.Find(id);
+  if (found == nullptr || found->commits) return;
+  const OpenTransaction transaction = *found;
+  transactions_.Remove(id);
+  RollBack(id, transaction, now);
+}
+
+void Front::OnForwardReply(const VmName& from, const ForwardReplyMessage& reply,
+                           TimePoint now) {
+  const auto leg = forwarder_.Take(reply.correlation, from);
+  if (!leg) {
+    ++stats_.dropped_replies;
+    return;
+  }
+  selector_.OnEnded(leg->endpoint);
+  const auto found = requests_.find(leg->request);
+  if (found == requests_.end()) return;
+  const std::shared_ptr<RequestState> state = found->second;
+  std::erase(state->legs, leg->correlation);
+  const Outcome& outcome = reply.outcome;
+  // Only an effect of the reply's own term proves who the primary of that term
+  // is; an owner may know a term that its endpoint has not heard of.
+  const bool from_primary = outcome.verdict == Verdict::kRan &&
+                            state->is_resolvable() &&
+                            outcome.position.term == reply.term;
+  terms_.Learn(state->request.service, reply.term,
+               from_primary ? leg->endpoint : EndpointName());
+  selector_.OnOutcome(state->request, outcome, now);
+  OnOutcome(*state, *leg, reply, now);
+}
+
+void Front::OnPeerLost(const VmName& vm, TimePoint now) {
+  transactions_.RemoveAllOf(vm);
+  for (const ForwardLeg& leg : forwarder_.TakeAllOf(vm)) {
+    selector_.OnEnded(leg.endpoint);
+    const auto found = requests_.find(leg.request);
+    if (found == requests_.end()) continue;
+    const std::shared_ptr<RequestState> state = found->second;
+    std::erase(state->legs, leg.correlation);
+    state->skipped_owners.insert(vm);
+    OnNoAnswer(*state, leg, Reason::kPeerLost, now);
+  }
 }
 
-void Front::OnPeerLost(const VmName& vm, TimePoint /*now*/) {
-  std::vector<CorrelationId> lost;
-  for (const auto& [correlation, pending] : requests_) {
-    if (pending.owner == vm) lost.push_back(correlation);
+void Front::OnGroupChanged(const ServiceName& service, TimePoint now) {
+  const auto waiting = awaiting_primary_.find(service);
+  if (waiting == awaiting_primary_.end()) return;
+  const std::set<RequestKey> keys = waiting->second;
+  for (const RequestKey key : keys) {
+    const auto found = requests_.find(key);
+    if (found == requests_.end()) continue;
+    const std::shared_ptr<RequestState> state = found->second;
+    OnTimer(*state, now);
   }
-  Outcome outcome = NotRun(Reason::kPeerLost);
-  outcome.verdict = Verdict::kMayHaveRun;
-  for (const CorrelationId correlation : lost) End(correlation, outcome);
 }
 
+void Front::Drain(TimePoint /*now*/) { draining_ = true; }
+
 void Front::Tick(TimePoint now) {
-  std::vector<CorrelationId> late;
-  for (const auto& [correlation, pending] : requests_) {
-    if (pending.request.deadline <= now) late.push_back(correlation);
+  while (const auto key = timers_.TakeDue(now)) {
+    const auto found = requests_.find(*key);
+    if (found == requests_.end()) continue;
+    const std::shared_ptr<RequestState> state = found->second;
+    OnTimer(*state, now);
+  }
+}
+
+void Front::OnTimer(RequestState& state, TimePoint now) {
+  const bool late = now >= state.request.deadline;
+  switch (state.phase) {
+    case RequestPhase::kWaiting:
+      if (late) {
+        const bool refused = state.reason != Reason::kNone;
+        End(state, Verdict::kNotRun,
+            refused ? state.reason : Reason::kDeadline);
+        return;
+      }
+      if (state.awaited_above && !HasNewPrimary(state) &&
+          !BudgetOf(state.request.service).TryTake(now)) {
+        ++stats_.retries_refused;
+        Postpone(state, RequestPhase::kWaiting, now);
+        return;
+      }
+      Route(state, now);
+      return;
+    case RequestPhase::kForwarded:
+      OnForwardedTimer(state, now);
+      return;
+    case RequestPhase::kResolveWaiting:
+    case RequestPhase::kResolving:
+      if (late) {
+        End(state, Verdict::kMayHaveRun,
+            state.reason == Reason::kNone ? Reason::kDeadline : state.reason);
+        return;
+      }
+      DropLegs(state, true);
+      SendResolve(state, now);
+      return;
+    case RequestPhase::kEnded:
+      return;
   }
-  Outcome outcome = NotRun(Reason::kDeadline);
-  outcome.verdict = Verdict::kMayHaveRun;
-  for (const CorrelationId correlation : late) End(correlation, outcome);
 }
 
-TimePoint Front::NextTick() const {
-  TimePoint next = TimePoint::max();
-  for (const auto& [correlation, pending] : requests_) {
-    next = std::min(next, pending.request.deadline);
+void Front::OnForwardedTimer(RequestState& state, TimePoint now) {
+  if (state.is_read()) {
+    if (now < state.request.deadline) {
+      SendSecondLeg(state, now);
+      return;
+    }
+    End(state, Verdict::kNotRun, Reason::kDeadline);
+    return;
+  }
+  // All legs of a request that is no read have the same owner.
+  ForwardLeg leg;
+  for (const CorrelationId correlation : std::exchange(state.legs, {})) {
+    if (auto dropped = forwarder_.Forget(correlation)) leg = *dropped;
   }
-  return next;
+  selector_.OnEnded(leg.endpoint);
+  OnNoAnswer(state, leg, Reason::kDeadline, now);
 }
 
-EndpointName Front::SelectEndpoint(const Request& request) const {
-  const ServiceConfig& service = *services_.FindService(request.service);
-  const EndpointName& primary = groups_.ViewOf(service).primary;
-  const bool replica_will_do = request.access == AccessMode::kRead &&
-                               request.max_age.has_value() &&
-                               request.transaction.empty();
-  if (!replica_will_do) return primary;
-  std::vector<EndpointName> replicas;
-  for (const EndpointConfig& endpoint : service.endpoints) {
-    if (endpoint.name != primary) replicas.push_back(endpoint.name);
-  }
-  if (replicas.empty()) return primary;
-  return replicas[random_() % replicas.size()];
+void Front::DropLegs(RequestState& state, bool skip_owners) {
+  for (const CorrelationId correlation : std::exchange(state.legs, {})) {
+    const auto leg = forwarder_.Forget(correlation);
+    if (!leg) continue;
+    selector_.OnEnded(leg->endpoint);
+    if (skip_owners) state.skipped_owners.insert(leg->owner);
+  }
 }
 
-void Front::End(CorrelationId correlation, const Outcome& outcome) {
-  const auto found = requests_.find(correlation);
-  if (found == requests_.end()) return;
-  const OutcomeCallback done = std::move(found->second.done);
-  requests_.erase(found);
+void Front::End(RequestState& state, Verdict verdict, Reason reason) {
+  Outcome outcome;
+  outcome.verdict = verdict;
+  outcome.reason = reason;
+  End(state, std::move(outcome));
+}
+
+void Front::End(RequestState& state, Outcome outcome) {
+  DropLegs(state, false);
+  timers_.Cancel(state.key);
+  awaiting_primary_[state.request.service].erase(state.key);
+  state.phase = RequestPhase::kEnded;
+  if (state.is_internal) {
+    requests_.erase(state.key);
+    return;
+  }
+  switch (outcome.verdict) {
+    case Verdict::kRan:
+      ++stats_.ran;
+      if (state.is_read()) {
+        ++(outcome.from_replica ? stats_.replica_reads : stats_.primary_reads);
+      }
+      // The session's token advances to this position and must not fall back.
+      outcome.position = std::max(outcome.position, state.request.min_position);
+      break;
+    case Verdict::kNotRun:
+      ++stats_.not_run;
+      break;
+    case Verdict::kMayHaveRun:
+      ++stats_.may_have_run;
+      break;
+  }
+  const OutcomeCallback done = std::move(state.done);
+  requests_.erase(state.key);
   done(outcome);
 }
 
--- /dev/null
+++ b/src/core/route/front_options.h
@@ -0,0 +1,27 @@
+#ifndef CARAWAYHAVEN_CORE_ROUTE_FRONT_OPTIONS_H_
+#define CARAWAYHAVEN_CORE_ROUTE_FRONT_OPTIONS_H_
+
+#include <cstdint>
+#include <functional>
+
+#include "carawayhaven/names.h"
+#include "core/limits/retry_budget.h"
+#include "core/route/position_check.h"
+
+namespace carawayhaven {
+
+/// Order of data centres by nearness; lower is nearer.
+using DataCentreDistance = std::function<std::uint32_t(const DataCentreName&)>;
+
+struct FrontOptions {
+  /// Rises with each start of the process; part of generated ids.
+  std::uint64_t incarnation = 0;
+  /// Empty: all data centres are equally near.
+  DataCentreDistance distance;
+  PositionCheck position_check = SameTermPositionCheck;
+  RetryBudgetOptions retry_budget;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_CORE_ROUTE_FRONT_OPTIONS_H_
--- /dev/null
+++ b/src/core/route/front_outcome.cc
@@ -0,0 +1,355 @@
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "core/config/service_directory.h"
+#include "core/config/team_config.h"
+#include "core/route/attempt.h"
+#include "core/route/deadline_split.h"
+#include "core/route/front.h"
+#include "core/route/retry_policy.h"
+
+namespace carawayhaven {
+namespace {
+
+// Bounds the attempts without back-off of one request: each of three endpoints
+// with a first and a second owner, and a change of term in between.
+constexpr unsigned kMaxRedirects = 8;
+// Time for the rollback of a transaction that nobody waits for.
+constexpr Duration kRollbackTime = std::chrono::seconds(2);
+
+}  // namespace
+
+void Front::OnOutcome(RequestState& state, const ForwardLeg& leg,
+                      const ForwardReplyMessage& reply, TimePoint now) {
+  if (leg.resolves) {
+    OnResolved(state, leg, reply, now);
+    return;
+  }
+  if (state.request.kind == RequestKind::kBegin) {
+    OnBeginOutcome(state, leg, reply, now);
+    return;
+  }
+  if (state.is_step()) {
+    OnStepOutcome(state, leg, reply, now);
+    return;
+  }
+  const Outcome& outcome = reply.outcome;
+  switch (outcome.verdict) {
+    case Verdict::kRan:
+      // Rule 2: a primary of an older term may have been replaced before it
+      // answered.
+      if (!outcome.from_replica &&
+          IsOfOlderTerm(state.request.service, reply.term)) {
+        OnNoAnswer(state, leg, Reason::kStaleTerm, now);
+        return;
+      }
+      End(state, outcome);
+      return;
+    case Verdict::kMayHaveRun:
+      OnNoAnswer(state, leg, outcome.reason, now);
+      return;
+    case Verdict::kNotRun:
+      OnNotRun(state, leg, outcome, now);
+      return;
+  }
+}
+
+void Front::OnNotRun(RequestState& state, const ForwardLeg& leg,
+                     const Outcome& outcome, TimePoint now) {
+  const ServiceConfig* service = services_.FindService(state.request.service);
+  const bool to_replica = state.accepts_replica() && service != nullptr &&
+                          leg.endpoint != terms_.PrimaryOf(*service);
+  // After a stale term the same replica serves the read with the new term.
+  const bool has_newer_term = outcome.reason == Reason::kStaleTerm &&
+                              IsOfOlderTerm(state.request.service, leg.term);
+  if (to_replica && !has_newer_term) state.passed_over.insert(leg.endpoint);
+  if (!state.legs.empty()) return;
+  state.reason = outcome.reason;
+  switch (ClassifyNotRun(outcome.reason, to_replica)) {
+    case RetryClass::kEnd:
+      End(state, outcome);
+      return;
+    case RetryClass::kElsewhere:
+      if (!to_replica || outcome.reason == Reason::kLeaving) {
+        state.skipped_owners.insert(leg.owner);
+      }
+      RetryElsewhere(state, now);
+      return;
+    case RetryClass::kNewPrimary: {
+      if (outcome.reason == Reason::kNotPrimary) {
+        RefusePrimary(state, leg.endpoint);
+      }
+      const bool learnt = IsOfOlderTerm(state.request.service, leg.term);
+      const bool moved =
+          service != nullptr && terms_.PrimaryOf(*service) != leg.endpoint;
+      if (learnt && (moved || outcome.reason == Reason::kStaleTerm)) {
+        RetryElsewhere(state, now);
+      } else {
+        AwaitPrimary(state, now);
+      }
+      return;
+    }
+    case RetryClass::kLater:
+      RetryLater(state, now);
+      return;
+    case RetryClass::kNextAttempt:
+      if (!state.is_resolvable() || attempt::IsLast(state.request.id.attempt)) {
+        End(state, outcome);
+        return;
+      }
+      state.request.id.attempt =
+          attempt::AfterCancelled(state.request.id.attempt);
+      ++stats_.retries;
+      Route(state, now);
+      return;
+  }
+}
+
+void Front::OnNoAnswer(RequestState& state, const ForwardLeg& leg,
+                       Reason reason, TimePoint now) {
+  if (state.phase == RequestPhase::kEnded) return;
+  if (leg.resolves) {
+    RepeatResolve(state, now);
+    return;
+  }
+  state.reason = reason;
+  if (state.is_resolvable()) {
+    if (state.is_step()) transactions_.Remove(state.request.transaction);
+    StartResolve(state, reason, now);
+    return;
+  }
+  if (state.is_read()) {
+    const ServiceConfig* service = services_.FindService(state.request.service);
+    if (service != nullptr && leg.endpoint != terms_.PrimaryOf(*service) &&
+        reason != Reason::kPeerLost) {
+      state.passed_over.insert(leg.endpoint);
+    }
+    if (!state.legs.empty()) return;
+    if (now >= state.request.deadline || reason == Reason::kDeadline) {
+      End(state, Verdict::kNotRun, Reason::kDeadline);
+      return;
+    }
+    if (reason == Reason::kStaleTerm && service != nullptr &&
+        terms_.PrimaryOf(*service) == leg.endpoint) {
+      AwaitPrimary(state, now);
+    } else {
+      RetryElsewhere(state, now);
+    }
+    return;
+  }
+  // An uncommitted transaction has no effect. Its connection may be open still.
+  const TransactionId id = state.request.transaction;
+  const OpenTransaction transaction{state.request.service, leg.endpoint,
+                                    leg.owner, leg.term};
+  transactions_.Remove(id);
+  if (reason != Reason::kPeerLost &&
+      state.request.kind != RequestKind::kRollback) {
+    RollBack(id, transaction, now);
+  }
+  End(state, Verdict::kNotRun, reason);
+}
+
+void Front::OnResolved(RequestState& state, const ForwardLeg& leg,
+                       const ForwardReplyMessage& reply, TimePoint now) {
+  const Outcome& outcome = reply.outcome;
+  const bool settled = outcome.verdict == Verdict::kRan ||
+                       (outcome.verdict == Verdict::kNotRun &&
+                        (outcome.reason == Reason::kNone ||
+                         outcome.reason == Reason::kCancelled));
+  if (!settled) {
+    if (outcome.reason == Reason::kNotPrimary) {
+      RefusePrimary(state, leg.endpoint);
+    }
+    if (outcome.reason == Reason::kLeaving ||
+        outcome.reason == Reason::kPeerLost) {
+      state.skipped_owners.insert(leg.owner);
+    }
+    const bool elsewhere = outcome.reason == Reason::kLeaving ||
+                           IsOfOlderTerm(state.request.service, leg.term);
+    if (elsewhere) {
+      RepeatResolve(state, now);
+    } else {
+      AwaitPrimary(state, now);
+    }
+    return;
+  }
+  if (IsOfOlderTerm(state.request.service, reply.term)) {
+    const ServiceConfig* service = services_.FindService(state.request.service);
+    if (service != nullptr && terms_.PrimaryOf(*service) == leg.endpoint) {
+      AwaitPrimary(state, now);
+    } else {
+      RepeatResolve(state, now);
+    }
+    return;
+  }
+  if (outcome.verdict == Verdict::kRan) {
+    End(state, outcome);
+    return;
+  }
+  // All attempts up to this one are cancelled, so nothing can run any more.
+  state.phase = RequestPhase::kWaiting;
+  const bool is_write = state.request.kind == RequestKind::kStatement;
+  if (!is_write || attempt::IsLast(state.request.id.attempt)) {
+    End(state, Verdict::kNotRun,
+        state.reason == Reason::kNone ? Reason::kCancelled : state.reason);
+    return;
+  }
+  ++state.request.id.attempt;
+  if (state.request.deadline - now < kLeastAttemptTime) {
+    End(state, Verdict::kNotRun, state.reason);
+    return;
+  }
+  if (!BudgetOf(state.request.service).TryTake(now)) {
+    ++stats_.retries_refused;
+    End(state, Verdict::kNotRun, state.reason);
+    return;
+  }
+  ++stats_.retries;
+  Route(state, now);
+}
+
+void Front::OnBeginOutcome(RequestState& state, const ForwardLeg& leg,
+                           const ForwardReplyMessage& reply, TimePoint now) {
+  Outcome outcome = reply.outcome;
+  const bool is_old = IsOfOlderTerm(state.request.service, reply.term);
+  if (outcome.verdict == Verdict::kNotRun) {
+    OnNotRun(state, leg, outcome, now);
+  } else if (outcome.verdict == Verdict::kMayHaveRun || is_old) {
+    OnNoAnswer(state, leg, is_old ? Reason::kStaleTerm : outcome.reason, now);
+  } else {
+    transactions_.Add(state.request.transaction,
+                      {state.request.service, leg.endpoint, leg.owner,
+                       std::max(leg.term, reply.term)});
+    if (outcome.payload.empty()) outcome.payload = state.request.transaction;
+    End(state, std::move(outcome));
+  }
+}
+
+void Front::OnStepOutcome(RequestState& state, const ForwardLeg& leg,
+                          const ForwardReplyMessage& reply, TimePoint now) {
+  const Outcome& outcome = reply.outcome;
+  const bool is_commit = state.request.kind == RequestKind::kCommit;
+  const bool is_rollback = state.request.kind == RequestKind::kRollback;
+  const bool unknown = outcome.verdict == Verdict::kMayHaveRun;
+  const bool is_old = outcome.verdict == Verdict::kRan && is_commit &&
+                      IsOfOlderTerm(state.request.service, reply.term);
+  if (unknown || is_old) {
+    OnNoAnswer(state, leg, is_old ? Reason::kStaleTerm : outcome.reason, now);
+    return;
+  }
+  const bool stays_open = !is_commit && !is_rollback &&
+                          (outcome.verdict == Verdict::kRan ||
+                           LeavesTransactionOpen(outcome.reason));
+  if (!stays_open) {
+    const OpenTransaction* open = transactions_.Find(state.request.transaction);
+    const bool rolls_back = open != nullptr && !is_rollback &&
+                            outcome.verdict == Verdict::kNotRun &&
+                            outcome.reason != Reason::kUnknownTransaction;
+    if (rolls_back) RollBack(state.request.transaction, *open, now);
+    transactions_.Remove(state.request.transaction);
+  }
+  End(state, outcome);
+}
+
+void Front::StartResolve(RequestState& state, Reason reason, TimePoint now) {
+  state.reason = reason;
+  state.phase = RequestPhase::kResolveWaiting;
+  state.redirects = 0;
+  if (now >= state.request.deadline) {
+    End(state, Verdict::kMayHaveRun, reason);
+    return;
+  }
+  SendResolve(state, now);
+}
+
+void Front::RepeatResolve(RequestState& state, TimePoint now) {
+  state.phase = RequestPhase::kResolveWaiting;
+  if (++state.redirects <= kMaxRedirects) {
+    SendResolve(state, now);
+  } else {
+    Postpone(state, RequestPhase::kResolveWaiting, now);
+  }
+}
+
+void Front::RetryElsewhere(RequestState& state, TimePoint now) {
+  ++stats_.retries;
+  if (++state.redirects <= kMaxRedirects) {
+    Route(state, now);
+  } else {
+    Postpone(state, RequestPhase::kWaiting, now);
+  }
+}
+
+void Front::AwaitPrimary(RequestState& state, TimePoint now) {
+  ++stats_.retries;
+  const ServiceConfig* service = services_.FindService(state.request.service);
+  if (service != nullptr) {
+    state.awaited_above = terms_.PrimaryTermOf(*service);
+    awaiting_primary_[service->name].insert(state.key);
+  }
+  Postpone(state,
+           state.may_have_run() ? RequestPhase::kResolveWaiting
+                                : RequestPhase::kWaiting,
+           now);
+}
+
+void Front::RetryLater(RequestState& state, TimePoint now) {
+  if (!BudgetOf(state.request.service).TryTake(now)) {
+    ++stats_.retries_refused;
+    Outcome outcome;
+    outcome.reason = state.reason;
+    outcome.retry_after = Backoff::kLastBound;
+    End(state, std::move(outcome));
+    return;
+  }
+  ++stats_.retries;
+  Postpone(state, RequestPhase::kWaiting, now);
+}
+
+void Front::Postpone(RequestState& state, RequestPhase phase, TimePoint now) {
+  constexpr Duration kLeastDelay = std::chrono::milliseconds(1);
+  state.phase = phase;
+  const Duration delay = std::max(kLeastDelay, state.backoff.Next(random_));
+  timers_.Set(state.key, std::min(now + delay, state.request.deadline));
+}
+
+void Front::RollBack(const TransactionId& id,
+                     const OpenTransaction& transaction, TimePoint now) {
+  auto state = std::make_shared<RequestState>();
+  state->key = next_key_++;
+  state->request.kind = RequestKind::kRollback;
+  state->request.service = transaction.service;
+  state->request.team = services_.TeamOf(transaction.service);
+  state->request.transaction = id;
+  state->request.deadline = now + kRollbackTime;
+  state->is_internal = true;
+  const auto leg =
+      forwarder_.ForwardTo(transaction.owner, state->key, transaction.endpoint,
+                           transaction.term, state->request);
+  if (!leg) return;
+  AddLeg(*state, *leg);
+  state->phase = RequestPhase::kForwarded;
+  requests_.emplace(state->key, state);
+  timers_.Set(state->key, state->request.deadline);
+}
+
+bool Front::IsOfOlderTerm(const ServiceName& service, Term term) const {
+  const ServiceConfig* config = services_.FindService(service);
+  return config != nullptr && term < terms_.TermOf(*config);
+}
+
+bool Front::HasNewPrimary(const RequestState& state) const {
+  const ServiceConfig* config = services_.FindService(state.request.service);
+  return config != nullptr && state.awaited_above &&
+         terms_.PrimaryTermOf(*config) > *state.awaited_above;
+}
+
+RetryBudget& Front::BudgetOf(const ServiceName& service) {
+  const auto found = budgets_.find(service);
+  if (found != budgets_.end()) return found->second;
+  return budgets_.emplace(service, RetryBudget(options_.retry_budget))
+      .first->second;
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/src/core/route/front_send.cc
@@ -0,0 +1,230 @@
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "core/config/service_directory.h"
+#include "core/config/team_config.h"
+#include "core/route/deadline_split.h"
+#include "core/route/front.h"
+
+namespace carawayhaven {
+namespace {
+
+const EndpointConfig* FindIn(const ServiceConfig& service,
+                             const EndpointName& name) {
+  for (const EndpointConfig& endpoint : service.endpoints) {
+    if (endpoint.name == name) return &endpoint;
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+void Front::Route(RequestState& state, TimePoint now) {
+  const ServiceConfig* service = services_.FindService(state.request.service);
+  if (service == nullptr) {
+    End(state, Verdict::kNotRun, Reason::kUnknownService);
+    return;
+  }
+  if (state.awaited_above) {
+    state.awaited_above.reset();
+    awaiting_primary_[service->name].erase(state.key);
+  }
+  if (state.is_step()) {
+    SendStep(state, *service, now);
+  } else if (state.accepts_replica()) {
+    RouteRead(state, *service, now);
+  } else {
+    SendTo(state, *service, PrimaryFor(state, *service), now);
+  }
+}
+
+void Front::RouteRead(RequestState& state, const ServiceConfig& service,
+                      TimePoint now) {
+  const ReadChoice choice =
+      selector_.Choose(service, terms_.PrimaryOf(service), state.request,
+                       state.passed_over, !state.has_waited_for_replica, now);
+  switch (choice.kind) {
+    case ReadChoice::Kind::kReplica:
+      SendTo(state, service, choice.endpoint, now);
+      return;
+    case ReadChoice::Kind::kWait:
+      ++stats_.waited_reads;
+      state.has_waited_for_replica = true;
+      state.phase = RequestPhase::kWaiting;
+      timers_.Set(state.key, now + choice.wait);
+      return;
+    case ReadChoice::Kind::kPrimary:
+      SendTo(state, service, PrimaryFor(state, service), now);
+      return;
+  }
+}
+
+// The primary as far as it is known. After a refusal as not primary the other
+// endpoints are asked in turn: they refuse before they run anything, and one of
+// them may have been promoted by a proxy whose announcement has not arrived.
+EndpointName Front::PrimaryFor(RequestState& state,
+                               const ServiceConfig& service) {
+  EndpointName primary = terms_.PrimaryOf(service);
+  if (state.refused_in != terms_.PrimaryTermOf(service)) {
+    state.not_primary.clear();
+  }
+  if (!state.not_primary.contains(primary)) return primary;
+  for (const EndpointConfig& endpoint : service.endpoints) {
+    if (!state.not_primary.contains(endpoint.name)) return endpoint.name;
+  }
+  state.not_primary.clear();
+  return primary;
+}
+
+void Front::RefusePrimary(RequestState& state, const EndpointName& endpoint) {
+  const ServiceConfig* service = services_.FindService(state.request.service);
+  if (service == nullptr) return;
+  const Term term = terms_.PrimaryTermOf(*service);
+  if (state.refused_in != term) state.not_primary.clear();
+  state.refused_in = term;
+  state.not_primary.insert(endpoint);
+}
+
+// The owner's deadline of a write is earlier than the caller's, so that time
+// for a resolve is left.
+Request Front::MessageOf(const RequestState& state, TimePoint now) const {
+  Request message = state.request;
+  if (state.is_resolvable()) {
+    message.deadline -= ResolveReserve(state.request.deadline - now);
+  }
+  return message;
+}
+
+void Front::SendTo(RequestState& state, const ServiceConfig& service,
+                   const EndpointName& endpoint, TimePoint now) {
+  const EndpointConfig* config = FindIn(service, endpoint);
+  std::optional<ForwardLeg> leg;
+  if (config != nullptr) {
+    leg = forwarder_.Forward(state.key, *config, terms_.TermOf(service),
+                             MessageOf(state, now), state.skipped_owners);
+  }
+  if (!leg) {
+    state.skipped_owners.clear();
+    if (state.reason == Reason::kNone) state.reason = Reason::kPeerLost;
+    if (endpoint != terms_.PrimaryOf(service)) {
+      state.passed_over.insert(endpoint);
+    }
+    Postpone(state, RequestPhase::kWaiting, now);
+    return;
+  }
+  AddLeg(state, *leg);
+  state.phase = RequestPhase::kForwarded;
+  const Duration left = state.request.deadline - now;
+  TimePoint timer = state.request.deadline;
+  if (state.accepts_replica() && !state.has_second_leg) {
+    timer = now + ReadPatience(left);
+  } else if (state.is_resolvable()) {
+    const Duration reserve = ResolveReserve(left);
+    timer -= reserve - ReplyGrace(reserve);
+  }
+  timers_.Set(state.key, timer);
+}
+
+void Front::SendStep(RequestState& state, const ServiceConfig& service,
+                     TimePoint now) {
+  const TransactionId id = state.request.transaction;
+  const OpenTransaction* found = transactions_.Find(id);
+  if (found == nullptr) {
+    End(state, Verdict::kNotRun, Reason::kUnknownTransaction);
+    return;
+  }
+  const OpenTransaction transaction = *found;
+  const bool is_over = terms_.TermOf(service) > transaction.term;
+  if (is_over && state.request.kind != RequestKind::kRollback) {
+    transactions_.Remove(id);
+    RollBack(id, transaction, now);
+    End(state, Verdict::kNotRun, Reason::kStaleTerm);
+    return;
+  }
+  const auto leg =
+      forwarder_.ForwardTo(transaction.owner, state.key, transaction.endpoint,
+                           transaction.term, MessageOf(state, now));
+  if (!leg) {
+    transactions_.Remove(id);
+    End(state, Verdict::kNotRun, Reason::kPeerLost);
+    return;
+  }
+  AddLeg(state, *leg);
+  state.phase = RequestPhase::kForwarded;
+  TimePoint timer = state.request.deadline;
+  if (state.is_resolvable()) {
+    const Duration reserve = ResolveReserve(timer - now);
+    timer -= reserve - ReplyGrace(reserve);
+  }
+  timers_.Set(state.key, timer);
+}
+
+void Front::SendResolve(RequestState& state, TimePoint now) {
+  const ServiceConfig* service = services_.FindService(state.request.service);
+  const EndpointConfig* primary = nullptr;
+  if (service != nullptr) {
+    primary = FindIn(*service, PrimaryFor(state, *service));
+  }
+  state.awaited_above.reset();
+  awaiting_primary_[state.request.service].erase(state.key);
+  std::optional<ForwardLeg> leg;
+  if (primary != nullptr) {
+    Request message = state.request;
+    message.kind = RequestKind::kResolve;
+    message.transaction.clear();
+    leg = forwarder_.Forward(state.key, *primary, terms_.TermOf(*service),
+                             message, state.skipped_owners);
+  }
+  if (!leg) {
+    state.skipped_owners.clear();
+    Postpone(state, RequestPhase::kResolveWaiting, now);
+    return;
+  }
+  ++stats_.resolves;
+  AddLeg(state, *leg);
+  state.phase = RequestPhase::kResolving;
+  // A resolve may be repeated at will, so a silent owner costs half of the time
+  // left at most.
+  constexpr Duration kLeastPatience = std::chrono::milliseconds(20);
+  const Duration left = state.request.deadline - now;
+  timers_.Set(state.key, std::min(state.request.deadline,
+                                  now + std::max(left / 2, kLeastPatience)));
+}
+
+// The first leg goes on: a read that takes long would never end if it were
+// started again each time. Only another endpoint is asked, since a second owner
+// of the same endpoint would split its queue while it is overloaded.
+void Front::SendSecondLeg(RequestState& state, TimePoint now) {
+  timers_.Set(state.key, state.request.deadline);
+  state.has_second_leg = true;
+  const ServiceConfig* service = services_.FindService(state.request.service);
+  if (service == nullptr) return;
+  for (const CorrelationId correlation : state.legs) {
+    const ForwardLeg* leg = forwarder_.Find(correlation);
+    if (leg != nullptr) state.passed_over.insert(leg->endpoint);
+  }
+  EndpointName endpoint = PrimaryFor(state, *service);
+  const ReadChoice choice = selector_.Choose(*service, endpoint, state.request,
+                                             state.passed_over, false, now);
+  if (choice.kind == ReadChoice::Kind::kReplica) endpoint = choice.endpoint;
+  const EndpointConfig* config = FindIn(*service, endpoint);
+  if (config == nullptr || state.passed_over.contains(endpoint)) return;
+  if (!BudgetOf(service->name).TryTake(now)) {
+    ++stats_.retries_refused;
+    return;
+  }
+  const auto leg =
+      forwarder_.Forward(state.key, *config, terms_.TermOf(*service),
+                         state.request, state.skipped_owners);
+  if (!leg) return;
+  ++stats_.retries;
+  AddLeg(state, *leg);
+}
+
+void Front::AddLeg(RequestState& state, const ForwardLeg& leg) {
+  state.legs.push_back(leg.correlation);
+  selector_.OnSent(leg.endpoint);
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/src/core/route/replica_selector.cc
@@ -0,0 +1,234 @@
+#include "core/route/replica_selector.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "core/config/team_config.h"
+#include "core/group/group_directory.h"
+#include "core/route/deadline_split.h"
+
+namespace carawayhaven {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A trial costs at most one extra hop; ten a second for each replica keep
+// positions known at no relevant load.
+constexpr Duration kTrialInterval = milliseconds(100);
+// For replicas that were seen to be unfit, which may have caught up.
+constexpr Duration kUnfitTrialInterval = milliseconds(1000);
+// A rate says nothing about a replica that was not heard of for longer.
+constexpr Duration kRateHorizon = milliseconds(1000);
+// Rates over shorter intervals are dominated by the jitter of the answers.
+constexpr Duration kRateInterval = milliseconds(20);
+// Covers replicas up to 10 s behind with 400 samples for each service.
+constexpr Duration kSampleInterval = milliseconds(25);
+constexpr std::size_t kSamples = 400;
+
+}  // namespace
+
+ReplicaSelector::ReplicaSelector(GroupDirectory& groups,
+                                 const FrontOptions& options,
+                                 std::mt19937_64& random)
+    : groups_(groups), options_(options), random_(random) {}
+
+ReadChoice ReplicaSelector::Choose(const ServiceConfig& service,
+                                   const EndpointName& primary,
+                                   const Request& request,
+                                   const std::set<EndpointName>& passed_over,
+                                   bool may_wait, TimePoint now) {
+  std::vector<Candidate> serving;
+  std::vector<Candidate> others;
+  for (const EndpointConfig& endpoint : service.endpoints) {
+    if (endpoint.name == primary || endpoint.leaving ||
+        passed_over.contains(endpoint.name)) {
+      continue;
+    }
+    const Candidate candidate = Judge(service, endpoint, request, now);
+    (candidate.fit == Fit::kServes ? serving : others).push_back(candidate);
+  }
+  const auto replica = [](const EndpointConfig& endpoint) {
+    return ReadChoice{ReadChoice::Kind::kReplica, endpoint.name, Duration(0)};
+  };
+  if (!serving.empty()) return replica(Best(serving));
+  if (may_wait) {
+    const Candidate* soonest = nullptr;
+    for (const Candidate& candidate : others) {
+      const bool sooner = candidate.fit == Fit::kWillServe &&
+                          (!soonest || candidate.wait < soonest->wait);
+      if (sooner) soonest = &candidate;
+    }
+    if (soonest != nullptr) {
+      return {ReadChoice::Kind::kWait, {}, soonest->wait};
+    }
+  }
+  for (const Candidate& candidate : others) {
+    if (TakeTrial(candidate, now)) return replica(*candidate.endpoint);
+  }
+  return {};
+}
+
+void ReplicaSelector::OnEnded(const EndpointName& endpoint) {
+  const auto found = outstanding_.find(endpoint);
+  if (found == outstanding_.end()) return;
+  if (--found->second == 0) outstanding_.erase(found);
+}
+
+void ReplicaSelector::OnOutcome(const Request& request, const Outcome& outcome,
+                                TimePoint now) {
+  if (outcome.served_by.empty() || outcome.position == LogPosition{}) return;
+  if (!outcome.from_replica) {
+    if (outcome.verdict != Verdict::kRan) return;
+    std::deque<PrimarySample>& samples = history_[request.service];
+    const bool due =
+        samples.empty() || (now - samples.back().at >= kSampleInterval &&
+                            outcome.position >= samples.back().position);
+    if (due) samples.push_back({now, outcome.position});
+    if (samples.size() > kSamples) samples.pop_front();
+    return;
+  }
+  const EndpointObservation* last = groups_.ObservationOf(outcome.served_by);
+  if (last != nullptr && last->observed_at >= now &&
+      last->position >= outcome.position) {
+    return;
+  }
+  const std::optional<Duration> bound =
+      AgeFromHistory(request.service, outcome.position, now);
+  Duration age = bound.value_or(Duration::max() / 2);
+  if (outcome.verdict == Verdict::kRan && request.max_age) {
+    age = std::min(age, *request.max_age);
+  }
+  if (last != nullptr) {
+    age = std::min(age, last->age + (now - last->observed_at));
+  }
+  if (outcome.verdict != Verdict::kRan && request.max_age &&
+      RefusedForAge(request, outcome)) {
+    age = std::max(age, *request.max_age + Duration(1));
+  }
+  groups_.Observe(outcome.served_by, {outcome.position, age, now});
+}
+
+// A replica that holds the position and still refuses is too old.
+bool ReplicaSelector::RefusedForAge(const Request& request,
+                                    const Outcome& outcome) const {
+  const bool holds = request.min_position.term == outcome.position.term &&
+                     request.min_position.index <= outcome.position.index;
+  return outcome.reason == Reason::kBehind &&
+         (request.min_position == LogPosition{} || holds);
+}
+
+ReplicaSelector::Candidate ReplicaSelector::Judge(
+    const ServiceConfig& service, const EndpointConfig& endpoint,
+    const Request& request, TimePoint now) {
+  Candidate candidate{&endpoint, Fit::kUncertain, Duration(0), kTrialInterval};
+  const EndpointObservation* seen = groups_.ObservationOf(endpoint.name);
+  if (seen == nullptr) return candidate;
+  const Duration since = now - seen->observed_at;
+  const Progress& progress = UpdateProgress(endpoint.name, *seen);
+  if (seen->age > *request.max_age) {
+    candidate.fit = Fit::kUnfit;
+    candidate.trial_interval = kUnfitTrialInterval;
+    return candidate;
+  }
+  if (seen->age + since > *request.max_age) return candidate;
+  const double seconds =
+      std::chrono::duration<double>(std::min(since, kRateHorizon)).count();
+  LogPosition expected = seen->position;
+  expected.index += static_cast<std::uint64_t>(progress.rate * seconds);
+  if (options_.position_check(service, expected, request.min_position)) {
+    candidate.fit = Fit::kServes;
+    return candidate;
+  }
+  candidate.fit = since > kRateHorizon ? Fit::kUncertain : Fit::kUnfit;
+  candidate.trial_interval = kUnfitTrialInterval;
+  const bool reachable = progress.rate > 0 && since <= kRateHorizon &&
+                         expected.term == request.min_position.term &&
+                         expected.index < request.min_position.index;
+  if (!reachable) return candidate;
+  const double missing =
+      static_cast<double>(request.min_position.index - expected.index);
+  const std::chrono::duration<double> wait(missing / progress.rate);
+  if (wait <= ReplicaWaitBound(request.deadline - now)) {
+    candidate.fit = Fit::kWillServe;
+    candidate.wait = std::chrono::duration_cast<Duration>(wait) + Duration(1);
+  }
+  return candidate;
+}
+
+ReplicaSelector::Progress& ReplicaSelector::UpdateProgress(
+    const EndpointName& endpoint, const EndpointObservation& seen) {
+  constexpr double kWeight = 0.2;
+  const auto [found, added] = progress_.try_emplace(endpoint);
+  Progress& progress = found->second;
+  if (progress.position.term != seen.position.term ||
+      seen.position < progress.position) {
+    progress.position = seen.position;
+    progress.at = seen.observed_at;
+    progress.rate = 0;
+    return progress;
+  }
+  if (seen.observed_at - progress.at < kRateInterval) return progress;
+  const std::chrono::duration<double> passed = seen.observed_at - progress.at;
+  const double rate =
+      static_cast<double>(seen.position.index - progress.position.index) /
+      passed.count();
+  progress.rate = progress.rate == 0
+                      ? rate
+                      : progress.rate + kWeight * (rate - progress.rate);
+  progress.position = seen.position;
+  progress.at = seen.observed_at;
+  return progress;
+}
+
+bool ReplicaSelector::TakeTrial(const Candidate& candidate, TimePoint now) {
+  std::optional<TimePoint>& tried_at =
+      progress_[candidate.endpoint->name].tried_at;
+  if (tried_at && now - *tried_at < candidate.trial_interval) return false;
+  tried_at = now;
+  return true;
+}
+
+const EndpointConfig& ReplicaSelector::Best(
+    const std::vector<Candidate>& serving) {
+  if (serving.size() == 1) return *serving.front().endpoint;
+  const std::size_t first = random_() % serving.size();
+  const std::size_t offset = 1 + random_() % (serving.size() - 1);
+  const EndpointConfig& left = *serving[first].endpoint;
+  const EndpointConfig& right =
+      *serving[(first + offset) % serving.size()].endpoint;
+  return IsBetter(right, left) ? right : left;
+}
+
+bool ReplicaSelector::IsBetter(const EndpointConfig& left,
+                               const EndpointConfig& right) const {
+  const std::size_t left_load = OutstandingOn(left.name);
+  const std::size_t right_load = OutstandingOn(right.name);
+  if (left_load != right_load) return left_load < right_load;
+  if (!options_.distance) return false;
+  return options_.distance(left.data_centre) <
+         options_.distance(right.data_centre);
+}
+
+std::size_t ReplicaSelector::OutstandingOn(const EndpointName& endpoint) const {
+  const auto found = outstanding_.find(endpoint);
+  return found == outstanding_.end() ? 0 : found->second;
+}
+
+// The replica holds everything that the primary had at the newest sample not
+// above the replica's position, so its data is no older than that sample.
+std::optional<Duration> ReplicaSelector::AgeFromHistory(
+    const ServiceName& service, LogPosition position, TimePoint now) const {
+  const auto found = history_.find(service);
+  if (found == history_.end()) return std::nullopt;
+  const std::deque<PrimarySample>& samples = found->second;
+  const auto after =
+      std::upper_bound(samples.begin(), samples.end(), position,
+                       [](LogPosition value, const PrimarySample& sample) {
+                         return value < sample.position;
+                       });
+  if (after == samples.begin()) return std::nullopt;
+  return now - std::prev(after)->at;
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/src/core/route/timer_queue.h
@@ -0,0 +1,52 @@
+#ifndef CARAWAYHAVEN_CORE_ROUTE_TIMER_QUEUE_H_
+#define CARAWAYHAVEN_CORE_ROUTE_TIMER_QUEUE_H_
+
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+#include "carawayhaven/time.h"
+#include "core/route/forwarder.h"
+
+namespace carawayhaven {
+
+/// One timer for each request, ordered by time. Set, Cancel and TakeDue take
+/// logarithmic time, Next constant time. Not thread-safe.
+class TimerQueue {
+ public:
+  /// Replaces the request's timer.
+  void Set(RequestKey key, TimePoint at) {
+    Cancel(key);
+    order_.emplace(at, key);
+    times_.emplace(key, at);
+  }
+
+  void Cancel(RequestKey key) {
+    const auto found = times_.find(key);
+    if (found == times_.end()) return;
+    order_.erase({found->second, key});
+    times_.erase(found);
+  }
+
+  /// Removes and returns the first request whose time has come.
+  std::optional<RequestKey> TakeDue(TimePoint now) {
+    if (order_.empty() || order_.begin()->first > now) return std::nullopt;
+    const RequestKey key = order_.begin()->second;
+    Cancel(key);
+    return key;
+  }
+
+  /// Returns the earliest time, or TimePoint::max() when there is none.
+  TimePoint Next() const {
+    return order_.empty() ? TimePoint::max() : order_.begin()->first;
+  }
+
+ private:
+  std::set<std::pair<TimePoint, RequestKey>> order_;
+  std::unordered_map<RequestKey, TimePoint> times_;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_CORE_ROUTE_TIMER_QUEUE_H_
