--- /dev/null
+++ b/src/proxy/settings_key.cc
@@ -0,0 +1,178 @@
+#include "proxy/settings_key.h"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <sstream>
+
+#include "carawayhaven/exceptions.h"
+#include "net/address.h"
+
+namespace carawayhaven {
+namespace {
+
+constexpr std::size_t kMaxNameBytes = 64;
+
+std::string Quote(const std::string& text) { return '"' + text + '"'; }
+
+// The text of a checked value: its type and form are right by then.
+std::string Text(const SettingsValue& value) {
+  return std::get<std::string>(value);
+}
+
+std::int64_t Integer(const SettingsValue& value) {
+  return std::get<std::int64_t>(value);
+}
+
+std::string FormatMilliseconds(Duration duration) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+bool IsName(const std::string& text) {
+  return !text.empty() && text.size() <= kMaxNameBytes &&
+         std::all_of(text.begin(), text.end(), [](unsigned char c) {
+           return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+         });
+}
+
+bool IsAddress(const std::string& text) {
+  try {
+    in_addr parsed{};
+    return inet_pton(AF_INET, ParseAddress(text).ip.c_str(), &parsed) == 1;
+  } catch (const NetworkError&) {
+    return false;
+  }
+}
+
+#define CARAWAYHAVEN_TEXT_KEY(member)                              \
+  [](Settings& s, const SettingsValue& v) { s.member = Text(v); }, \
+      [](const Settings& s) { return Quote(s.member); }
+
+const std::array kKeys{
+    SettingsKey{"vm", SettingsType::kName, true, 0, 0,
+                "name of this VM, unique in the deployment",
+                CARAWAYHAVEN_TEXT_KEY(vm)},
+    SettingsKey{"data_centre", SettingsType::kName, true, 0, 0,
+                "data centre of this VM", CARAWAYHAVEN_TEXT_KEY(data_centre)},
+    SettingsKey{"region", SettingsType::kName, true, 0, 0,
+                "region of the data centre", CARAWAYHAVEN_TEXT_KEY(region)},
+    SettingsKey{"caller_address", SettingsType::kAddress, true, 0, 0,
+                "address on which callers connect",
+                CARAWAYHAVEN_TEXT_KEY(caller_address)},
+    SettingsKey{"peer_address", SettingsType::kAddress, true, 0, 0,
+                "address on which other proxies connect",
+                CARAWAYHAVEN_TEXT_KEY(peer_address)},
+    SettingsKey{"admin_address", SettingsType::kAddress, true, 0, 0,
+                "address of the admin API",
+                CARAWAYHAVEN_TEXT_KEY(admin_address)},
+    SettingsKey{"platform_address", SettingsType::kAddress, true, 0, 0,
+                "address of the platform's object API",
+                CARAWAYHAVEN_TEXT_KEY(platform_address)},
+    SettingsKey{
+        "drain_timeout_ms", SettingsType::kInteger, false, 0, 600'000,
+        "time that open transactions have after SIGTERM, ms",
+        [](Settings& s, const SettingsValue& v) {
+          s.drain_timeout = std::chrono::milliseconds(Integer(v));
+        },
+        [](const Settings& s) { return FormatMilliseconds(s.drain_timeout); }},
+    SettingsKey{"default_timeout_ms", SettingsType::kInteger, false, 1, 60'000,
+                "deadline of a request that states none, ms",
+                [](Settings& s, const SettingsValue& v) {
+                  s.default_timeout = std::chrono::milliseconds(Integer(v));
+                },
+                [](const Settings& s) {
+                  return FormatMilliseconds(s.default_timeout);
+                }},
+    SettingsKey{
+        "max_sessions", SettingsType::kInteger, false, 1, 8192,
+        "caller sessions that are accepted at a time",
+        [](Settings& s, const SettingsValue& v) {
+          s.max_sessions = static_cast<std::uint32_t>(Integer(v));
+        },
+        [](const Settings& s) { return std::to_string(s.max_sessions); }},
+    SettingsKey{"trace_sample_ratio", SettingsType::kRatio, false, 0, 1,
+                "share of traces that are recorded",
+                [](Settings& s, const SettingsValue& v) {
+                  s.trace_sample_ratio = std::holds_alternative<double>(v)
+                                             ? std::get<double>(v)
+                                             : static_cast<double>(Integer(v));
+                },
+                [](const Settings& s) {
+                  std::ostringstream text;
+                  text << s.trace_sample_ratio;
+                  return text.str();
+                }},
+    SettingsKey{"log_level", SettingsType::kLogLevel, false, 0, 0,
+                "least level that is logged",
+                [](Settings& s, const SettingsValue& v) {
+                  s.log_level =
+                      LogLevelFromName(Text(v)).value_or(LogLevel::kInfo);
+                },
+                [](const Settings& s) {
+                  return Quote(std::string(LogLevelName(s.log_level)));
+                }},
+};
+
+#undef CARAWAYHAVEN_TEXT_KEY
+
+}  // namespace
+
+std::span<const SettingsKey> SettingsKeys() { return kKeys; }
+
+std::string SettingsKey::VariableName() const {
+  std::string variable = "CARAWAYHAVEN_";
+  for (const char c : name) {
+    variable += static_cast<char>(std::toupper(static_cast<unsigned char>(c)));
+  }
+  return variable;
+}
+
+std::string SettingsKey::FlagName() const {
+  std::string flag(name);
+  std::replace(flag.begin(), flag.end(), '_', '-');
+  return flag;
+}
+
+std::string SettingsKey::Expected() const {
+  switch (type) {
+    case SettingsType::kName:
+      return "1 to 64 letters, digits, '-', '_' or '.'";
+    case SettingsType::kAddress:
+      return "an address of the form IP:port, for example \"10.0.0.1:7000\"";
+    case SettingsType::kInteger:
+      return "an integer from " + std::to_string(least) + " to " +
+             std::to_string(greatest);
+    case SettingsType::kRatio:
+      return "a number from 0 to 1";
+    case SettingsType::kLogLevel:
+      return R"("debug", "info", "warning" or "error")";
+  }
+  return {};
+}
+
+bool SettingsKey::Accepts(const SettingsValue& value) const {
+  const auto* text = std::get_if<std::string>(&value);
+  const auto* integer = std::get_if<std::int64_t>(&value);
+  switch (type) {
+    case SettingsType::kName:
+      return text != nullptr && IsName(*text);
+    case SettingsType::kAddress:
+      return text != nullptr && IsAddress(*text);
+    case SettingsType::kInteger:
+      return integer != nullptr && *integer >= least && *integer <= greatest;
+    case SettingsType::kRatio: {
+      if (text != nullptr) return false;
+      const double ratio = integer != nullptr ? static_cast<double>(*integer)
+                                              : std::get<double>(value);
+      return ratio >= 0 && ratio <= 1;
+    }
+    case SettingsType::kLogLevel:
+      return text != nullptr && LogLevelFromName(*text).has_value();
+  }
+  return false;
+}
+
+}  // namespace carawayhaven
