--- /dev/null
+++ b/src/proxy/span_sink.h
@@ -0,0 +1,33 @@
+#ifndef CARAWAYHAVEN_PROXY_SPAN_SINK_H_
+#define CARAWAYHAVEN_PROXY_SPAN_SINK_H_
+
+#include <ostream>
+#include <string_view>
+
+namespace carawayhaven {
+
+/// Takes finished spans.
+class SpanSink {
+ public:
+  virtual ~SpanSink() = default;
+
+  /// `line` is one JSON object without a line end. May throw; the span is then
+  /// counted as dropped.
+  virtual void Write(std::string_view line) = 0;
+};
+
+/// Writes spans to a stream, one a line.
+class StreamSpanSink : public SpanSink {
+ public:
+  /// `out` must outlive the sink.
+  explicit StreamSpanSink(std::ostream& out) : out_(out) {}
+
+  void Write(std::string_view line) override { out_ << line << '\n'; }
+
+ private:
+  std::ostream& out_;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_PROXY_SPAN_SINK_H_
