--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -98,6 +98,7 @@
       termination_requested = 0;
       std::exchange(on_termination_, nullptr)();
     }
+    if (on_round_end_) on_round_end_();
   }
 }
 
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -39,6 +39,9 @@
   /// Called once from the loop after SIGTERM or SIGINT. Installs the handlers.
   void OnTerminationSignal(Callback callback);
 
+  /// Sets what runs after each round of events; null removes it.
+  void OnRoundEnd(Callback callback) { on_round_end_ = std::move(callback); }
+
   /// Serves events until Stop is called.
   void Run();
   void Stop() { stopped_ = true; }
@@ -55,6 +58,7 @@
   std::multimap<TimePoint, Callback> timers_;
   std::unique_ptr<LwsTimer> lws_timer_;
   Callback on_termination_;
+  Callback on_round_end_;
   bool stopped_ = false;
 };
 
--- /dev/null
+++ b/src/proxy/pool_set.cc
@@ -0,0 +1,204 @@
+#include "proxy/pool_set.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "core/config/service_directory.h"
+#include "core/config/team_config.h"
+#include "core/group/group_directory.h"
+#include "core/membership/owner_resolver.h"
+#include "core/peer_link.h"
+#include "proxy/tracing.h"
+
+namespace carawayhaven {
+namespace {
+
+bool HasSameShape(const EndpointPoolOptions& left,
+                  const EndpointPoolOptions& right) {
+  return left.address == right.address && left.slots == right.slots &&
+         left.connections == right.connections &&
+         left.acknowledge == right.acknowledge;
+}
+
+}  // namespace
+
+PoolSet::PoolSet(const ServiceDirectory& services, GroupDirectory& groups,
+                 const OwnerResolver& owners, EndpointLink& link,
+                 PeerLink& peers, const Tracing& tracing,
+                 Duration drain_timeout)
+    : services_(services),
+      groups_(groups),
+      owners_(owners),
+      link_(link),
+      peers_(peers),
+      tracing_(tracing),
+      drain_timeout_(drain_timeout) {}
+
+PoolSet::~PoolSet() = default;
+
+void PoolSet::OnForward(const VmName& from, const ForwardMessage& message,
+                        TimePoint now) {
+  Entry* entry = FindOrCreate(message.endpoint, now);
+  const ServiceName service = message.request.service;
+  if (entry == nullptr) {
+    ForwardReplyMessage refusal{message.correlation, message.term, {}};
+    refusal.outcome.reason = Reason::kUnknownService;
+    peers_.Send(from, refusal);
+    return;
+  }
+  std::shared_ptr<opentracing::Span> span =
+      tracing_.StartHop(kQueueSpan, message.request.traceparent);
+  span->SetTag("endpoint", message.endpoint);
+  entry->pool->Submit(
+      message.request, std::max(message.term, groups_.TermOf(service)),
+      [this, from, service, span = std::move(span),
+       correlation = message.correlation](const Outcome& outcome) {
+        span->SetTag("verdict", std::string(VerdictName(outcome.verdict)));
+        span->Finish();
+        peers_.Send(from, ForwardReplyMessage{
+                              correlation, groups_.TermOf(service), outcome});
+      },
+      now);
+}
+
+void PoolSet::OnOwnershipChanged(TimePoint now) {
+  std::map<EndpointName, bool, std::less<>> owned;
+  for (const ServiceName& name : services_.Services()) {
+    for (const EndpointConfig& endpoint :
+         services_.FindService(name)->endpoints) {
+      const std::vector<VmName> owners = owners_.OwnersOf(endpoint, 1);
+      if (!owners.empty() && owners.front() == owners_.self()) {
+        owned.emplace(endpoint.name, true);
+      }
+    }
+  }
+  for (auto& [endpoint, entry] : pools_) {
+    entry.owned = owned.contains(endpoint);
+  }
+  for (const auto& [endpoint, is_owned] : owned) {
+    if (Entry* entry = FindOrCreate(endpoint, now)) entry->owned = true;
+  }
+}
+
+void PoolSet::OnGroupChanged(std::string_view service, Term term) {
+  for (auto& [endpoint, entry] : pools_) {
+    if (entry.service == service) entry.pool->SetTerm(term);
+  }
+}
+
+void PoolSet::HoldWrites(std::string_view service, TimePoint now) {
+  for (auto& [endpoint, entry] : pools_) {
+    if (entry.service == service) entry.pool->Hold(now);
+  }
+}
+
+void PoolSet::ReleaseWrites(std::string_view service, TimePoint now) {
+  for (auto& [endpoint, entry] : pools_) {
+    if (entry.service == service) entry.pool->Release(now);
+  }
+}
+
+bool PoolSet::WritesInFlight(std::string_view service) const {
+  return std::any_of(pools_.begin(), pools_.end(), [service](const auto& item) {
+    return item.second.service == service &&
+           item.second.pool->HasWritesInFlight();
+  });
+}
+
+bool PoolSet::IsLeaving(std::string_view endpoint) const {
+  const auto found = pools_.find(endpoint);
+  return found != pools_.end() && found->second.leaving;
+}
+
+void PoolSet::Drain(TimePoint now) {
+  draining_ = true;
+  for (auto& [endpoint, entry] : pools_) entry.pool->Drain(now);
+}
+
+bool PoolSet::idle() const {
+  return retired_.empty() &&
+         std::all_of(pools_.begin(), pools_.end(), [](const auto& item) {
+           return item.second.pool->idle();
+         });
+}
+
+void PoolSet::Tick(TimePoint now) {
+  for (auto& [endpoint, entry] : pools_) entry.pool->Tick(now);
+  for (const auto& pool : retired_) pool->Tick(now);
+  if (now < next_retire_) return;
+  next_retire_ = now + kRetireInterval;
+  std::erase_if(retired_, [](const auto& pool) { return pool->idle(); });
+  // A pool that this VM lost stays one interval longer, since a front may
+  // still believe it to be the owner.
+  std::erase_if(pools_, [this](auto& item) {
+    Entry& entry = item.second;
+    if (entry.owned || draining_ || !entry.pool->idle()) {
+      entry.retired = false;
+      return false;
+    }
+    return !std::exchange(entry.retired, true) ? false : true;
+  });
+}
+
+TimePoint PoolSet::NextTick() const {
+  TimePoint next = pools_.empty() && retired_.empty() ? TimePoint::max()
+                                                      : next_retire_;
+  for (const auto& [endpoint, entry] : pools_) {
+    next = std::min(next, entry.pool->NextTick());
+  }
+  for (const auto& pool : retired_) next = std::min(next, pool->NextTick());
+  return next;
+}
+
+void PoolSet::ForEach(
+    const std::function<void(const EndpointName&, const EndpointPool&)>& visit)
+    const {
+  for (const auto& [endpoint, entry] : pools_) visit(endpoint, *entry.pool);
+}
+
+void PoolSet::OnEndpointAnswer(const EndpointName& endpoint,
+                               const EndpointAnswer& answer, TimePoint now) {
+  groups_.Observe(endpoint, {answer.position, answer.age, now});
+  const auto found = pools_.find(endpoint);
+  if (found != pools_.end()) found->second.leaving = answer.leaving;
+}
+
+// Returns the pool, made anew when the endpoint's settings have changed; null
+// when the endpoint is not in the configuration.
+PoolSet::Entry* PoolSet::FindOrCreate(std::string_view endpoint,
+                                      TimePoint now) {
+  const EndpointEntry declared = services_.FindEndpoint(endpoint);
+  const auto found = pools_.find(endpoint);
+  if (declared.endpoint == nullptr) return nullptr;
+  EndpointPoolOptions options = OptionsFor(endpoint);
+  if (found != pools_.end()) {
+    if (HasSameShape(found->second.options, options)) return &found->second;
+    found->second.pool->Drain(now);
+    retired_.push_back(std::move(found->second.pool));
+    pools_.erase(found);
+  }
+  Entry entry;
+  entry.service = declared.service->name;
+  entry.options = options;
+  entry.pool = std::make_unique<EndpointPool>(std::move(options), link_,
+                                              *this);
+  entry.pool->SetTerm(groups_.ViewOf(*declared.service).term);
+  if (draining_) entry.pool->Drain(now);
+  return &pools_.emplace(EndpointName(endpoint), std::move(entry))
+              .first->second;
+}
+
+EndpointPoolOptions PoolSet::OptionsFor(std::string_view endpoint) const {
+  const EndpointEntry declared = services_.FindEndpoint(endpoint);
+  EndpointPoolOptions options;
+  options.endpoint = declared.endpoint->name;
+  options.address = declared.endpoint->address;
+  options.slots = declared.service->slots;
+  options.connections = declared.service->connections;
+  options.acknowledge = declared.service->acknowledge;
+  options.drain_timeout = drain_timeout_;
+  return options;
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/src/proxy/proxy_process.cc
@@ -0,0 +1,175 @@
+#include "proxy/proxy_process.h"
+
+#include <algorithm>
+#include <iostream>
+#include <utility>
+#include <variant>
+
+#include "core/group/position_rule.h"
+#include "net/event_loop.h"
+#include "proxy/logging.h"
+
+namespace carawayhaven {
+namespace {
+
+constexpr Duration kIdlePoll = std::chrono::milliseconds(20);
+// Beyond the time of open transactions, for the last answers.
+constexpr Duration kDrainMargin = std::chrono::seconds(2);
+
+std::uint64_t MakeIncarnation() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+FrontOptions MakeFrontOptions(const Settings& settings,
+                              std::uint64_t incarnation) {
+  FrontOptions options;
+  options.incarnation = incarnation;
+  options.distance = [own = settings.data_centre](const DataCentreName& name) {
+    return name == own ? 0U : 1U;
+  };
+  return options;
+}
+
+CallerLimits MakeCallerLimits(const Settings& settings) {
+  CallerLimits limits;
+  limits.default_timeout = settings.default_timeout;
+  return limits;
+}
+
+}  // namespace
+
+ProxyProcess::ProxyProcess(EventLoop& loop, const Settings& settings)
+    : loop_(loop),
+      settings_(settings),
+      incarnation_(MakeIncarnation()),
+      random_(std::random_device{}()),
+      span_sink_(std::cout),
+      tracing_(settings.trace_sample_ratio, span_sink_, random_),
+      endpoints_(loop),
+      platform_(loop, settings.platform_address),
+      peers_(loop,
+             HelloMessage{settings.vm, settings.data_centre,
+                          settings.peer_address, incarnation_},
+             *this),
+      membership_(MembershipOptions{settings.vm, settings.data_centre,
+                                    settings.peer_address, incarnation_},
+                  peers_, configs_, random_),
+      distributor_(configs_, platform_, peers_, membership_, random_),
+      vm_list_(platform_,
+               [this](const std::vector<ListedVm>& vms) {
+                 membership_.OnVmList(vms, EventLoop::Now());
+               }),
+      front_(configs_, groups_, membership_, peers_, random_,
+             MakeFrontOptions(settings, incarnation_)),
+      pools_(configs_, groups_, membership_, endpoints_, peers_, tracing_,
+             settings.drain_timeout) {
+  callers_ = std::make_unique<CallerServer>(
+      loop, settings.caller_address, settings.max_sessions,
+      MakeCallerLimits(settings), *this);
+  loop_.OnRoundEnd([this] { OnRound(); });
+  OnRound();
+  Log(LogLevel::kInfo, "proxy_started",
+      {{"vm", settings.vm}, {"data_centre", settings.data_centre}});
+}
+
+ProxyProcess::~ProxyProcess() { loop_.OnRoundEnd(nullptr); }
+
+void ProxyProcess::Drain() {
+  if (std::exchange(draining_, true)) return;
+  const TimePoint now = EventLoop::Now();
+  drain_deadline_ = now + settings_.drain_timeout + kDrainMargin;
+  Log(LogLevel::kInfo, "drain_started", {{"vm", settings_.vm}});
+  membership_.Leave(now);
+  callers_->AnnounceLeaving();
+  front_.Drain(now);
+  pools_.Drain(now);
+  StopWhenIdle();
+}
+
+void ProxyProcess::OnPeerMessage(const VmName& vm, const PeerMessage& message,
+                                 TimePoint now) {
+  if (const auto* forward = std::get_if<ForwardMessage>(&message)) {
+    pools_.OnForward(vm, *forward, now);
+  } else if (const auto* reply = std::get_if<ForwardReplyMessage>(&message)) {
+    front_.OnForwardReply(vm, *reply, now);
+  } else {
+    membership_.OnPeerMessage(vm, message, now);
+    distributor_.OnPeerMessage(vm, message, now);
+  }
+}
+
+void ProxyProcess::OnPeerLost(const VmName& vm, TimePoint now) {
+  membership_.OnPeerLost(vm, now);
+  distributor_.OnPeerLost(vm, now);
+  front_.OnPeerLost(vm, now);
+}
+
+void ProxyProcess::OnCallerRequest(Request request, CallerResponder respond) {
+  std::shared_ptr<opentracing::Span> span =
+      tracing_.StartRequest(kFrontSpan, request.traceparent);
+  span->SetTag("service", request.service);
+  request.traceparent = Tracing::TraceparentOf(*span);
+  const bool begin = request.kind == RequestKind::kBegin;
+  front_.Submit(
+      std::move(request),
+      [begin, respond = std::move(respond),
+       span = std::move(span)](const Outcome& outcome) {
+        span->SetTag("verdict", std::string(VerdictName(outcome.verdict)));
+        span->Finish();
+        const bool opened = begin && outcome.verdict == Verdict::kRan;
+        respond(outcome, opened ? outcome.payload : std::string());
+      },
+      EventLoop::Now());
+}
+
+void ProxyProcess::OnTransactionAbandoned(const ServiceName& /*service*/,
+                                          const TransactionId& transaction) {
+  front_.AbandonTransaction(transaction, EventLoop::Now());
+}
+
+void ProxyProcess::OnRound() {
+  const TimePoint now = EventLoop::Now();
+  vm_list_.Tick(now);
+  membership_.Tick(now);
+  distributor_.Tick(now);
+  NoteChanges(now);
+  front_.Tick(now);
+  pools_.Tick(now);
+  const TimePoint next =
+      std::min({vm_list_.NextTick(), membership_.NextTick(),
+                distributor_.NextTick(), front_.NextTick(), pools_.NextTick()});
+  if (next == TimePoint::max()) return;
+  if (armed_for_ > now && armed_for_ <= next) return;
+  armed_for_ = std::max(next, now);
+  // Only wakes the loop; the work is done at the end of the round.
+  loop_.RunAfter(armed_for_ - now, [] {});
+}
+
+void ProxyProcess::NoteChanges(TimePoint now) {
+  if (membership_.revision() == seen_revision_ &&
+      configs_.digest() == seen_digest_) {
+    return;
+  }
+  seen_revision_ = membership_.revision();
+  seen_digest_ = configs_.digest();
+  pools_.OnOwnershipChanged(now);
+}
+
+// Exits once nothing is in flight, or when the time of the drain is over.
+void ProxyProcess::StopWhenIdle() {
+  const bool idle = callers_->in_flight() == 0 && front_.in_flight() == 0 &&
+                    !front_.has_open_transactions() && pools_.idle();
+  if (idle || EventLoop::Now() >= drain_deadline_) {
+    Log(LogLevel::kInfo, "drain_ended",
+        {{"vm", settings_.vm}, {"idle", idle}});
+    // The last answers are still in the sockets' queues.
+    loop_.RunAfter(kIdlePoll * 5, [this] { loop_.Stop(); });
+    return;
+  }
+  loop_.RunAfter(kIdlePoll, [this] { StopWhenIdle(); });
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/src/proxy/proxy_process.h
@@ -0,0 +1,82 @@
+#ifndef CARAWAYHAVEN_PROXY_PROXY_PROCESS_H_
+#define CARAWAYHAVEN_PROXY_PROXY_PROCESS_H_
+
+#include <memory>
+#include <random>
+
+#include "carawayhaven/time.h"
+#include "core/config/config_distributor.h"
+#include "core/config/config_store.h"
+#include "core/group/group_directory.h"
+#include "core/membership/membership.h"
+#include "core/peer_link.h"
+#include "core/route/front.h"
+#include "net/caller_server.h"
+#include "net/endpoint_connector.h"
+#include "net/peer_transport.h"
+#include "net/platform_client.h"
+#include "proxy/pool_set.h"
+#include "proxy/settings.h"
+#include "proxy/span_sink.h"
+#include "proxy/tracing.h"
+#include "proxy/vm_list_reader.h"
+
+namespace carawayhaven {
+
+class EventLoop;
+
+/// One proxy: joins the core with the network. Not thread-safe; one loop, one
+/// thread.
+class ProxyProcess : private PeerEvents, private CallerHandler {
+ public:
+  /// Starts to listen. `loop` must outlive the process. Throws NetworkError
+  /// when an address cannot be listened on.
+  ProxyProcess(EventLoop& loop, const Settings& settings);
+  ~ProxyProcess() override;
+
+  /// Takes no new work, ends what is in flight, then stops the loop. Open
+  /// transactions have `drain_timeout`.
+  void Drain();
+
+ private:
+  void OnPeerMessage(const VmName& vm, const PeerMessage& message,
+                     TimePoint now) override;
+  void OnPeerLost(const VmName& vm, TimePoint now) override;
+  void OnCallerRequest(Request request, CallerResponder respond) override;
+  void OnTransactionAbandoned(const ServiceName& service,
+                              const TransactionId& transaction) override;
+
+  /// Runs after each round of the loop: timed work and what depends on a
+  /// changed configuration or membership.
+  void OnRound();
+  void NoteChanges(TimePoint now);
+  void ForwardGroupUpdate(const GroupUpdateMessage& update);
+  void StopWhenIdle();
+
+  EventLoop& loop_;
+  Settings settings_;
+  std::uint64_t incarnation_;
+  std::mt19937_64 random_;
+  StreamSpanSink span_sink_;
+  Tracing tracing_;
+  EndpointConnector endpoints_;
+  PlatformClient platform_;
+  PeerTransport peers_;
+  ConfigStore configs_;
+  Membership membership_;
+  ConfigDistributor distributor_;
+  VmListReader vm_list_;
+  GroupDirectory groups_;
+  Front front_;
+  PoolSet pools_;
+  std::unique_ptr<CallerServer> callers_;
+  TimePoint armed_for_ = TimePoint::max();
+  std::uint64_t seen_revision_ = 0;
+  ConfigDigest seen_digest_;
+  bool draining_ = false;
+  TimePoint drain_deadline_ = TimePoint::max();
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_PROXY_PROXY_PROCESS_H_
