Parse state charts; bound term starts and add the position rule

A chart file is refused when a state is unreachable, an event is undeclared or a non-final state has no way out. GroupDirectory keeps the newest 64 term starts and answers whether a replica satisfies a session token.

--- a/include/carawayhaven/error_messages.h
+++ b/include/carawayhaven/error_messages.h
@@ -17,6 +17,10 @@
 inline constexpr char kListenFailed[] = "cannot listen on port ";
 inline constexpr char kMalformedAddress[] =
     "not an address of the form IP:port: ";
+inline constexpr char kUndeclaredEvent[] = "chart declares no event ";
+inline constexpr char kUndeclaredState[] = "chart declares no state ";
+inline constexpr char kUnreachableState[] = "chart never reaches the state ";
+inline constexpr char kNoWayOut[] = "chart has no way out of the state ";
 inline constexpr char kContextFailed[] = "cannot create the event loop";
 
 }  // namespace carawayhaven::error_messages
--- a/src/core/group/group_directory.h
+++ b/src/core/group/group_directory.h
@@ -1,9 +1,11 @@
 #ifndef CARAWAYHAVEN_CORE_GROUP_GROUP_DIRECTORY_H_
 #define CARAWAYHAVEN_CORE_GROUP_GROUP_DIRECTORY_H_
 
+#include <cstddef>
 #include <map>
 #include <string_view>
 
+#include "carawayhaven/log_position.h"
 #include "carawayhaven/names.h"
 #include "carawayhaven/time.h"
 #include "core/group/group_view.h"
@@ -17,17 +19,27 @@
 /// Not thread-safe; one loop, one thread.
 class GroupDirectory {
  public:
+  /// Bounds the group's object in the store; a session token of an older term
+  /// is served by the primary.
+  static constexpr std::size_t kMaxTermStarts = 64;
+
   /// Returns the view of the service's group. A group that is not known yet
   /// starts in term 1 with the first declared endpoint as its primary.
   const GroupView& ViewOf(const ServiceConfig& service);
 
-  /// Takes a newer term. Returns false, and changes nothing, when the term is
-  /// not higher than the known one.
+  /// Takes a newer term, or the term starts of the known term when they were
+  /// missing; keeps the newest kMaxTermStarts starts. Returns false, and
+  /// changes nothing, when the update has nothing new.
   bool Raise(const GroupUpdateMessage& update);
 
   /// Returns the highest term known for the service, zero when unknown.
   Term TermOf(std::string_view service) const;
 
+  /// Tells whether a replica at `replica` holds every write that a session
+  /// token at `token` stands for, as far as this proxy can be certain.
+  bool Satisfies(const ServiceConfig& service, LogPosition replica,
+                 LogPosition token);
+
   void Observe(std::string_view endpoint, const EndpointObservation& seen);
 
   /// Returns the last observation, or null.
