--- /dev/null
+++ b/src/core/group/failure_detector.cc
@@ -0,0 +1,164 @@
+#include "core/group/failure_detector.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/endpoint_answer.h"
+#include "core/endpoint_command.h"
+
+namespace carawayhaven {
+
+FailureDetector::FailureDetector(EndpointLink& link,
+                                 FailureDetectorHandler& handler)
+    : link_(link), handler_(handler) {}
+
+FailureDetector::~FailureDetector() { Stop(); }
+
+void FailureDetector::Watch(std::string address, Term term,
+                            bool after_promotion, TimePoint now) {
+  Stop();
+  watching_ = true;
+  address_ = std::move(address);
+  term_ = term;
+  hysteresis_until_ = after_promotion ? now + kHysteresis : now;
+  next_probe_ = now;
+}
+
+void FailureDetector::Stop() {
+  CloseConnection(main_);
+  CloseConnection(fresh_);
+  main_open_ = false;
+  watching_ = false;
+  suspected_ = false;
+  misses_ = 0;
+  probes_.clear();
+}
+
+void FailureDetector::Tick(TimePoint now) {
+  if (!watching_) return;
+  DiscardWhenPaused(now);
+  while (!probes_.empty() &&
+         probes_.front().sent_at + 2 * kProbeTimeout <= now) {
+    probes_.pop_front();
+    CloseConnection(fresh_);
+    CountMiss(now);
+    if (!watching_) return;
+  }
+  for (Probe& probe : probes_) {
+    if (!probe.repeated && probe.sent_at + kProbeTimeout <= now) Repeat(probe);
+  }
+  if (next_probe_ <= now) SendProbe(now);
+}
+
+TimePoint FailureDetector::NextTick() const {
+  if (!watching_) return TimePoint::max();
+  TimePoint next = next_probe_;
+  for (const Probe& probe : probes_) {
+    next = std::min(next, probe.sent_at + (probe.repeated ? 2 * kProbeTimeout
+                                                          : kProbeTimeout));
+  }
+  return next;
+}
+
+void FailureDetector::OnConnectionOpened(ConnectionId connection,
+                                         TimePoint now) {
+  DiscardWhenPaused(now);
+  if (connection == main_) main_open_ = true;
+  if (connection != main_ && connection != fresh_) return;
+  if (probes_.empty()) return;
+  if (connection == main_) {
+    SendOn(main_, probes_.back().correlation);
+    return;
+  }
+  const auto newest =
+      std::find_if(probes_.rbegin(), probes_.rend(),
+                   [](const Probe& probe) { return probe.repeated; });
+  if (newest != probes_.rend()) SendOn(fresh_, newest->correlation);
+}
+
+void FailureDetector::OnConnectionClosed(ConnectionId connection,
+                                         TimePoint /*now*/) {
+  if (connection == main_) {
+    main_ = 0;
+    main_open_ = false;
+  }
+  if (connection == fresh_) fresh_ = 0;
+}
+
+void FailureDetector::OnAnswer(ConnectionId connection,
+                               const EndpointAnswer& answer, TimePoint now) {
+  if (connection != main_ && connection != fresh_) return;
+  DiscardWhenPaused(now);
+  if (answer.term > term_) {
+    handler_.OnHigherTermSeen(answer, now);
+    return;
+  }
+  // kNotPrimary and the like do not prove a working primary: the probe stays
+  // open and becomes a miss.
+  if (answer.status != EndpointStatus::kOk) return;
+  while (!probes_.empty() &&
+         probes_.front().correlation <= answer.correlation) {
+    probes_.pop_front();
+  }
+  if (connection == fresh_) {
+    CloseConnection(main_);
+    main_ = std::exchange(fresh_, 0);
+    main_open_ = true;
+  }
+  misses_ = 0;
+  SetSuspected(false, now);
+}
+
+void FailureDetector::DiscardWhenPaused(TimePoint now) {
+  if (!watching_ || now <= NextTick() + kPauseLimit) return;
+  probes_.clear();
+  misses_ = 0;
+  next_probe_ = now;
+  SetSuspected(false, now);
+}
+
+void FailureDetector::SendProbe(TimePoint now) {
+  next_probe_ = now + kProbeInterval;
+  probes_.push_back({next_correlation_++, now, false});
+  if (main_ == 0) {
+    main_ = link_.Open(address_, *this);
+  } else if (main_open_) {
+    SendOn(main_, probes_.back().correlation);
+  }
+}
+
+void FailureDetector::Repeat(Probe& probe) {
+  probe.repeated = true;
+  CloseConnection(fresh_);
+  fresh_ = link_.Open(address_, *this);
+}
+
+void FailureDetector::SendOn(ConnectionId connection,
+                             CorrelationId correlation) {
+  EndpointCommand command;
+  command.operation = EndpointOperation::kConfirm;
+  command.correlation = correlation;
+  command.term = term_;
+  // A send that fails is followed by the event that the connection closed; the
+  // probe is then repeated like any other without an answer.
+  link_.Send(connection, command);
+}
+
+void FailureDetector::CountMiss(TimePoint now) {
+  ++misses_;
+  const std::uint32_t threshold =
+      now < hysteresis_until_ ? 2 * kMissesToSuspect : kMissesToSuspect;
+  if (misses_ >= threshold) SetSuspected(true, now);
+}
+
+void FailureDetector::SetSuspected(bool suspected, TimePoint now) {
+  if (std::exchange(suspected_, suspected) != suspected) {
+    handler_.OnSuspicionChanged(suspected, now);
+  }
+}
+
+void FailureDetector::CloseConnection(ConnectionId& connection) {
+  if (connection != 0) link_.Close(std::exchange(connection, 0));
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/src/core/group/group_monitor.cc
@@ -0,0 +1,349 @@
+#include "core/group/group_monitor.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+#include <variant>
+
+#include "core/endpoint_answer.h"
+#include "core/endpoint_command.h"
+#include "core/group/group_directory.h"
+#include "core/membership/owner_resolver.h"
+#include "core/peer_link.h"
+
+namespace carawayhaven {
+
+GroupMonitor::GroupMonitor(const ServiceConfig& service, VmName vm,
+                           EndpointLink& link, PeerLink& peers,
+                           PlatformStore& store, const OwnerResolver& owners,
+                           GroupDirectory& directory, std::mt19937_64& random,
+                           GroupMonitorHandler& handler)
+    : service_(service),
+      vm_(std::move(vm)),
+      link_(link),
+      peers_(peers),
+      owners_(owners),
+      directory_(directory),
+      handler_(handler),
+      detector_(link, *this),
+      promoter_(service_, vm_, link, directory, random, *this),
+      announcer_(store, random, [this](const GroupUpdateMessage& update) {
+        found_ = update;
+      }) {}
+
+GroupMonitor::~GroupMonitor() {
+  for (const auto& [name, owned] : owned_) {
+    if (owned.connection != 0) link_.Close(owned.connection);
+  }
+}
+
+void GroupMonitor::Update(const ServiceConfig& service, TimePoint now) {
+  promoter_.Withdraw(now);
+  service_ = service;
+  for (auto& [name, owned] : owned_) {
+    if (owned.connection != 0) link_.Close(owned.connection);
+  }
+  owned_.clear();
+  Refresh(now);
+}
+
+void GroupMonitor::RequestPlannedChange(TimePoint now) {
+  const EndpointConfig* primary = Find(directory_.ViewOf(service_).primary);
+  if (primary == nullptr || OwnerOf(*primary) != vm_) return;
+  planned_wanted_ = true;
+  Evaluate(now);
+}
+
+void GroupMonitor::OnPeerMessage(const VmName& vm, const PeerMessage& message,
+                                 TimePoint now) {
+  if (const auto* update = std::get_if<GroupUpdateMessage>(&message)) {
+    if (update->service == service_.name) Raise(*update, now);
+  } else if (const auto* report = std::get_if<SuspectReportMessage>(&message)) {
+    if (report->service != service_.name) return;
+    if (report->suspected) {
+      reports_.insert_or_assign(
+          report->observer, Report{vm, report->term, now + kReportLifetime});
+    } else {
+      reports_.erase(report->observer);
+    }
+  } else {
+    return;
+  }
+  Evaluate(now);
+}
+
+void GroupMonitor::Tick(TimePoint now) {
+  if (found_) Raise(*std::exchange(found_, std::nullopt), now);
+  if (next_refresh_ <= now) Refresh(now);
+  detector_.Tick(now);
+  promoter_.Tick(now);
+  announcer_.Tick(now);
+  if (next_status_ <= now) CheckOwned(now);
+  if (detector_.suspected() && next_report_ <= now) SendReports(now);
+  Evaluate(now);
+}
+
+TimePoint GroupMonitor::NextTick() const {
+  if (found_) return TimePoint::min();
+  TimePoint next =
+      std::min({next_refresh_, next_status_, detector_.NextTick(),
+                promoter_.NextTick(), announcer_.NextTick()});
+  if (detector_.suspected()) next = std::min(next, next_report_);
+  return next;
+}
+
+void GroupMonitor::OnConnectionOpened(ConnectionId connection,
+                                      TimePoint /*now*/) {
+  for (auto& [name, owned] : owned_) {
+    if (owned.connection != connection) continue;
+    owned.open = true;
+    owned.awaited = 0;
+  }
+}
+
+void GroupMonitor::OnConnectionClosed(ConnectionId connection,
+                                      TimePoint /*now*/) {
+  for (auto& [name, owned] : owned_) {
+    if (owned.connection != connection) continue;
+    owned.connection = 0;
+    owned.open = false;
+    owned.awaited = 0;
+  }
+}
+
+void GroupMonitor::OnAnswer(ConnectionId connection,
+                            const EndpointAnswer& answer, TimePoint now) {
+  for (auto& [name, owned] : owned_) {
+    if (owned.connection != connection || owned.awaited != answer.correlation) {
+      continue;
+    }
+    owned.awaited = 0;
+    OnOwnedStatus(name, owned, answer, now);
+    break;
+  }
+  Evaluate(now);
+}
+
+void GroupMonitor::OnSuspicionChanged(bool suspected, TimePoint now) {
+  SendReports(now);
+  if (!suspected) promoter_.Withdraw(now);
+}
+
+void GroupMonitor::OnHigherTermSeen(const EndpointAnswer& answer,
+                                    TimePoint now) {
+  promoter_.NoteTerm(answer.term);
+  if (answer.primary.empty()) return;
+  Raise({service_.name, answer.term, answer.primary, {}}, now);
+}
+
+void GroupMonitor::OnPromoted(const GroupUpdateMessage& update,
+                              TimePoint now) {
+  Raise(update, now);
+  announcer_.Announce(update, Duration(0), now);
+  // Peers that own an endpoint learn it directly, the others through them.
+  std::set<VmName> told = {vm_};
+  for (const EndpointConfig& endpoint : service_.endpoints) {
+    const VmName owner = OwnerOf(endpoint);
+    if (!owner.empty() && told.insert(owner).second) {
+      peers_.Send(owner, update);
+    }
+  }
+}
+
+void GroupMonitor::OnHoldWrites(TimePoint now) {
+  handler_.HoldWrites(service_.name, now);
+}
+
+void GroupMonitor::OnReleaseWrites(TimePoint now) {
+  next_plan_ = now + kPlanRetry;
+  handler_.ReleaseWrites(service_.name, now);
+}
+
+bool GroupMonitor::WritesInFlight() {
+  return handler_.WritesInFlight(service_.name);
+}
+
+void GroupMonitor::Refresh(TimePoint now) {
+  next_refresh_ = now + kRefreshInterval;
+  std::erase_if(reports_, [now](const auto& entry) {
+    return entry.second.until <= now;
+  });
+  RefreshOwned();
+  WatchPrimary(now);
+}
+
+void GroupMonitor::RefreshOwned() {
+  std::map<EndpointName, Owned, std::less<>> kept;
+  for (const EndpointConfig& endpoint : service_.endpoints) {
+    if (OwnerOf(endpoint) == vm_) {
+      kept.emplace(endpoint.name, owned_[endpoint.name]);
+      owned_.erase(endpoint.name);
+    }
+  }
+  for (const auto& [name, owned] : owned_) {
+    if (owned.connection != 0) link_.Close(owned.connection);
+  }
+  owned_ = std::move(kept);
+}
+
+void GroupMonitor::WatchPrimary(TimePoint now) {
+  const GroupView& view = directory_.ViewOf(service_);
+  const EndpointConfig* primary = Find(view.primary);
+  if (owned_.empty() || primary == nullptr) {
+    detector_.Stop();
+    promoter_.Withdraw(now);
+    return;
+  }
+  const bool newer = view.term > watched_term_;
+  if (detector_.watching() && !newer && watched_address_ == primary->address) {
+    return;
+  }
+  const bool after_promotion = newer && watched_term_ != 0;
+  // Any term ends the attempt but the one that the attempt itself brought; the
+  // directory may have been raised by another part of the proxy.
+  const bool own_term =
+      view.term == promoter_.term() && promoter_.state() == "following";
+  if (newer && !own_term) promoter_.Supersede(now);
+  if (newer) planned_wanted_ = false;
+  watched_term_ = view.term;
+  watched_address_ = primary->address;
+  detector_.Watch(primary->address, view.term, after_promotion, now);
+}
+
+void GroupMonitor::Raise(const GroupUpdateMessage& update, TimePoint now) {
+  if (!directory_.Raise(update)) return;
+  WatchPrimary(now);
+  const EndpointConfig* primary = Find(update.primary);
+  if (primary != nullptr && OwnerOf(*primary) == vm_) {
+    announcer_.Announce(update, kAnnounceDelay, now);
+  }
+  handler_.OnGroupChanged(update, now);
+}
+
+void GroupMonitor::SendReports(TimePoint now) {
+  next_report_ = now + kReportInterval;
+  const GroupView& view = directory_.ViewOf(service_);
+  std::set<VmName> others;
+  for (const EndpointConfig& endpoint : service_.endpoints) {
+    const VmName owner = OwnerOf(endpoint);
+    if (!owner.empty() && owner != vm_) others.insert(owner);
+  }
+  for (const auto& [name, owned] : owned_) {
+    const SuspectReportMessage report{service_.name, view.term, view.primary,
+                                      name, detector_.suspected()};
+    for (const VmName& other : others) peers_.Send(other, report);
+  }
+}
+
+void GroupMonitor::CheckOwned(TimePoint now) {
+  next_status_ = now + kStatusInterval;
+  for (auto& [name, owned] : owned_) {
+    if (owned.awaited != 0 && owned.sent_at + kStatusTimeout <= now) {
+      link_.Close(owned.connection);
+      owned.connection = 0;
+      owned.open = false;
+    }
+    if (owned.connection == 0) {
+      owned.connection = link_.Open(Find(name)->address, *this);
+      // An opening that never ends is given up like a missing answer.
+      owned.awaited = next_correlation_++;
+      owned.sent_at = now;
+    } else if (owned.open && owned.awaited == 0) {
+      EndpointCommand command;
+      command.operation = EndpointOperation::kStatus;
+      command.term = watched_term_;
+      command.correlation = next_correlation_++;
+      owned.awaited = command.correlation;
+      owned.sent_at = now;
+      link_.Send(owned.connection, command);
+    }
+  }
+}
+
+void GroupMonitor::OnOwnedStatus(const EndpointName& endpoint, Owned& owned,
+                                 const EndpointAnswer& answer, TimePoint now) {
+  directory_.Observe(endpoint, {answer.position, answer.age, now});
+  const Term term = directory_.ViewOf(service_).term;
+  if (answer.term > term) {
+    if (answer.primary.empty() && !owned.stranded_since) {
+      owned.stranded_since = now;
+    }
+    OnHigherTermSeen(answer, now);
+    return;
+  }
+  owned.stranded_since.reset();
+  const EndpointName& primary = directory_.ViewOf(service_).primary;
+  if (endpoint == primary || (answer.term == term && answer.primary == primary &&
+                              answer.role == EndpointRole::kReplica)) {
+    return;
+  }
+  EndpointCommand command;
+  command.operation = EndpointOperation::kFollow;
+  command.correlation = next_correlation_++;
+  command.term = term;
+  command.primary = primary;
+  link_.Send(owned.connection, command);
+}
+
+void GroupMonitor::Evaluate(TimePoint now) {
+  if (!promoter_.idle() || !detector_.watching()) return;
+  const EndpointName primary = directory_.ViewOf(service_).primary;
+  if (!detector_.suspected()) {
+    if (next_plan_ > now) return;
+    const auto stranded = std::find_if(
+        owned_.begin(), owned_.end(), [now](const auto& entry) {
+          const auto& since = entry.second.stranded_since;
+          return since && *since + kStrandedLimit <= now;
+        });
+    if (planned_wanted_) {
+      next_plan_ = now + kPlanRetry;
+      promoter_.Plan({}, now);
+    } else if (stranded != owned_.end()) {
+      next_plan_ = now + kPlanRetry;
+      stranded->second.stranded_since.reset();
+      promoter_.Plan(primary, now);
+    }
+    return;
+  }
+  int rank = 0;
+  for (const EndpointConfig& endpoint : service_.endpoints) {
+    if (endpoint.name == primary) continue;
+    if (owned_.contains(endpoint.name) && HasSecondObserver(endpoint, now)) {
+      promoter_.Stand(rank * kStagger, now);
+      return;
+    }
+    ++rank;
+  }
+}
+
+bool GroupMonitor::HasSecondObserver(const EndpointConfig& own,
+                                     TimePoint now) const {
+  const bool alone =
+      std::all_of(service_.endpoints.begin(), service_.endpoints.end(),
+                  [this](const EndpointConfig& endpoint) {
+                    return OwnerOf(endpoint) == vm_;
+                  });
+  if (alone) return true;
+  return std::any_of(
+      reports_.begin(), reports_.end(), [&](const auto& entry) {
+        const EndpointConfig* observer = Find(entry.first);
+        const Report& report = entry.second;
+        return observer != nullptr && report.vm != vm_ && report.until > now &&
+               report.term == watched_term_ &&
+               observer->data_centre != own.data_centre;
+      });
+}
+
+VmName GroupMonitor::OwnerOf(const EndpointConfig& endpoint) const {
+  const std::vector<VmName> owners = owners_.OwnersOf(endpoint, 1);
+  return owners.empty() ? VmName() : owners.front();
+}
+
+const EndpointConfig* GroupMonitor::Find(std::string_view endpoint) const {
+  for (const EndpointConfig& declared : service_.endpoints) {
+    if (declared.name == endpoint) return &declared;
+  }
+  return nullptr;
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/src/core/group/group_monitor.h
@@ -0,0 +1,164 @@
+#ifndef CARAWAYHAVEN_CORE_GROUP_GROUP_MONITOR_H_
+#define CARAWAYHAVEN_CORE_GROUP_GROUP_MONITOR_H_
+
+#include <map>
+#include <optional>
+#include <random>
+#include <string_view>
+#include <vector>
+
+#include "carawayhaven/names.h"
+#include "carawayhaven/time.h"
+#include "core/config/team_config.h"
+#include "core/endpoint_link.h"
+#include "core/group/failure_detector.h"
+#include "core/group/group_announcer.h"
+#include "core/group/promoter.h"
+#include "core/peer_message.h"
+
+namespace carawayhaven {
+
+class GroupDirectory;
+class OwnerResolver;
+class PeerLink;
+class PlatformStore;
+
+/// Is told what a GroupMonitor decides.
+class GroupMonitorHandler {
+ public:
+  virtual ~GroupMonitorHandler() = default;
+
+  /// The directory took a new term, or the starts of its term. The handler
+  /// forwards the message to peers; each update is reported once.
+  virtual void OnGroupChanged(const GroupUpdateMessage& update,
+                              TimePoint now) = 0;
+
+  /// The owner of the primary queues new writes of the service from now on.
+  virtual void HoldWrites(const ServiceName& service, TimePoint now) = 0;
+  virtual void ReleaseWrites(const ServiceName& service, TimePoint now) = 0;
+
+  /// True while a write of the service is sent and has no final outcome.
+  virtual bool WritesInFlight(const ServiceName& service) = 0;
+};
+
+/// Watches the group of one service on one VM and replaces its primary when
+/// needed. Probes only while this VM is the first owner of an endpoint of the
+/// group; also makes the endpoints that it owns follow the current primary.
+/// Not thread-safe; one loop, one thread.
+class GroupMonitor : public EndpointEvents,
+                     private FailureDetectorHandler,
+                     private PromoterHandler {
+ public:
+  /// How often ownership and the directory are looked at.
+  static constexpr Duration kRefreshInterval = std::chrono::milliseconds(100);
+  static constexpr Duration kReportInterval = std::chrono::milliseconds(250);
+  /// Four reports; a report that is older says nothing of the present.
+  static constexpr Duration kReportLifetime = std::chrono::seconds(1);
+  static constexpr Duration kStagger = std::chrono::milliseconds(300);
+  static constexpr Duration kStatusInterval = std::chrono::milliseconds(500);
+  static constexpr Duration kStatusTimeout = std::chrono::seconds(1);
+  /// The owner of the new primary announces when the candidate did not.
+  static constexpr Duration kAnnounceDelay = std::chrono::seconds(2);
+  static constexpr Duration kPlanRetry = std::chrono::seconds(1);
+  /// An endpoint that granted a term in which nobody was promoted refuses the
+  /// present primary; after this time a new term takes it in again.
+  static constexpr Duration kStrandedLimit = std::chrono::seconds(5);
+
+  /// All references must outlive the monitor.
+  GroupMonitor(const ServiceConfig& service, VmName vm, EndpointLink& link,
+               PeerLink& peers, PlatformStore& store,
+               const OwnerResolver& owners, GroupDirectory& directory,
+               std::mt19937_64& random, GroupMonitorHandler& handler);
+  ~GroupMonitor() override;
+
+  /// Takes a changed configuration of the service.
+  void Update(const ServiceConfig& service, TimePoint now);
+
+  /// Moves the primary away from its endpoint without an error for callers.
+  /// Ignored unless this VM is the first owner of the primary; a failed change
+  /// is tried again until the group has a new term.
+  void RequestPlannedChange(TimePoint now);
+
+  /// Takes SuspectReport and GroupUpdate messages of this service; others are
+  /// ignored.
+  void OnPeerMessage(const VmName& vm, const PeerMessage& message,
+                     TimePoint now);
+
+  bool suspected() const { return detector_.suspected(); }
+  /// State of charts/promoter.toml.
+  const std::string& promoter_state() const { return promoter_.state(); }
+  /// True when the store is not known to hold the newest term.
+  bool announcing() const { return !announcer_.done(); }
+
+  void Tick(TimePoint now);
+  TimePoint NextTick() const;
+
+  void OnConnectionOpened(ConnectionId connection, TimePoint now) override;
+  void OnConnectionClosed(ConnectionId connection, TimePoint now) override;
+  void OnAnswer(ConnectionId connection, const EndpointAnswer& answer,
+                TimePoint now) override;
+
+ private:
+  struct Report {
+    VmName vm;
+    Term term = 0;
+    TimePoint until;
+  };
+  /// Status connection to an endpoint that this VM owns.
+  struct Owned {
+    ConnectionId connection = 0;
+    bool open = false;
+    CorrelationId awaited = 0;
+    TimePoint sent_at;
+    std::optional<TimePoint> stranded_since;
+  };
+
+  void OnSuspicionChanged(bool suspected, TimePoint now) override;
+  void OnHigherTermSeen(const EndpointAnswer& answer, TimePoint now) override;
+  void OnPromoted(const GroupUpdateMessage& update, TimePoint now) override;
+  void OnHoldWrites(TimePoint now) override;
+  void OnReleaseWrites(TimePoint now) override;
+  bool WritesInFlight() override;
+
+  void Refresh(TimePoint now);
+  void RefreshOwned();
+  void WatchPrimary(TimePoint now);
+  void Raise(const GroupUpdateMessage& update, TimePoint now);
+  void SendReports(TimePoint now);
+  void CheckOwned(TimePoint now);
+  void OnOwnedStatus(const EndpointName& endpoint, Owned& owned,
+                     const EndpointAnswer& answer, TimePoint now);
+  void Evaluate(TimePoint now);
+  bool HasSecondObserver(const EndpointConfig& own, TimePoint now) const;
+  VmName OwnerOf(const EndpointConfig& endpoint) const;
+  const EndpointConfig* Find(std::string_view endpoint) const;
+
+  ServiceConfig service_;
+  VmName vm_;
+  EndpointLink& link_;
+  PeerLink& peers_;
+  const OwnerResolver& owners_;
+  GroupDirectory& directory_;
+  GroupMonitorHandler& handler_;
+  FailureDetector detector_;
+  Promoter promoter_;
+  GroupAnnouncer announcer_;
+
+  std::map<EndpointName, Owned, std::less<>> owned_;
+  /// By the observing endpoint.
+  std::map<EndpointName, Report, std::less<>> reports_;
+  Term watched_term_ = 0;
+  std::string watched_address_;
+  TimePoint next_refresh_;
+  TimePoint next_report_;
+  TimePoint next_status_;
+  CorrelationId next_correlation_ = 1;
+  bool planned_wanted_ = false;
+  TimePoint next_plan_;
+  /// Found in the store by a callback, which has no time.
+  std::optional<GroupUpdateMessage> found_;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_CORE_GROUP_GROUP_MONITOR_H_
--- /dev/null
+++ b/src/core/group/group_record.h
@@ -0,0 +1,24 @@
+#ifndef CARAWAYHAVEN_CORE_GROUP_GROUP_RECORD_H_
+#define CARAWAYHAVEN_CORE_GROUP_GROUP_RECORD_H_
+
+#include <string>
+#include <string_view>
+
+#include "carawayhaven/names.h"
+#include "core/peer_message.h"
+
+namespace carawayhaven {
+
+/// Returns the path of a service's group in the store: "groups/<service>".
+std::string GroupRecordPath(std::string_view service);
+
+/// Returns the JSON text of the object at that path.
+std::string FormatGroupRecord(const GroupUpdateMessage& update);
+
+/// Reads that text. Throws DecodeError when it is malformed.
+GroupUpdateMessage ParseGroupRecord(std::string_view service,
+                                    std::string_view text);
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_CORE_GROUP_GROUP_RECORD_H_
