--- /dev/null
+++ b/src/proxy/group_set.cc
@@ -0,0 +1,109 @@
+#include "proxy/group_set.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "core/config/service_directory.h"
+#include "core/config/team_config.h"
+#include "core/group/group_directory.h"
+#include "core/membership/owner_resolver.h"
+#include "core/peer_message.h"
+
+namespace carawayhaven {
+
+GroupSet::GroupSet(const ServiceDirectory& services, GroupDirectory& groups,
+                   const OwnerResolver& owners, EndpointLink& link,
+                   PeerLink& peers, PlatformStore& store,
+                   std::mt19937_64& random, GroupMonitorHandler& handler)
+    : services_(services),
+      groups_(groups),
+      owners_(owners),
+      link_(link),
+      peers_(peers),
+      store_(store),
+      random_(random),
+      handler_(handler) {}
+
+GroupSet::~GroupSet() = default;
+
+void GroupSet::OnOwnershipChanged(TimePoint now) {
+  std::erase_if(monitors_, [this](const auto& entry) {
+    const ServiceConfig* service = services_.FindService(entry.first);
+    return service == nullptr || !OwnsPartOf(*service);
+  });
+  for (const ServiceName& name : services_.Services()) {
+    const ServiceConfig& service = *services_.FindService(name);
+    if (!OwnsPartOf(service)) continue;
+    const auto found = monitors_.find(name);
+    if (found != monitors_.end()) {
+      found->second->Update(service, now);
+      continue;
+    }
+    monitors_.emplace(name, std::make_unique<GroupMonitor>(
+                                service, owners_.self(), link_, peers_, store_,
+                                owners_, groups_, random_, handler_));
+  }
+}
+
+void GroupSet::OnPeerMessage(const VmName& vm, const PeerMessage& message,
+                             TimePoint now) {
+  const auto* update = std::get_if<GroupUpdateMessage>(&message);
+  const auto* report = std::get_if<SuspectReportMessage>(&message);
+  if (update == nullptr && report == nullptr) return;
+  const ServiceName& service =
+      update != nullptr ? update->service : report->service;
+  const auto found = monitors_.find(service);
+  if (found != monitors_.end()) {
+    found->second->OnPeerMessage(vm, message, now);
+  } else if (update != nullptr) {
+    OnAnnouncement(*update, now);
+  }
+}
+
+void GroupSet::OnAnnouncement(const GroupUpdateMessage& update,
+                              TimePoint now) {
+  const auto found = monitors_.find(update.service);
+  if (found != monitors_.end()) {
+    found->second->OnPeerMessage(owners_.self(), update, now);
+  } else if (groups_.Raise(update)) {
+    handler_.OnGroupChanged(update, now);
+  }
+}
+
+void GroupSet::MoveLeavingPrimaries(
+    const std::function<bool(const EndpointName&)>& leaves, TimePoint now) {
+  for (const auto& [name, monitor] : monitors_) {
+    const ServiceConfig* service = services_.FindService(name);
+    if (service == nullptr) continue;
+    const EndpointName& primary = groups_.ViewOf(*service).primary;
+    const EndpointEntry entry = services_.FindEndpoint(primary);
+    const bool declared_leaving =
+        entry.endpoint != nullptr && entry.endpoint->leaving;
+    if (declared_leaving || leaves(primary)) monitor->RequestPlannedChange(now);
+  }
+}
+
+void GroupSet::Tick(TimePoint now) {
+  for (const auto& [name, monitor] : monitors_) monitor->Tick(now);
+}
+
+TimePoint GroupSet::NextTick() const {
+  TimePoint next = TimePoint::max();
+  for (const auto& [name, monitor] : monitors_) {
+    next = std::min(next, monitor->NextTick());
+  }
+  return next;
+}
+
+bool GroupSet::OwnsPartOf(const ServiceConfig& service) const {
+  return std::any_of(
+      service.endpoints.begin(), service.endpoints.end(),
+      [this](const EndpointConfig& endpoint) {
+        const std::vector<VmName> owners = owners_.OwnersOf(endpoint, 1);
+        return !owners.empty() && owners.front() == owners_.self();
+      });
+}
+
+}  // namespace carawayhaven
