--- /dev/null
+++ b/src/proxy/admin_api.h
@@ -0,0 +1,52 @@
+#ifndef CARAWAYHAVEN_PROXY_ADMIN_API_H_
+#define CARAWAYHAVEN_PROXY_ADMIN_API_H_
+
+#include <cstddef>
+#include <map>
+#include <string_view>
+
+#include "carawayhaven/names.h"
+#include "net/http_server.h"
+#include "proxy/secret.h"
+
+namespace carawayhaven {
+
+class AdminBackend;
+
+/// The admin API of a proxy. docs/operations/commands.md has the contract.
+/// Bad input is refused with a JSON error and changes nothing. Not thread-safe;
+/// one loop, one thread.
+class AdminApi : public HttpHandler {
+ public:
+  using Tokens = std::map<TeamName, Secret, std::less<>>;
+
+  static constexpr std::size_t kMaxNameBytes = 64;
+  static constexpr std::size_t kMaxRequestIdBytes = 256;
+  /// Leaves room in a store object of 1 MB for the text as escaped JSON.
+  static constexpr std::size_t kMaxTeamTextBytes = 448 * 1024;
+  /// Name in the tokens of those who may drain a proxy.
+  static constexpr std::string_view kOperators = "operators";
+
+  /// Both arguments must outlive the API and all pending requests.
+  AdminApi(AdminBackend& backend, const Tokens& tokens);
+
+  void OnRequest(const HttpRequest& request, HttpResponder responder) override;
+
+ private:
+  void HandleTeam(const HttpRequest& request, std::string_view team,
+                  const HttpResponder& responder);
+  void GetTeam(std::string_view team, const HttpResponder& responder) const;
+  void PutTeam(const HttpRequest& request, std::string_view team,
+               const HttpResponder& responder);
+  void HandleDrain(const HttpRequest& request, const HttpResponder& responder);
+  void HandleResolve(std::string_view rest, const HttpResponder& responder);
+  bool CheckToken(const HttpRequest& request, std::string_view name,
+                  const HttpResponder& responder) const;
+
+  AdminBackend& backend_;
+  const Tokens& tokens_;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_PROXY_ADMIN_API_H_
--- /dev/null
+++ b/src/proxy/proxy_status.h
@@ -0,0 +1,70 @@
+#ifndef CARAWAYHAVEN_PROXY_PROXY_STATUS_H_
+#define CARAWAYHAVEN_PROXY_PROXY_STATUS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "carawayhaven/log_position.h"
+#include "carawayhaven/names.h"
+#include "carawayhaven/time.h"
+#include "core/peer_message.h"
+
+namespace carawayhaven {
+
+/// State of the pool of an endpoint, known by its owner only.
+struct PoolStatus {
+  std::uint32_t slots = 0;
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t open_connections = 0;
+  std::uint32_t open_transactions = 0;
+  /// True while the circuit breaker keeps new connections from being opened.
+  bool breaker_open = false;
+};
+
+struct EndpointStatus {
+  EndpointName name;
+  std::string address;
+  DataCentreName data_centre;
+  bool leaving = false;
+  bool is_primary = false;
+  /// VM that owns the pool as this proxy sees it; empty when none is alive.
+  VmName owner;
+  /// Position and age of the data that were observed last.
+  LogPosition position;
+  Duration lag{0};
+  /// Time since that observation; absent when there was none.
+  std::optional<Duration> observed_ago;
+  /// Present when this proxy owns the pool.
+  std::optional<PoolStatus> pool;
+};
+
+struct GroupStatus {
+  ServiceName service;
+  TeamName team;
+  Term term = 0;
+  EndpointName primary;
+  std::vector<EndpointStatus> endpoints;
+};
+
+/// What GET /status reports of one proxy.
+struct ProxyStatus {
+  VmName vm;
+  DataCentreName data_centre;
+  std::string region;
+  std::string build_version;
+  Duration uptime{0};
+  bool leaving = false;
+  std::uint32_t sessions = 0;
+  std::uint32_t requests_in_flight = 0;
+  bool store_reachable = false;
+  std::vector<TeamVersion> teams;
+  std::vector<GroupStatus> groups;
+  std::vector<VmRecord> members;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_PROXY_PROXY_STATUS_H_
--- a/test/proxy/logging_test.cc
+++ b/test/proxy/logging_test.cc
@@ -15,9 +15,9 @@
   nlohmann::json LastLine() const {
     std::istringstream lines(out_.str());
     std::string line;
-    while (std::getline(lines, line)) {
-    }
-    return nlohmann::json::parse(line);
+    std::string last;
+    while (std::getline(lines, line)) last = line;
+    return nlohmann::json::parse(last);
   }
 
   std::ostringstream out_;
--- a/test/proxy/metrics_test.cc
+++ b/test/proxy/metrics_test.cc
@@ -40,7 +40,7 @@
   Histogram& histogram =
       metrics_.GetHistogram("wait_seconds", "Wait.", {0.001, 1, 3});
   for (const double value :
-       {-1.0, 0.0, 0.005, 0.05, 0.5, 50.0, NAN, double{HUGE_VAL}}) {
+       {-1.0, 0.0, 0.005, 0.05, 0.5, 50.0, std::nan(""), HUGE_VAL}) {
     histogram.Observe(value);
   }
   EXPECT_THAT(metrics_.FormatPrometheus(),
