--- a/src/core/queue/admission_control.h
+++ b/src/core/queue/admission_control.h
@@ -24,9 +24,9 @@
   static constexpr Duration kShortestRetry = std::chrono::milliseconds(10);
 
   /// Returns nothing when the request may wait, otherwise the time after which
-  /// a retry has a chance.
+  /// a retry has a chance. The wait is raised by `margin` times itself.
   static std::optional<Duration> Refuse(const QueueLoad& load, Duration cost,
-                                        Duration remaining);
+                                        Duration remaining, double margin);
 };
 
 }  // namespace carawayhaven
--- a/src/core/queue/cost_estimator.cc
+++ b/src/core/queue/cost_estimator.cc
@@ -12,6 +12,10 @@
 constexpr double kCostQuantile = 0.9;
 /// Below this number the median of the endpoint says too little.
 constexpr std::uint64_t kLeastObservations = 20;
+/// The ratio starts at one and falls below the threshold after about 60 new
+/// statements that were all short.
+constexpr double kNewRatioWeight = 0.05;
+constexpr double kSuspectRatio = 0.05;
 
 }  // namespace
 
@@ -25,12 +29,12 @@
 
 void CostEstimator::Observe(std::uint64_t fingerprint, Duration run_time) {
   all_.Add(run_time);
-  HistogramOf(fingerprint).Add(run_time);
+  HistogramOf(fingerprint, run_time).Add(run_time);
 }
 
 void CostEstimator::ObserveRunning(std::uint64_t fingerprint,
                                    Duration elapsed) {
-  HistogramOf(fingerprint).Add(elapsed);
+  HistogramOf(fingerprint, elapsed).Add(elapsed);
 }
 
 CostEstimate CostEstimator::Estimate(std::uint64_t fingerprint) const {
@@ -53,12 +57,19 @@
   return Estimate(fingerprint).p90 > LongLimit();
 }
 
-DecayingHistogram& CostEstimator::HistogramOf(std::uint64_t fingerprint) {
+bool CostEstimator::NewAreSuspect() const {
+  return LongLimit() != Duration::max() && new_long_ratio_ > kSuspectRatio;
+}
+
+DecayingHistogram& CostEstimator::HistogramOf(std::uint64_t fingerprint,
+                                              Duration run_time) {
   const auto found = by_fingerprint_.find(fingerprint);
   if (found != by_fingerprint_.end()) {
     recent_.splice(recent_.begin(), recent_, found->second);
     return found->second->second;
   }
+  new_long_ratio_ +=
+      kNewRatioWeight * ((run_time >= LongLimit() ? 1 : 0) - new_long_ratio_);
   if (by_fingerprint_.size() >= kMaxFingerprints) {
     by_fingerprint_.erase(recent_.back().first);
     recent_.pop_back();
--- a/src/core/queue/cost_estimator.h
+++ b/src/core/queue/cost_estimator.h
@@ -51,14 +51,20 @@
 
   bool IsLong(std::uint64_t fingerprint) const;
 
+  /// True while statements often turn out to be long when they are seen for
+  /// the first time, and the long limit is known.
+  bool NewAreSuspect() const;
+
   std::size_t size() const { return by_fingerprint_.size(); }
 
  private:
   using Entry = std::pair<std::uint64_t, DecayingHistogram>;
 
-  DecayingHistogram& HistogramOf(std::uint64_t fingerprint);
+  DecayingHistogram& HistogramOf(std::uint64_t fingerprint, Duration run_time);
 
   double long_factor_;
+  /// Share of long statements among those seen for the first time.
+  double new_long_ratio_ = 1;
   DecayingHistogram all_;
   std::list<Entry> recent_;
   std::unordered_map<std::uint64_t, std::list<Entry>::iterator> by_fingerprint_;
--- a/src/core/queue/endpoint_pool.cc
+++ b/src/core/queue/endpoint_pool.cc
@@ -13,8 +13,8 @@
 
 /// The confirmation tracker has one connection of its own.
 std::size_t StatementConnections(const EndpointPoolOptions& options) {
-  constexpr std::uint32_t reserved = EndpointPool::kReservedConnections + 1;
-  return options.connections > reserved ? options.connections - reserved : 1;
+  constexpr std::uint32_t kReserved = EndpointPool::kReservedConnections + 1;
+  return options.connections > kReserved ? options.connections - kReserved : 1;
 }
 
 /// A refused statement says nothing about its run time.
@@ -23,6 +23,11 @@
          status == EndpointStatus::kError;
 }
 
+bool EndsTransaction(const Request& request) {
+  return request.kind == RequestKind::kCommit ||
+         request.kind == RequestKind::kRollback;
+}
+
 Duration Scaled(Duration value, double factor) {
   return std::chrono::duration_cast<Duration>(value * factor);
 }
@@ -107,6 +112,7 @@
   PoolStats stats = totals_;
   stats.queued_short = queue_.size(WorkClass::kShort);
   stats.queued_long = queue_.size(WorkClass::kLong);
+  stats.queued_trial = queue_.size(WorkClass::kTrial);
   stats.running = running_.size();
   stats.running_long = running_long_;
   stats.connections = connections_.size() + confirmations_.connections();
@@ -245,20 +251,16 @@
   }
   const CostEstimate estimate = costs_.Estimate(work.fingerprint);
   work.cost = estimate.mean;
-  if (policy.limit_long_work && costs_.IsLong(work.fingerprint)) {
-    work.work_class = WorkClass::kLong;
-  }
-  const bool is_long = work.work_class == WorkClass::kLong;
+  work.work_class = ClassOf(work.fingerprint);
+  const bool is_short = work.work_class == WorkClass::kShort;
   QueueLoad load;
   load.backlog = queue_.BacklogBefore(work.work_class, work.request.team);
   load.slots =
-      is_long ? LongSlots()
-              : options_.slots - std::min(running_long_, options_.slots - 1);
+      !is_short ? LongSlots()
+                : options_.slots - std::min(running_long_, options_.slots - 1);
   load.all_slots_busy = running_.size() >= options_.slots;
   // A refused commit or rollback would only keep the transaction open longer.
-  const bool ends_transaction = work.request.kind == RequestKind::kCommit ||
-                                work.request.kind == RequestKind::kRollback;
-  if (ends_transaction) return true;
+  if (EndsTransaction(work.request)) return true;
   if (queue_.IsFull(work.request.team)) {
     ++totals_.refused;
     EndWork(work, Verdict::kNotRun, Reason::kOverloaded,
@@ -267,8 +269,8 @@
     return false;
   }
   if (!policy.admission_control) return true;
-  const auto retry_after =
-      AdmissionControl::Refuse(load, estimate.p90, work.request.deadline - now);
+  const auto retry_after = AdmissionControl::Refuse(
+      load, estimate.p90, work.request.deadline - now, policy.admission_margin);
   if (!retry_after) return true;
   ++totals_.refused;
   EndWork(work, Verdict::kNotRun, Reason::kOverloaded, *retry_after);
@@ -304,26 +306,61 @@
         long_head != nullptr && running_long_ < long_slots;
     const bool long_first = long_allowed && aged && policy.age_long_work;
     std::optional<Work> work;
-    if (!long_first) work = queue_.Pop(WorkClass::kShort, eligible);
+    if (!long_first && running_long_ < LongSlots()) {
+      work = queue_.Pop(WorkClass::kTrial, eligible);
+    }
+    if (!work && !long_first) work = queue_.Pop(WorkClass::kShort, eligible);
     if (!work && long_allowed) work = queue_.Pop(WorkClass::kLong, eligible);
     if (!work) return std::nullopt;
-    const auto transaction = transactions_.find(work->request.transaction);
-    const bool has_transaction =
-        !work->needs_connection && transaction != transactions_.end();
     // Its fingerprint may have turned out to be long while it waited.
-    if (policy.limit_long_work && work->work_class == WorkClass::kShort &&
-        costs_.IsLong(work->fingerprint)) {
-      work->work_class = WorkClass::kLong;
-      work->cost = costs_.Estimate(work->fingerprint).mean;
-      const WorkId id = queue_.Push(std::move(*work));
-      if (has_transaction) transaction->second.queued = id;
+    if (work->work_class == WorkClass::kShort &&
+        ClassOf(work->fingerprint) == WorkClass::kLong) {
+      Requeue(std::move(*work));
+      continue;
+    }
+    if (!work->needs_connection) {
+      transactions_.at(work->request.transaction).queued = 0;
+    }
+    // It would take a slot and end too late.
+    const Duration remaining = work->request.deadline - now;
+    if (policy.admission_control && !EndsTransaction(work->request) &&
+        costs_.Estimate(work->fingerprint).p90 > remaining) {
+      ++totals_.expired_in_queue;
+      EndWork(*work, Verdict::kNotRun, Reason::kDeadline);
+      if (!work->needs_connection) {
+        connections_.Hold(
+            transactions_.at(work->request.transaction).connection, now);
+      }
       continue;
     }
-    if (has_transaction) transaction->second.queued = 0;
     return work;
   }
 }
 
+WorkClass EndpointPool::ClassOf(std::uint64_t fingerprint) const {
+  const QueuePolicy& policy = options_.policy;
+  if (!policy.limit_long_work) return WorkClass::kShort;
+  if (costs_.IsLong(fingerprint)) return WorkClass::kLong;
+  return policy.limit_unknown_work && costs_.NewAreSuspect() &&
+                 !costs_.Estimate(fingerprint).known
+             ? WorkClass::kTrial
+             : WorkClass::kShort;
+}
+
+void EndpointPool::Requeue(Work work) {
+  work.work_class = ClassOf(work.fingerprint);
+  work.cost = costs_.Estimate(work.fingerprint).mean;
+  const auto transaction = work.needs_connection
+                               ? transactions_.end()
+                               : transactions_.find(work.request.transaction);
+  const WorkId id = queue_.Push(std::move(work));
+  if (transaction != transactions_.end()) transaction->second.queued = id;
+}
+
+void EndpointPool::RequeueTrials(std::uint64_t fingerprint) {
+  for (Work& work : queue_.TakeTrials(fingerprint)) Requeue(std::move(work));
+}
+
 bool EndpointPool::IsAged(const Work& head, TimePoint now) const {
   return now - head.arrival >= AgeLimit(head);
 }
@@ -359,10 +396,10 @@
   running.correlation = command.correlation;
   running.term = command.term;
   running.started = now;
-  running.counts_as_long = work.work_class == WorkClass::kLong;
+  running.counts_as_long = work.work_class != WorkClass::kShort;
   if (running.counts_as_long) ++running_long_;
   const Duration limit = costs_.LongLimit();
-  if (!running.counts_as_long && limit != Duration::max() &&
+  if (work.work_class != WorkClass::kLong && limit != Duration::max() &&
       options_.policy.limit_long_work && options_.policy.reclassify_running) {
     running.long_at = now + limit;
   }
@@ -376,6 +413,7 @@
   const Duration run_time = now - running.started;
   if (RanOnEndpoint(answer.status)) {
     costs_.Observe(work.fingerprint, run_time);
+    RequeueTrials(work.fingerprint);
   }
   queue_.Charge(work.work_class, work.request.team, run_time - work.cost);
   SettleConnection(id, work.request, answer.status, now);
@@ -425,9 +463,10 @@
   for (auto& [id, running] : running_) {
     if (running.long_at <= now) {
       running.long_at = TimePoint::max();
+      if (!running.counts_as_long) ++running_long_;
       running.counts_as_long = true;
-      ++running_long_;
       costs_.ObserveRunning(running.work.fingerprint, now - running.started);
+      RequeueTrials(running.work.fingerprint);
     }
     const TimePoint deadline = running.work.request.deadline;
     if (deadline > now) continue;
--- a/src/core/queue/endpoint_pool.h
+++ b/src/core/queue/endpoint_pool.h
@@ -134,6 +134,11 @@
   bool Admit(Work& work, TimePoint now);
   void Dispatch(TimePoint now);
   std::optional<Work> NextWork(TimePoint now);
+  WorkClass ClassOf(std::uint64_t fingerprint) const;
+  /// Queues work again in the class that it belongs to by now.
+  void Requeue(Work work);
+  /// The same for waiting work with a fingerprint that was new.
+  void RequeueTrials(std::uint64_t fingerprint);
   bool IsAged(const Work& head, TimePoint now) const;
   Duration AgeLimit(const Work& head) const;
   void Start(Work work, TimePoint now);
--- a/src/core/queue/queue_policy.h
+++ b/src/core/queue/queue_policy.h
@@ -14,6 +14,9 @@
   bool limit_long_work = true;
   /// Count a running statement as long once it has run past the limit.
   bool reclassify_running = true;
+  /// Run statements seen for the first time within the share of long work,
+  /// while such statements often turn out to be long.
+  bool limit_unknown_work = true;
   /// Deficit round robin between teams; otherwise first in, first out.
   bool fair_between_teams = true;
   /// Refuse work that cannot meet its deadline.
@@ -27,6 +30,9 @@
   double long_factor = 8.0;
   /// Share of the slots that long work may take, at least one slot.
   double long_share = 0.4;
+  /// Part by which the expected wait is raised before it is compared with the
+  /// deadline. Estimates of a long backlog err by more than its last request.
+  double admission_margin = 0.25;
   /// Age of the long queue's head, as multiple of its estimate and at most.
   double ageing_factor = 10.0;
   Duration ageing_limit = std::chrono::seconds(5);
--- a/src/core/queue/work.h
+++ b/src/core/queue/work.h
@@ -12,7 +12,8 @@
 
 using OutcomeCallback = std::function<void(const Outcome&)>;
 
-enum class WorkClass { kShort, kLong };
+/// kTrial: never seen to end, so it may turn out to be long.
+enum class WorkClass { kShort, kLong, kTrial };
 
 /// A request on its way through a pool.
 struct Work {
--- a/src/core/queue/work_queue.cc
+++ b/src/core/queue/work_queue.cc
@@ -42,6 +42,7 @@
   ++team_sizes_[key];
   ++lane_sizes_[lane];
   deadlines_.emplace(work.request.deadline, id);
+  if (work_class == WorkClass::kTrial) trials_[work.fingerprint].insert(id);
   team.lanes[lane].push_back({id, std::move(work)});
   entries_.emplace(
       id, Place{work_class, &team, lane, std::prev(team.lanes[lane].end())});
@@ -112,6 +113,15 @@
   return expired;
 }
 
+std::vector<Work> WorkQueue::TakeTrials(std::uint64_t fingerprint) {
+  std::vector<Work> taken;
+  while (true) {
+    const auto found = trials_.find(fingerprint);
+    if (found == trials_.end()) return taken;
+    taken.push_back(Extract(entries_.at(*found->second.begin())));
+  }
+}
+
 std::vector<Work> WorkQueue::TakeAllThatNeedConnection() {
   std::vector<WorkId> ids;
   for (const auto& [id, place] : entries_) {
@@ -185,11 +195,11 @@
 }
 
 const WorkQueue::ClassQueue& WorkQueue::QueueOf(WorkClass work_class) const {
-  return classes_[work_class == WorkClass::kLong ? 1 : 0];
+  return classes_[static_cast<std::size_t>(work_class)];
 }
 
 WorkQueue::ClassQueue& WorkQueue::QueueOf(WorkClass work_class) {
-  return classes_[work_class == WorkClass::kLong ? 1 : 0];
+  return classes_[static_cast<std::size_t>(work_class)];
 }
 
 Work WorkQueue::Extract(const Place& place) {
@@ -206,6 +216,11 @@
   if (--team_size->second == 0) team_sizes_.erase(team_size);
   deadlines_.erase({work.request.deadline, id});
   entries_.erase(id);
+  if (at.work_class == WorkClass::kTrial) {
+    const auto trials = trials_.find(work.fingerprint);
+    trials->second.erase(id);
+    if (trials->second.empty()) trials_.erase(trials);
+  }
   if (at.team->count == 0) {
     queue.ring.remove(at.team);
     queue.teams.erase(TeamName(at.team->team));
--- a/src/core/queue/work_queue.h
+++ b/src/core/queue/work_queue.h
@@ -30,8 +30,8 @@
   bool writes_allowed = true;
 };
 
-/// Work that waits for a slot: a short and a long class, in each of them
-/// deficit round robin between teams by expected cost, first in, first out
+/// Work that waits for a slot: a short, a long and a trial class, in each of
+/// them deficit round robin between teams by expected cost, first in, first out
 /// within a team. All operations take O(log n) in the number of requests and
 /// O(n) in the number of teams. Not thread-safe.
 class WorkQueue {
@@ -56,6 +56,9 @@
   /// Removes and returns what has reached its deadline.
   std::vector<Work> TakeExpired(TimePoint now);
 
+  /// Removes and returns the work of the trial class with that fingerprint.
+  std::vector<Work> TakeTrials(std::uint64_t fingerprint);
+
   /// Removes and returns all work that needs a free connection.
   std::vector<Work> TakeAllThatNeedConnection();
 
@@ -110,8 +113,9 @@
   Work Extract(const Place& place);
 
   QueuePolicy policy_;
-  std::array<ClassQueue, 2> classes_;
+  std::array<ClassQueue, 3> classes_;
   std::unordered_map<WorkId, Place> entries_;
+  std::unordered_map<std::uint64_t, std::set<WorkId>> trials_;
   std::set<std::pair<TimePoint, WorkId>> deadlines_;
   std::map<TeamName, std::size_t> team_sizes_;
   std::array<std::size_t, 4> lane_sizes_{};
--- a/test/queue/cost_estimator_test.cc
+++ b/test/queue/cost_estimator_test.cc
@@ -55,9 +55,10 @@
 TEST_F(AdmissionControlTest, WaitPlusCostAboveTimeLeftIsRefusedWithExcess) {
   const QueueLoad load{milliseconds(300), 3, false};
   EXPECT_FALSE(
-      AdmissionControl::Refuse(load, milliseconds(10), milliseconds(110)));
-  EXPECT_EQ(AdmissionControl::Refuse(load, milliseconds(10), milliseconds(60)),
-            Duration(milliseconds(50)));
+      AdmissionControl::Refuse(load, milliseconds(10), milliseconds(110), 0));
+  EXPECT_EQ(
+      AdmissionControl::Refuse(load, milliseconds(10), milliseconds(60), 0),
+      Duration(milliseconds(50)));
 }
 
 }  // namespace
