--- a/src/core/membership/gossip.cc
+++ b/src/core/membership/gossip.cc
@@ -123,7 +123,7 @@
     Suspicion& suspicion = entry->second;
     if (added || suspicion.incarnation != record.incarnation) {
       suspicion = {record.incarnation, now + kSuspicionTimeout + kHearsayMargin,
-                   TimePoint::max()};
+                   now + kSuspicionTimeout};
     }
     return;
   }
