--- /dev/null
+++ b/bench/replica_read_experiment.cc
@@ -0,0 +1,356 @@
+// Share of reads with a stated age that replicas serve, in virtual time, beside
+// the optimum from the true state of the group and two simple policies.
+// Usage: replica_read_experiment [--check BOUNDS.toml]
+
+#include <toml++/toml.h>
+
+#include <array>
+#include <cstdio>
+#include <cstring>
+#include <memory>
+#include <optional>
+#include <random>
+
+#include "carawayhaven/session_token.h"
+#include "core/group/group_directory.h"
+#include "core/route/deadline_split.h"
+#include "core/route/front.h"
+#include "replica_read_world.h"
+#include "route/fake_route.h"
+
+namespace carawayhaven::replica_read {
+namespace {
+
+constexpr std::size_t kFronts = 6;
+constexpr std::size_t kSessions = 120;
+constexpr Duration kRunTime = seconds(60);
+constexpr Duration kThinkTime = milliseconds(200);
+constexpr Duration kServiceTime = milliseconds(2);
+constexpr Duration kSameDataCentre = microseconds(250);
+constexpr Duration kReadDeadline = seconds(2);
+constexpr Duration kWriteDeadline = seconds(20);
+constexpr std::array<Duration, 4> kAges = {milliseconds(100), seconds(1),
+                                           seconds(10), seconds(60)};
+
+struct Case {
+  const char* deployment;
+  /// One way between data centres, all of which are in different regions.
+  Duration between;
+  Duration lag;
+  AcknowledgeMode acknowledge;
+};
+
+struct Result {
+  ReadTally front;
+  ReadTally round_robin;
+  ReadTally primary_only;
+  std::size_t optimum = 0;
+  std::size_t stale_own_reads = 0;
+  /// Time beyond the direct way to the endpoint that served the read.
+  ReadTally added;
+  std::uint64_t writes = 0;
+
+  double OptimumShare() const {
+    return static_cast<double>(optimum) / static_cast<double>(front.count());
+  }
+  double OfOptimum() const {
+    return optimum == 0 ? 1 : front.Share() / OptimumShare();
+  }
+};
+
+std::size_t IndexOf(const EndpointName& endpoint) {
+  return static_cast<std::size_t>(endpoint.front() - 'a');
+}
+
+class Simulation {
+ public:
+  explicit Simulation(const Case& setup) : setup_(setup), group_(setup.lag) {
+    services_.service().acknowledge = setup.acknowledge;
+    for (std::size_t i = 0; i < kFronts; ++i) {
+      nodes_.push_back(std::make_unique<Node>(*this, i));
+    }
+  }
+
+  Result Run() {
+    for (std::size_t i = 0; i < kSessions; ++i) {
+      sessions_.push_back({i, i % kFronts, {}});
+    }
+    for (Session& session : sessions_) Think(session);
+    while (events_.RunOne()) {
+    }
+    return result_;
+  }
+
+ private:
+  struct Session {
+    std::size_t number;
+    std::size_t node;
+    SessionToken token;
+    std::uint64_t last_write = 0;
+  };
+
+  struct Node : PeerLink {
+    Node(Simulation& world, std::size_t index)
+        : world(world),
+          data_centre(index % 3),
+          owners("v" + std::to_string(index)),
+          random(index + 1),
+          front(world.services_, groups, owners, *this, random, Options()) {}
+
+    FrontOptions Options() const {
+      FrontOptions options;
+      const std::string own =
+          std::string("dc-") + static_cast<char>('a' + data_centre);
+      options.distance = [own](const DataCentreName& other) {
+        return other == own ? 0U : 1U;
+      };
+      return options;
+    }
+    bool Send(const VmName& vm, const PeerMessage& message) override {
+      world.Deliver(*this, vm, std::get<ForwardMessage>(message));
+      return true;
+    }
+    void SetAddress(const VmName&, std::string_view) override {}
+
+    Simulation& world;
+    std::size_t data_centre;
+    FakeOwners owners;
+    GroupDirectory groups;
+    std::mt19937_64 random;
+    Front front;
+    TimePoint tick_at = TimePoint::max();
+  };
+
+  Duration OneWay(const Node& node, std::size_t endpoint) const {
+    return node.data_centre == endpoint ? kSameDataCentre : setup_.between;
+  }
+
+  Duration Direct(const Node& node, std::size_t endpoint) const {
+    return 2 * OneWay(node, endpoint) + kServiceTime;
+  }
+
+  void Deliver(Node& node, const VmName& vm, const ForwardMessage& message) {
+    const Duration way = OneWay(node, IndexOf(message.endpoint));
+    events_.At(events_.now() + way, [this, &node, vm, message, way] {
+      ForwardReplyMessage reply{message.correlation, 1, {}};
+      const TimePoint replied = Handle(message, reply.outcome) + way;
+      events_.At(replied, [this, &node, vm, reply] {
+        node.front.OnForwardReply(vm, reply, events_.now());
+        Schedule(node);
+      });
+    });
+  }
+
+  /// Fills the outcome and returns the time at which the owner replies.
+  TimePoint Handle(const ForwardMessage& message, Outcome& outcome) {
+    const TimePoint now = events_.now();
+    const std::size_t endpoint = IndexOf(message.endpoint);
+    outcome.served_by = message.endpoint;
+    outcome.from_replica = endpoint != 0;
+    const Request& request = message.request;
+    if (outcome.from_replica) {
+      outcome.position = {1, group_.ReplicaIndex(endpoint, now)};
+      if (!group_.Serves(endpoint, now, request.min_position,
+                         *request.max_age)) {
+        outcome.reason = Reason::kBehind;
+        return now;
+      }
+      outcome.verdict = Verdict::kRan;
+      return now + kServiceTime;
+    }
+    outcome.verdict = Verdict::kRan;
+    if (request.access == AccessMode::kRead) {
+      outcome.position = {1, group_.PrimaryIndex(now)};
+      return now + kServiceTime;
+    }
+    outcome.position = {1, group_.Commit(now)};
+    if (setup_.acknowledge == AcknowledgeMode::kPrimary) {
+      return now + kServiceTime;
+    }
+    return group_.ReplicatedAt(now) + 2 * setup_.between + kServiceTime;
+  }
+
+  void Schedule(Node& node) {
+    const TimePoint next = node.front.NextTick();
+    if (next >= node.tick_at) return;
+    node.tick_at = next;
+    events_.At(next, [this, &node, next] {
+      if (node.tick_at != next) return;
+      node.tick_at = TimePoint::max();
+      node.front.Tick(events_.now());
+      Schedule(node);
+    });
+  }
+
+  void Think(Session& session) {
+    std::exponential_distribution<double> pause(
+        1.0 / static_cast<double>(kThinkTime.count()));
+    const TimePoint next =
+        events_.now() + Duration(static_cast<Duration::rep>(pause(random_)));
+    if (next > TimePoint(kRunTime)) return;
+    events_.At(next, [this, &session] { Act(session); });
+  }
+
+  void Act(Session& session) {
+    if (random_() % 10 == 0) session.node = random_() % kFronts;
+    Node& node = *nodes_[session.node];
+    Request request;
+    request.service = "s";
+    request.min_position = session.token.PositionOf("s");
+    if (random_() % 5 == 0) {
+      request.access = AccessMode::kWrite;
+      request.idempotent = true;
+      request.deadline = events_.now() + kWriteDeadline;
+      ++result_.writes;
+      node.front.Submit(
+          request,
+          [this, &session](const Outcome& outcome) {
+            if (outcome.verdict == Verdict::kRan) {
+              session.token.Advance("s", outcome.position);
+              session.last_write = outcome.position.index;
+            }
+            Think(session);
+          },
+          events_.now());
+    } else {
+      SubmitRead(session, node, request);
+    }
+    Schedule(node);
+  }
+
+  void SubmitRead(Session& session, Node& node, Request request) {
+    const TimePoint start = events_.now();
+    request.deadline = start + kReadDeadline;
+    const bool accepts_age = random_() % 10 != 0;
+    if (accepts_age) {
+      request.max_age = kAges[random_() % kAges.size()];
+      // Later, so that all commits that a replica can hold by then are known.
+      events_.At(start + milliseconds(200), [this, &node, request, start] {
+        TallyOthers(node, request, start);
+      });
+    }
+    node.front.Submit(
+        request,
+        [this, &session, &node, accepts_age, start](const Outcome& outcome) {
+          const Duration latency = events_.now() - start;
+          if (outcome.verdict != Verdict::kRan ||
+              outcome.position.index < session.last_write) {
+            ++result_.stale_own_reads;
+          }
+          if (accepts_age) {
+            result_.front.Add(outcome.from_replica, latency);
+            result_.added.Add(
+                false, latency - Direct(node, IndexOf(outcome.served_by)));
+          }
+          Think(session);
+        },
+        start);
+  }
+
+  void TallyOthers(Node& node, const Request& request, TimePoint start) {
+    const Duration wait = ReplicaWaitBound(kReadDeadline);
+    bool possible = false;
+    for (std::size_t replica = 1; replica <= 2; ++replica) {
+      const TimePoint first = start + OneWay(node, replica);
+      for (Duration w{0}; w <= wait && !possible; w += milliseconds(1)) {
+        possible = group_.Serves(replica, first + w, request.min_position,
+                                 *request.max_age);
+      }
+    }
+    if (possible) ++result_.optimum;
+    const std::size_t next = 1 + round_robin_++ % 2;
+    const bool served = group_.Serves(next, start + OneWay(node, next),
+                                      request.min_position, *request.max_age);
+    result_.round_robin.Add(
+        served,
+        served ? Direct(node, next) : 2 * OneWay(node, next) + Direct(node, 0));
+    result_.primary_only.Add(false, Direct(node, 0));
+  }
+
+  Case setup_;
+  EventQueue events_;
+  Group group_;
+  FakeServices services_;
+  std::vector<std::unique_ptr<Node>> nodes_;
+  std::vector<Session> sessions_;
+  std::mt19937_64 random_{42};
+  std::size_t round_robin_ = 0;
+  Result result_;
+};
+
+std::vector<Case> Cases() {
+  std::vector<Case> cases;
+  for (const AcknowledgeMode mode :
+       {AcknowledgeMode::kReplica, AcknowledgeMode::kPrimary}) {
+    for (const Duration lag :
+         {Duration(milliseconds(50)), Duration(milliseconds(500)),
+          Duration(seconds(5))}) {
+      cases.push_back({"registry", milliseconds(10), lag, mode});
+      cases.push_back({"kitchen", milliseconds(20), lag, mode});
+    }
+  }
+  return cases;
+}
+
+int Main(std::optional<std::string> bounds) {
+  double least_of_optimum = 1;
+  std::size_t stale = 0;
+  std::string rows;
+  std::printf(
+      "%-9s %-8s %7s %6s | %6s %7s %7s %6s | %7s %7s | %6s %6s %6s | %5s\n",
+      "deploym.", "ack", "lag ms", "reads", "share", "optimum", "of opt.",
+      "r.rob.", "added", "add p99", "mean", "r.rob.", "prim.", "stale");
+  for (const Case& setup : Cases()) {
+    const Result result = Simulation(setup).Run();
+    const char* mode =
+        setup.acknowledge == AcknowledgeMode::kReplica ? "replica" : "primary";
+    const double of_optimum = result.OfOptimum();
+    least_of_optimum = std::min(least_of_optimum, of_optimum);
+    stale += result.stale_own_reads;
+    const auto lag_ms = static_cast<long>(setup.lag.count() / 1000);
+    std::printf(
+        "%-9s %-8s %7ld %6zu | %6.3f %7.3f %7.3f %6.3f | %7.2f %7.1f | %6.1f "
+        "%6.1f %6.1f | %5zu\n",
+        setup.deployment, mode, lag_ms, result.front.count(),
+        result.front.Share(), result.OptimumShare(), of_optimum,
+        result.round_robin.Share(), result.added.MeanMs(), result.added.P99Ms(),
+        result.front.MeanMs(), result.round_robin.MeanMs(),
+        result.primary_only.MeanMs(), result.stale_own_reads);
+    std::array<char, 320> row{};
+    std::snprintf(
+        row.data(), row.size(),
+        "%s{\"deployment\":\"%s\",\"acknowledge\":\"%s\",\"lag_ms\":%ld,"
+        "\"share\":%.4f,\"optimum\":%.4f,\"of_optimum\":%.4f,"
+        "\"round_robin\":%.4f,\"added_mean_ms\":%.3f,\"stale\":%zu}",
+        rows.empty() ? "" : ",", setup.deployment, mode, lag_ms,
+        result.front.Share(), result.OptimumShare(), of_optimum,
+        result.round_robin.Share(), result.added.MeanMs(),
+        result.stale_own_reads);
+    rows += row.data();
+  }
+  std::printf(
+      "{\"experiment\":\"replica_reads\",\"least_of_optimum\":%.4f,"
+      "\"stale_own_reads\":%zu,\"cases\":[%s]}\n",
+      least_of_optimum, stale, rows.c_str());
+  if (!bounds) return 0;
+  const toml::table document = toml::parse_file(*bounds);
+  const auto section = document["replica_reads"];
+  const double least = section["least_of_optimum"].value<double>().value();
+  const auto most_stale =
+      section["most_stale_own_reads"].value<std::int64_t>().value();
+  if (least_of_optimum < least || std::cmp_greater(stale, most_stale)) {
+    std::printf("bound broken: of optimum %.4f (least %.4f), stale %zu\n",
+                least_of_optimum, least, stale);
+    return 1;
+  }
+  return 0;
+}
+
+}  // namespace
+}  // namespace carawayhaven::replica_read
+
+int main(int argc, char** argv) {
+  std::optional<std::string> bounds;
+  if (argc == 3 && std::strcmp(argv[1], "--check") == 0) bounds = argv[2];
+  return carawayhaven::replica_read::Main(bounds);
+}
--- a/src/core/route/front_outcome.cc
+++ b/src/core/route/front_outcome.cc
@@ -126,7 +126,7 @@
       state.passed_over.insert(leg.endpoint);
     }
     if (!state.legs.empty()) return;
-    if (now >= state.request.deadline || reason == Reason::kDeadline) {
+    if (now >= state.request.deadline) {
       End(state, Verdict::kNotRun, Reason::kDeadline);
       return;
     }
--- /dev/null
+++ b/test/route/front_fault_test.cc
@@ -0,0 +1,284 @@
+#include "route/front_fixture.h"
+
+namespace carawayhaven {
+namespace {
+
+constexpr Duration kAge = std::chrono::seconds(1);
+
+enum class Fault {
+  kSendFails,
+  kNoOwner,
+  kLostBeforeRun,
+  kLostAfterRun,
+  kSilentBeforeRun,
+  kSilentAfterRun,
+  kUnconfirmed,
+  kOldTermRan,
+  kReason,
+};
+
+enum class Kind { kWrite, kCurrentRead, kAgedRead };
+
+struct FaultCase {
+  const char* name;
+  Kind kind;
+  Fault fault;
+  Reason reason;
+  Verdict verdict;
+  int effects;
+};
+
+std::ostream& operator<<(std::ostream& out, const FaultCase& row) {
+  return out << row.name;
+}
+
+class FrontWithFault : public FrontFixture,
+                       public testing::WithParamInterface<FaultCase> {
+ protected:
+  void Inject(const FaultCase& row) {
+    switch (row.fault) {
+      case Fault::kSendFails:
+      case Fault::kNoOwner:
+        return;
+      case Fault::kLostAfterRun:
+        group_.Handle(peers_.sent.at(0).message);
+        [[fallthrough]];
+      case Fault::kLostBeforeRun:
+        front_.OnPeerLost(peers_.sent.at(0).vm, now_);
+        return;
+      case Fault::kSilentAfterRun:
+        group_.Handle(peers_.sent.at(0).message);
+        [[fallthrough]];
+      case Fault::kSilentBeforeRun:
+        return;
+      case Fault::kUnconfirmed:
+        group_.Handle(peers_.sent.at(0).message);
+        Refuse(0, Reason::kDeadline, Verdict::kMayHaveRun);
+        return;
+      case Fault::kOldTermRan: {
+        // The effect is on the replaced primary only; the new one has it not.
+        ForwardReplyMessage reply{peers_.sent.at(0).message.correlation, 1, {}};
+        reply.outcome.verdict = Verdict::kRan;
+        reply.outcome.served_by = "a";
+        Promote("b");
+        Announce();
+        front_.OnForwardReply(peers_.sent.at(0).vm, reply, now_);
+        return;
+      }
+      case Fault::kReason:
+        Refuse(0, row.reason);
+        return;
+    }
+  }
+};
+
+// Guards against a wrong verdict, a second effect and a lost retry in each row
+// of the table of section 5 that the front decides.
+TEST_P(FrontWithFault, RequestEndsWithVerdictAndEffectsOfTheTable) {
+  const FaultCase& row = GetParam();
+  if (row.fault == Fault::kSendFails)
+    peers_.unreachable = {"a-1", "b-1", "c-1"};
+  owners_.none = row.fault == Fault::kNoOwner;
+  Submit(row.kind == Kind::kWrite
+             ? Write("w")
+             : Read(row.kind == Kind::kAgedRead ? std::optional(kAge)
+                                                : std::nullopt));
+  Inject(row);
+  const bool sent_first = row.fault != Fault::kSendFails;
+  AnswerFrom(sent_first ? 1 : 0);
+  ASSERT_TRUE(outcome_.has_value());
+  EXPECT_EQ(VerdictName(outcome_->verdict), VerdictName(row.verdict));
+  EXPECT_EQ(group_.EffectsOf("w"), row.effects);
+  EXPECT_EQ(front_.in_flight(), 0U);
+  EXPECT_EQ(front_.NextTick(), TimePoint::max());
+}
+
+constexpr Verdict kRan = Verdict::kRan;
+constexpr Verdict kNotRun = Verdict::kNotRun;
+
+INSTANTIATE_TEST_SUITE_P(
+    Section5, FrontWithFault,
+    testing::Values(
+        FaultCase{"sendFails", Kind::kWrite, Fault::kSendFails, {}, kRan, 1},
+        FaultCase{"noOwner", Kind::kWrite, Fault::kNoOwner, {}, kNotRun, 0},
+        FaultCase{"lost", Kind::kWrite, Fault::kLostBeforeRun, {}, kRan, 1},
+        FaultCase{"lostRan", Kind::kWrite, Fault::kLostAfterRun, {}, kRan, 1},
+        FaultCase{"silent", Kind::kWrite, Fault::kSilentBeforeRun, {}, kRan, 1},
+        FaultCase{
+            "silentRan", Kind::kWrite, Fault::kSilentAfterRun, {}, kRan, 1},
+        FaultCase{
+            "unconfirmed", Kind::kWrite, Fault::kUnconfirmed, {}, kRan, 1},
+        FaultCase{"oldTerm", Kind::kWrite, Fault::kOldTermRan, {}, kRan, 1},
+        FaultCase{"ownerDeadline", Kind::kWrite, Fault::kReason,
+                  Reason::kDeadline, kNotRun, 0},
+        FaultCase{"overloaded", Kind::kWrite, Fault::kReason,
+                  Reason::kOverloaded, kNotRun, 0},
+        FaultCase{"statementError", Kind::kWrite, Fault::kReason,
+                  Reason::kStatementError, kNotRun, 0},
+        FaultCase{"ownerLeaves", Kind::kWrite, Fault::kReason, Reason::kLeaving,
+                  kRan, 1},
+        FaultCase{"openFails", Kind::kWrite, Fault::kReason,
+                  Reason::kConnectionLost, kRan, 1},
+        FaultCase{"staleTerm", Kind::kWrite, Fault::kReason, Reason::kStaleTerm,
+                  kRan, 1},
+        FaultCase{"notPrimary", Kind::kWrite, Fault::kReason,
+                  Reason::kNotPrimary, kRan, 1},
+        FaultCase{"busy", Kind::kWrite, Fault::kReason, Reason::kBusy, kRan, 1},
+        FaultCase{"cancelled", Kind::kWrite, Fault::kReason, Reason::kCancelled,
+                  kRan, 1},
+        FaultCase{
+            "readLost", Kind::kCurrentRead, Fault::kLostBeforeRun, {}, kRan, 0},
+        FaultCase{
+            "readOldTerm", Kind::kCurrentRead, Fault::kOldTermRan, {}, kRan, 0},
+        FaultCase{"readSilent",
+                  Kind::kCurrentRead,
+                  Fault::kSilentBeforeRun,
+                  {},
+                  kNotRun,
+                  0},
+        FaultCase{
+            "agedLost", Kind::kAgedRead, Fault::kLostBeforeRun, {}, kRan, 0},
+        FaultCase{"agedSilent",
+                  Kind::kAgedRead,
+                  Fault::kSilentBeforeRun,
+                  {},
+                  kRan,
+                  0},
+        FaultCase{"agedBehind", Kind::kAgedRead, Fault::kReason,
+                  Reason::kBehind, kRan, 0},
+        FaultCase{"agedUnconfirmed",
+                  Kind::kAgedRead,
+                  Fault::kUnconfirmed,
+                  {},
+                  kRan,
+                  0}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+class FrontWithWrite : public FrontFixture {
+ protected:
+  void SetUp() override { Submit(Write("w")); }
+};
+
+// Guards against late, repeated and foreign replies that end a request.
+TEST_F(FrontWithWrite, ForeignAndRepeatedRepliesAreCountedAndDropped) {
+  ForwardReplyMessage reply = group_.Handle(peers_.sent.at(0).message);
+  front_.OnForwardReply("stranger", reply, now_);
+  ForwardReplyMessage unknown = reply;
+  unknown.correlation = 999;
+  front_.OnForwardReply("a-1", unknown, now_);
+  EXPECT_FALSE(outcome_.has_value());
+  front_.OnForwardReply("a-1", reply, now_);
+  front_.OnForwardReply("a-1", reply, now_);
+  ASSERT_TRUE(outcome_.has_value());
+  EXPECT_EQ(outcome_->position, (LogPosition{1, 11}));
+  EXPECT_EQ(front_.stats().dropped_replies, 3U);
+}
+
+// Guards against a reply that ends another request than its own.
+TEST_F(FrontWithWrite, ReorderedRepliesReachTheirOwnRequests) {
+  std::optional<Outcome> second;
+  front_.Submit(
+      Write("x"), [&second](const Outcome& o) { second = o; }, now_);
+  Answer(1);
+  ASSERT_TRUE(second.has_value());
+  EXPECT_FALSE(outcome_.has_value());
+  Answer(0);
+  EXPECT_LT(second->position, outcome_->position);
+}
+
+// Guards against a resolve that is too late to finish within the deadline.
+TEST_F(FrontWithWrite, NoAnswerIsResolvedBeforeTheDeadline) {
+  EXPECT_EQ(peers_.sent.at(0).message.request.deadline, At(750));
+  AdvanceTo(At(775));
+  ASSERT_EQ(peers_.sent.size(), 2U);
+  EXPECT_EQ(peers_.sent.at(1).message.request.kind, RequestKind::kResolve);
+}
+
+// Guards against kNotRun for a write whose fate nobody could settle.
+TEST_F(FrontWithWrite, ResolveNeverAnsweredReportsMayHaveRun) {
+  AdvanceTo(At(1100));
+  ASSERT_TRUE(outcome_.has_value());
+  EXPECT_EQ(outcome_->verdict, Verdict::kMayHaveRun);
+}
+
+// Guards against a first copy that arrives after its cancel marker and runs
+// beside the second attempt.
+TEST_F(FrontWithWrite, ResolveOvertakesTheOriginalRunsOnce) {
+  front_.OnPeerLost("a-1", now_);
+  Answer(1);
+  ASSERT_EQ(peers_.sent.at(2).message.request.id.attempt, 1U);
+  Answer(0);
+  EXPECT_EQ(group_.EffectsOf("w"), 0);
+  Answer(2);
+  EXPECT_EQ(outcome_->verdict, Verdict::kRan);
+  EXPECT_EQ(group_.EffectsOf("w"), 1);
+}
+
+// Guards against the time of a back-off being added to the failover gap.
+TEST_F(FrontWithWrite, NewPrimaryIsAnnouncedIsSentAtOnce) {
+  Refuse(0, Reason::kNotPrimary);
+  Promote("b");
+  Announce();
+  ASSERT_EQ(peers_.sent.size(), 2U);
+  EXPECT_EQ(peers_.sent.at(1).message.endpoint, "b");
+  EXPECT_EQ(peers_.sent.at(1).message.term, 2U);
+}
+
+// Guards against retries without bound while an endpoint is overloaded.
+TEST_F(FrontWithWrite, BudgetIsSpentBusyIsReported) {
+  Refuse(0, Reason::kBusy);
+  for (int i = 0; i < 20; ++i) {
+    Submit(Write("n" + std::to_string(i)));
+    Refuse(peers_.sent.size() - 1, Reason::kBusy);
+  }
+  ASSERT_TRUE(outcome_.has_value());
+  EXPECT_EQ(outcome_->reason, Reason::kBusy);
+  EXPECT_GT(outcome_->retry_after, Duration(0));
+}
+
+// Guards against a delayed copy that runs after a caller was told kNotRun.
+TEST_F(FrontWithWrite, CallerResolvedElsewhereNeverRuns) {
+  FakePeers other_peers;
+  FakeOwners other_owners{"u"};
+  Front other(services_, groups_, other_owners, other_peers, random_);
+  Request resolve = Write("w");
+  resolve.kind = RequestKind::kResolve;
+  std::optional<Outcome> resolved;
+  other.Submit(
+      resolve, [&](const Outcome& o) { resolved = o; }, now_);
+  other.OnForwardReply(other_peers.sent.at(0).vm,
+                       group_.Handle(other_peers.sent.at(0).message), now_);
+  EXPECT_EQ(resolved->verdict, Verdict::kNotRun);
+  AnswerFrom(0);
+  EXPECT_EQ(outcome_->reason, Reason::kCancelled);
+  EXPECT_EQ(group_.EffectsOf("w"), 0);
+  Request retry = Write("w");
+  retry.id.attempt = 1;
+  Submit(retry);
+  Answer(peers_.sent.size() - 1);
+  EXPECT_EQ(outcome_->verdict, Verdict::kRan);
+}
+
+// Guards against new work in a proxy that leaves, and against aborts in it.
+TEST_F(FrontWithWrite, DrainsTakesNoNewWorkAndFinishesTheOld) {
+  front_.Drain(now_);
+  std::optional<Outcome> refused;
+  front_.Submit(
+      Write("x"), [&](const Outcome& o) { refused = o; }, now_);
+  EXPECT_EQ(refused->reason, Reason::kLeaving);
+  Answer(0);
+  EXPECT_EQ(outcome_->verdict, Verdict::kRan);
+}
+
+// Guards against a non-idempotent write that could not be resolved.
+TEST_F(FrontWithWrite, NonIdempotentWithoutIdIsRefused) {
+  Submit(Write(""));
+  EXPECT_EQ(outcome_->reason, Reason::kInvalidRequest);
+  Request idempotent = Write("");
+  idempotent.idempotent = true;
+  Submit(idempotent);
+  EXPECT_EQ(peers_.sent.back().message.request.id.value, "v/0/1");
+}
+
+}  // namespace
+}  // namespace carawayhaven
--- /dev/null
+++ b/test/route/front_fixture.h
@@ -0,0 +1,111 @@
+#ifndef CARAWAYHAVEN_TEST_ROUTE_FRONT_FIXTURE_H_
+#define CARAWAYHAVEN_TEST_ROUTE_FRONT_FIXTURE_H_
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <random>
+#include <string>
+
+#include "core/group/group_directory.h"
+#include "core/route/front.h"
+#include "route/fake_route.h"
+
+namespace carawayhaven {
+
+inline Request Write(const std::string& id) {
+  Request request;
+  request.service = "s";
+  request.access = AccessMode::kWrite;
+  request.id.value = id;
+  request.deadline = At(1000);
+  return request;
+}
+
+inline Request Read(std::optional<Duration> max_age) {
+  Request request;
+  request.service = "s";
+  request.max_age = max_age;
+  request.deadline = At(1000);
+  return request;
+}
+
+inline Request Step(RequestKind kind, const TransactionId& transaction) {
+  Request request = Write(kind == RequestKind::kCommit ? "commit" : "");
+  request.kind = kind;
+  request.transaction = transaction;
+  return request;
+}
+
+/// A front at VM "v" with fakes around it; starts at 0 ms.
+class FrontFixture : public testing::Test {
+ protected:
+  /// Submits and keeps the outcome in `outcome_`.
+  void Submit(Request request) {
+    outcome_.reset();
+    front_.Submit(
+        std::move(request),
+        [this](const Outcome& outcome) {
+          EXPECT_FALSE(outcome_.has_value()) << "two outcomes";
+          outcome_ = outcome;
+        },
+        now_);
+  }
+
+  /// Lets the group handle message `i` and delivers the reply.
+  void Answer(std::size_t i) {
+    front_.OnForwardReply(peers_.sent.at(i).vm,
+                          group_.Handle(peers_.sent.at(i).message), now_);
+  }
+
+  void Refuse(std::size_t i, Reason reason,
+              Verdict verdict = Verdict::kNotRun) {
+    ForwardReplyMessage reply{
+        peers_.sent.at(i).message.correlation, group_.term, {}};
+    reply.outcome.verdict = verdict;
+    reply.outcome.reason = reason;
+    front_.OnForwardReply(peers_.sent.at(i).vm, reply, now_);
+  }
+
+  void AdvanceTo(TimePoint end) {
+    while (front_.NextTick() <= end) {
+      now_ = std::max(now_, front_.NextTick());
+      front_.Tick(now_);
+    }
+    now_ = end;
+  }
+
+  /// Answers all messages from `i` on until none is new and no timer before
+  /// the deadline is left.
+  void AnswerFrom(std::size_t i) {
+    while (front_.in_flight() > 0 && now_ < At(2000)) {
+      for (; i < peers_.sent.size(); ++i) Answer(i);
+      if (front_.in_flight() > 0)
+        AdvanceTo(now_ + std::chrono::milliseconds(1));
+    }
+  }
+
+  void Promote(const EndpointName& primary) {
+    ++group_.term;
+    group_.primary = primary;
+  }
+
+  void Announce() {
+    groups_.Raise({"s", group_.term, group_.primary, {}});
+    front_.OnGroupChanged("s", now_);
+  }
+
+  TimePoint now_ = At(0);
+  FakeServices services_;
+  GroupDirectory groups_;
+  FakeOwners owners_{"v"};
+  FakePeers peers_;
+  FakeGroup group_;
+  std::mt19937_64 random_{1};
+  Front front_{services_, groups_, owners_, peers_, random_};
+  std::optional<Outcome> outcome_;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_TEST_ROUTE_FRONT_FIXTURE_H_
--- /dev/null
+++ b/test/route/front_transaction_test.cc
@@ -0,0 +1,88 @@
+#include "route/front_fixture.h"
+
+namespace carawayhaven {
+namespace {
+
+class FrontWithTransaction : public FrontFixture {
+ protected:
+  void SetUp() override {
+    Submit(Step(RequestKind::kBegin, "t1"));
+    Answer(0);
+    ASSERT_EQ(outcome_->verdict, Verdict::kRan);
+  }
+};
+
+// Guards against a statement that runs outside its transaction.
+TEST_F(FrontWithTransaction, StepsGoToTheOwnerOfTheBegin) {
+  peers_.unreachable = {"a-2"};
+  Submit(Step(RequestKind::kStatement, "t1"));
+  EXPECT_EQ(peers_.sent.at(1).vm, "a-1");
+  Answer(1);
+  Submit(Step(RequestKind::kCommit, "t1"));
+  EXPECT_EQ(peers_.sent.at(2).vm, "a-1");
+  Answer(2);
+  EXPECT_EQ(outcome_->verdict, Verdict::kRan);
+  EXPECT_FALSE(front_.has_open_transactions());
+}
+
+// Guards against a statement that goes on without its lost predecessors.
+TEST_F(FrontWithTransaction, OwnerIsLostEndsTheTransactionNotRun) {
+  Submit(Step(RequestKind::kStatement, "t1"));
+  front_.OnPeerLost("a-1", now_);
+  EXPECT_EQ(outcome_->verdict, Verdict::kNotRun);
+  Submit(Step(RequestKind::kCommit, "t1"));
+  EXPECT_EQ(outcome_->reason, Reason::kUnknownTransaction);
+}
+
+// Guards against a commit under a primary that was replaced.
+TEST_F(FrontWithTransaction, TermChangesBeforeCommitIsNotRunAndRolledBack) {
+  Promote("b");
+  Announce();
+  Submit(Step(RequestKind::kCommit, "t1"));
+  EXPECT_EQ(outcome_->reason, Reason::kStaleTerm);
+  EXPECT_EQ(peers_.sent.back().message.request.kind, RequestKind::kRollback);
+}
+
+class FrontWithLostCommit : public FrontWithTransaction,
+                            public testing::WithParamInterface<bool> {};
+
+// Guards against a guess about a commit without an answer.
+TEST_P(FrontWithLostCommit, CommitIsLostIsResolvedByItsId) {
+  Submit(Step(RequestKind::kCommit, "t1"));
+  if (GetParam()) group_.Handle(peers_.sent.at(1).message);
+  front_.OnPeerLost("a-1", now_);
+  EXPECT_EQ(peers_.sent.at(2).message.request.kind, RequestKind::kResolve);
+  Answer(2);
+  EXPECT_EQ(outcome_->verdict, GetParam() ? Verdict::kRan : Verdict::kNotRun);
+  EXPECT_EQ(group_.EffectsOf("commit"), GetParam() ? 1 : 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(RanOrNot, FrontWithLostCommit, testing::Bool());
+
+// Guards against locks that are held for a caller that is gone.
+TEST_F(FrontWithTransaction, CallerGoesAwayRollsBack) {
+  front_.AbandonTransaction("t1", now_);
+  EXPECT_EQ(peers_.sent.back().message.request.kind, RequestKind::kRollback);
+  Answer(1);
+  EXPECT_EQ(front_.in_flight(), 0U);
+}
+
+// Guards against a rollback that overtakes a commit under way.
+TEST_F(FrontWithTransaction, CallerGoesAwayDuringCommitLetsItEnd) {
+  Submit(Step(RequestKind::kCommit, "t1"));
+  front_.AbandonTransaction("t1", now_);
+  EXPECT_EQ(peers_.sent.size(), 2U);
+}
+
+// Guards against a silent statement that is reported while the transaction
+// stays usable without it.
+TEST_F(FrontWithTransaction, StatementWithoutAnswerEndsTheTransaction) {
+  Submit(Step(RequestKind::kStatement, "t1"));
+  AdvanceTo(At(1000));
+  EXPECT_EQ(outcome_->verdict, Verdict::kNotRun);
+  EXPECT_FALSE(front_.has_open_transactions());
+  EXPECT_EQ(peers_.sent.back().message.request.kind, RequestKind::kRollback);
+}
+
+}  // namespace
+}  // namespace carawayhaven
--- /dev/null
+++ b/test/route/replica_selector_test.cc
@@ -0,0 +1,153 @@
+#include "core/route/replica_selector.h"
+
+#include "route/front_fixture.h"
+
+namespace carawayhaven {
+namespace {
+
+constexpr Duration kAge = std::chrono::seconds(1);
+using Kind = ReadChoice::Kind;
+
+class ReplicaSelectorWithObservations : public testing::Test {
+ protected:
+  void See(const EndpointName& endpoint, LogPosition position, Duration age,
+           TimePoint at = At(0)) {
+    groups_.Observe(endpoint, {position, age, at});
+  }
+  ReadChoice Choose(LogPosition token, TimePoint now = At(0),
+                    Duration max_age = kAge,
+                    const std::set<EndpointName>& passed_over = {}) {
+    Request request = Read(max_age);
+    request.deadline = now + std::chrono::seconds(1);
+    request.min_position = token;
+    return selector_.Choose(services_.service(), "a", request, passed_over,
+                            true, now);
+  }
+
+  FakeServices services_;
+  GroupDirectory groups_;
+  FrontOptions options_;
+  std::mt19937_64 random_{1};
+  ReplicaSelector selector_{groups_, options_, random_};
+};
+
+// Guards against a read that goes to a replica below the session's token.
+TEST_F(ReplicaSelectorWithObservations, OneIsBehindTheOtherServes) {
+  See("b", {1, 5}, Duration(0));
+  See("c", {1, 9}, Duration(0));
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(Choose({1, 7}).endpoint, "c");
+}
+
+// Guards against ages that count from the observation only.
+TEST_F(ReplicaSelectorWithObservations, AgeGrowsSinceTheObservation) {
+  See("b", {1, 9}, kAge / 2);
+  See("c", {1, 9}, kAge * 2);
+  EXPECT_EQ(Choose({1, 7}, At(400)).endpoint, "b");
+  EXPECT_EQ(Choose({1, 7}, At(600)).endpoint, "b") << "first trial";
+  EXPECT_EQ(Choose({1, 7}, At(601)).endpoint, "c") << "first trial";
+  EXPECT_EQ(Choose({1, 7}, At(602)).kind, Kind::kPrimary);
+}
+
+// Guards against trials at the rate of the requests.
+TEST_F(ReplicaSelectorWithObservations, NeverObservedIsTriedAtBoundedRate) {
+  int tried = 0;
+  for (int i = 0; i < 1000; ++i) {
+    if (Choose({1, 7}, At(i)).kind == Kind::kReplica) ++tried;
+  }
+  EXPECT_EQ(tried, 20);
+}
+
+// Guards against load on the one replica that is nearer or first in order.
+TEST_F(ReplicaSelectorWithObservations, FewestOutstandingIsChosen) {
+  See("b", {1, 9}, Duration(0));
+  See("c", {1, 9}, Duration(0));
+  selector_.OnSent("b");
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(Choose({1, 7}).endpoint, "c");
+}
+
+TEST_F(ReplicaSelectorWithObservations, NearestDataCentreBreaksTheTie) {
+  See("b", {1, 9}, Duration(0));
+  See("c", {1, 9}, Duration(0));
+  options_.distance = [](const DataCentreName& name) {
+    return name == "dc-b" ? 1U : 0U;
+  };
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(Choose({1, 7}).endpoint, "c");
+}
+
+// Guards against new work on an endpoint that leaves or has refused.
+TEST_F(ReplicaSelectorWithObservations, LeavingAndPassedOverGetNothing) {
+  See("b", {1, 9}, Duration(0));
+  See("c", {1, 9}, Duration(0));
+  services_.service().endpoints[1].leaving = true;
+  EXPECT_EQ(Choose({1, 7}, At(0), kAge, {"c"}).kind, Kind::kPrimary);
+}
+
+// Guards against a trip to the primary for a few milliseconds of lag.
+TEST_F(ReplicaSelectorWithObservations, RateReachesTheTokenSoonWaits) {
+  services_.service().endpoints[2].leaving = true;
+  See("b", {1, 1000}, Duration(0));
+  Choose({1, 0});
+  See("b", {1, 1100}, Duration(0), At(100));
+  const ReadChoice soon = Choose({1, 1130}, At(100));
+  EXPECT_EQ(soon.kind, Kind::kWait);
+  EXPECT_NEAR(static_cast<double>(soon.wait.count()), 30000, 10);
+  EXPECT_EQ(Choose({1, 1200}, At(100)).kind, Kind::kReplica) << "first trial";
+  EXPECT_EQ(Choose({1, 1200}, At(100)).kind, Kind::kPrimary);
+}
+
+class FrontWithReplicas : public FrontFixture {
+ protected:
+  void SetUp() override {
+    group_.replica_positions = {{"b", {1, 3}}, {"c", {1, 3}}};
+  }
+  Outcome ReadWithToken(Front& front, FakePeers& peers, LogPosition token) {
+    Request read = Read(kAge);
+    read.deadline = now_ + std::chrono::seconds(1);
+    read.min_position = token;
+    std::optional<Outcome> result;
+    std::size_t next = peers.sent.size();
+    front.Submit(
+        read, [&](const Outcome& o) { result = o; }, now_);
+    for (; next < peers.sent.size(); ++next) {
+      front.OnForwardReply(peers.sent[next].vm,
+                           group_.Handle(peers.sent[next].message), now_);
+    }
+    EXPECT_TRUE(result.has_value());
+    return result.value_or(Outcome{});
+  }
+};
+
+// Guards against a session that misses its own write on replicas far behind,
+// here and on the front it moves to.
+TEST_F(FrontWithReplicas, ReplicasAreFarBehindOwnWriteIsRead) {
+  Submit(Write("w"));
+  Answer(0);
+  const LogPosition token = outcome_->position;
+  FakePeers other_peers;
+  Front other(services_, groups_, owners_, other_peers, random_);
+  for (int i = 0; i < 50; ++i) {
+    now_ += std::chrono::milliseconds(50);
+    EXPECT_GE(ReadWithToken(front_, peers_, token).position, token);
+    EXPECT_GE(ReadWithToken(other, other_peers, token).position, token);
+  }
+  EXPECT_EQ(front_.stats().replica_reads, 0U);
+  group_.replica_positions = {{"b", token}, {"c", token}};
+  now_ = At(5000);
+  EXPECT_TRUE(ReadWithToken(front_, peers_, token).from_replica ||
+              ReadWithToken(front_, peers_, token).from_replica);
+}
+
+// Guards against a longer log of an older term that passes for newer data.
+TEST_F(FrontWithReplicas, TokenIsOfAnotherTermGoesToThePrimary) {
+  group_.replica_positions = {{"b", {1, 999}}, {"c", {1, 999}}};
+  Promote("a");
+  Announce();
+  group_.index = 20;
+  EXPECT_FALSE(ReadWithToken(front_, peers_, {2, 15}).from_replica);
+  group_.replica_positions = {{"b", {2, 21}}, {"c", {2, 21}}};
+  EXPECT_FALSE(ReadWithToken(front_, peers_, {1, 15}).from_replica)
+      << "without term starts an older token needs the primary";
+}
+
+}  // namespace
+}  // namespace carawayhaven
