Replica selection: age from the primary's history instead of its upper bound

The extrapolated age was an upper bound, so reads with an age near the lag went to the primary, and a first refusal made a replica unfit until a trial a second later. The age is now estimated from the time at which the primary had the replica's position, and a replica counts as current until it refuses.

--- a/src/core/route/replica_selector.cc
+++ b/src/core/route/replica_selector.cc
@@ -22,6 +22,10 @@
 constexpr Duration kRateHorizon = milliseconds(1000);
 // Rates over shorter intervals are dominated by the jitter of the answers.
 constexpr Duration kRateInterval = milliseconds(20);
+// Time without news after which the age of a replica counts as growing.
+constexpr Duration kPaceHorizon = milliseconds(500);
+// Within a fifth of its age, a replica may be ahead of the estimate.
+constexpr int kAgeVariation = 5;
 // Covers replicas up to 10 s behind with 400 samples for each service.
 constexpr Duration kSampleInterval = milliseconds(25);
 constexpr std::size_t kSamples = 400;
@@ -93,15 +97,15 @@
       last->position >= outcome.position) {
     return;
   }
-  const std::optional<Duration> bound =
-      AgeFromHistory(request.service, outcome.position, now);
-  Duration age = bound.value_or(Duration::max() / 2);
+  // Without any evidence the replica counts as current: a refusal costs one hop
+  // and raises the age, whereas a high first guess would never be put right.
+  Duration age = last != nullptr ? last->age : Duration(0);
+  if (const auto passed = TimeOf(request.service, outcome.position)) {
+    age = now - *passed;
+  }
   if (outcome.verdict == Verdict::kRan && request.max_age) {
     age = std::min(age, *request.max_age);
   }
-  if (last != nullptr) {
-    age = std::min(age, last->age + (now - last->observed_at));
-  }
   if (outcome.verdict != Verdict::kRan && request.max_age &&
       RefusedForAge(request, outcome)) {
     age = std::max(age, *request.max_age + Duration(1));
@@ -126,36 +130,51 @@
   if (seen == nullptr) return candidate;
   const Duration since = now - seen->observed_at;
   const Progress& progress = UpdateProgress(endpoint.name, *seen);
-  if (seen->age > *request.max_age) {
-    candidate.fit = Fit::kUnfit;
-    candidate.trial_interval = kUnfitTrialInterval;
+  // A replica that keeps pace keeps its age; without news it may have stopped.
+  const Duration age = seen->age + std::max(since - kPaceHorizon, Duration(0));
+  if (age > *request.max_age) {
+    const bool near = seen->age <= *request.max_age;
+    candidate.fit = near ? Fit::kUncertain : Fit::kUnfit;
+    if (!near) candidate.trial_interval = kUnfitTrialInterval;
     return candidate;
   }
-  if (seen->age + since > *request.max_age) return candidate;
-  const double seconds =
-      std::chrono::duration<double>(std::min(since, kRateHorizon)).count();
-  LogPosition expected = seen->position;
-  expected.index += static_cast<std::uint64_t>(progress.rate * seconds);
-  if (options_.position_check(service, expected, request.min_position)) {
+  if (options_.position_check(service, seen->position, request.min_position)) {
     candidate.fit = Fit::kServes;
     return candidate;
   }
-  candidate.fit = since > kRateHorizon ? Fit::kUncertain : Fit::kUnfit;
+  candidate.fit = Fit::kUnfit;
   candidate.trial_interval = kUnfitTrialInterval;
-  const bool reachable = progress.rate > 0 && since <= kRateHorizon &&
-                         expected.term == request.min_position.term &&
-                         expected.index < request.min_position.index;
-  if (!reachable) return candidate;
-  const double missing =
-      static_cast<double>(request.min_position.index - expected.index);
-  const std::chrono::duration<double> wait(missing / progress.rate);
-  if (wait <= ReplicaWaitBound(request.deadline - now)) {
+  const std::optional<Duration> wait =
+      TimeToReach(request, *seen, progress, now);
+  if (!wait) return candidate;
+  if (*wait <= Duration(0)) {
+    candidate.fit = Fit::kServes;
+  } else if (*wait <= ReplicaWaitBound(request.deadline - now)) {
     candidate.fit = Fit::kWillServe;
-    candidate.wait = std::chrono::duration_cast<Duration>(wait) + Duration(1);
+    candidate.wait = *wait;
+  } else if (*wait <= seen->age / kAgeVariation) {
+    candidate.trial_interval = kTrialInterval;
   }
   return candidate;
 }
 
+// Two estimates: the time at which the primary passed the token plus the age of
+// the replica's data, or without that time the replica's rate.
+std::optional<Duration> ReplicaSelector::TimeToReach(
+    const Request& request, const EndpointObservation& seen,
+    const Progress& progress, TimePoint now) const {
+  const LogPosition token = request.min_position;
+  if (seen.position.term != token.term) return std::nullopt;
+  if (const auto passed = TimeOf(request.service, token)) {
+    return *passed + seen.age - now;
+  }
+  const Duration since = now - seen.observed_at;
+  if (progress.rate <= 0 || since > kRateHorizon) return std::nullopt;
+  const std::chrono::duration<double> needed(
+      static_cast<double>(token.index - seen.position.index) / progress.rate);
+  return std::chrono::duration_cast<Duration>(needed) - since;
+}
+
 ReplicaSelector::Progress& ReplicaSelector::UpdateProgress(
     const EndpointName& endpoint, const EndpointObservation& seen) {
   constexpr double kWeight = 0.2;
@@ -215,20 +234,28 @@
   return found == outstanding_.end() ? 0 : found->second;
 }
 
-// The replica holds everything that the primary had at the newest sample not
-// above the replica's position, so its data is no older than that sample.
-std::optional<Duration> ReplicaSelector::AgeFromHistory(
-    const ServiceName& service, LogPosition position, TimePoint now) const {
+// Linear between samples. A position above the newest sample was reached at an
+// unknown later time; nothing is known before the oldest one.
+std::optional<TimePoint> ReplicaSelector::TimeOf(const ServiceName& service,
+                                                 LogPosition position) const {
   const auto found = history_.find(service);
   if (found == history_.end()) return std::nullopt;
   const std::deque<PrimarySample>& samples = found->second;
   const auto after =
-      std::upper_bound(samples.begin(), samples.end(), position,
-                       [](LogPosition value, const PrimarySample& sample) {
-                         return value < sample.position;
+      std::lower_bound(samples.begin(), samples.end(), position,
+                       [](const PrimarySample& sample, LogPosition value) {
+                         return sample.position < value;
                        });
+  if (after == samples.end()) return std::nullopt;
+  if (after->position == position) return after->at;
   if (after == samples.begin()) return std::nullopt;
-  return now - std::prev(after)->at;
+  const PrimarySample& before = *std::prev(after);
+  if (before.position.term != after->position.term) return before.at;
+  const double part =
+      static_cast<double>(position.index - before.position.index) /
+      static_cast<double>(after->position.index - before.position.index);
+  return before.at +
+         std::chrono::duration_cast<Duration>(part * (after->at - before.at));
 }
 
 }  // namespace carawayhaven
--- a/src/core/route/replica_selector.h
+++ b/src/core/route/replica_selector.h
@@ -55,8 +55,9 @@
   void OnSent(const EndpointName& endpoint) { ++outstanding_[endpoint]; }
   void OnEnded(const EndpointName& endpoint);
 
-  /// Learns from an outcome. A kRan read of a replica bounds the age of its
-  /// data by the request's max_age and by the primary's earlier positions.
+  /// Learns from an outcome. Outcomes carry no age: it is estimated from the
+  /// time at which the primary had the replica's position, and bounded by the
+  /// max_age that the replica accepted or refused.
   void OnOutcome(const Request& request, const Outcome& outcome, TimePoint now);
 
  private:
@@ -90,9 +91,12 @@
   const EndpointConfig& Best(const std::vector<Candidate>& serving);
   bool IsBetter(const EndpointConfig& left, const EndpointConfig& right) const;
   std::size_t OutstandingOn(const EndpointName& endpoint) const;
-  std::optional<Duration> AgeFromHistory(const ServiceName& service,
-                                         LogPosition position,
-                                         TimePoint now) const;
+  std::optional<Duration> TimeToReach(const Request& request,
+                                      const EndpointObservation& seen,
+                                      const Progress& progress,
+                                      TimePoint now) const;
+  std::optional<TimePoint> TimeOf(const ServiceName& service,
+                                  LogPosition position) const;
 
   GroupDirectory& groups_;
   const FrontOptions& options_;
