--- a/src/core/group/promoter.cc
+++ b/src/core/group/promoter.cc
@@ -119,8 +119,8 @@
   NoteTerm(answer.term);
   // Before the fence an earlier attempt's own term is news as well: its
   // promotion may have succeeded without an answer.
-  const bool fenced = state_ == "fencing" || state_ == "promoting" ||
-                      state_ == "following";
+  const bool fenced =
+      state_ == "fencing" || state_ == "promoting" || state_ == "following";
   if (answer.term > (fenced ? term_ : old_term_)) {
     const std::string before = state_;
     handler_.OnHigherTermSeen(answer, now);
@@ -371,9 +371,9 @@
   for (const auto& [name, contact] : contacts_) {
     const EndpointConfig* endpoint = Find(name);
     const bool eligible =
-        wanted.empty() ? name != old_primary_ && endpoint != nullptr &&
-                             !endpoint->leaving
-                       : name == wanted;
+        wanted.empty()
+            ? name != old_primary_ && endpoint != nullptr && !endpoint->leaving
+            : name == wanted;
     if (eligible && contact.answer && contact.answer->position >= position) {
       target_ = name;
       Fire("caught_up", now);
--- a/src/proxy/group_set.cc
+++ b/src/proxy/group_set.cc
@@ -62,8 +62,7 @@
   }
 }
 
-void GroupSet::OnAnnouncement(const GroupUpdateMessage& update,
-                              TimePoint now) {
+void GroupSet::OnAnnouncement(const GroupUpdateMessage& update, TimePoint now) {
   const auto found = monitors_.find(update.service);
   if (found != monitors_.end()) {
     found->second->OnPeerMessage(owners_.self(), update, now);
--- a/src/proxy/pool_set.cc
+++ b/src/proxy/pool_set.cc
@@ -118,9 +118,8 @@
 
 bool PoolSet::idle() const {
   return retired_.empty() &&
-         std::all_of(pools_.begin(), pools_.end(), [](const auto& item) {
-           return item.second.pool->idle();
-         });
+         std::all_of(pools_.begin(), pools_.end(),
+                     [](const auto& item) { return item.second.pool->idle(); });
 }
 
 void PoolSet::Tick(TimePoint now) {
@@ -142,8 +141,8 @@
 }
 
 TimePoint PoolSet::NextTick() const {
-  TimePoint next = pools_.empty() && retired_.empty() ? TimePoint::max()
-                                                      : next_retire_;
+  TimePoint next =
+      pools_.empty() && retired_.empty() ? TimePoint::max() : next_retire_;
   for (const auto& [endpoint, entry] : pools_) {
     next = std::min(next, entry.pool->NextTick());
   }
@@ -181,8 +180,7 @@
   Entry entry;
   entry.service = declared.service->name;
   entry.options = options;
-  entry.pool = std::make_unique<EndpointPool>(std::move(options), link_,
-                                              *this);
+  entry.pool = std::make_unique<EndpointPool>(std::move(options), link_, *this);
   entry.pool->SetTerm(groups_.ViewOf(*declared.service).term);
   if (draining_) entry.pool->Drain(now);
   return &pools_.emplace(EndpointName(endpoint), std::move(entry))
--- a/src/proxy/prefix_watcher.h
+++ b/src/proxy/prefix_watcher.h
@@ -20,8 +20,7 @@
   static constexpr Duration kRetryInterval = std::chrono::milliseconds(500);
   static constexpr Duration kRoleCheckInterval = std::chrono::seconds(1);
 
-  using ObjectsCallback =
-      std::function<void(const std::vector<StoredObject>&)>;
+  using ObjectsCallback = std::function<void(const std::vector<StoredObject>&)>;
 
   /// `store` must outlive the watcher. `is_watcher` tells whether this VM
   /// keeps a watch pending; a waiting watch counts as a call of the store.
--- a/src/proxy/proxy_process.cc
+++ b/src/proxy/proxy_process.cc
@@ -2,16 +2,28 @@
 
 #include <algorithm>
 #include <iostream>
+#include <iterator>
 #include <utility>
 #include <variant>
 
+#include "carawayhaven/exceptions.h"
+#include "core/config/team_config.h"
+#include "core/group/group_record.h"
 #include "core/group/position_rule.h"
 #include "net/event_loop.h"
 #include "proxy/logging.h"
+#include "wire/json_fields.h"
 
 namespace carawayhaven {
 namespace {
 
+constexpr char kVmPrefix[] = "vms/";
+constexpr char kGroupPrefix[] = "groups/";
+// An endpoint that leaves gets no new work after 2 s; a planned change of
+// primary has to start well before.
+constexpr Duration kLeavingCheckInterval = std::chrono::milliseconds(250);
+// Peers to which news of a group is sent on, as for the configuration.
+constexpr std::size_t kGroupUpdateFanOut = 6;
 constexpr Duration kIdlePoll = std::chrono::milliseconds(20);
 // Beyond the time of open transactions, for the last answers.
 constexpr Duration kDrainMargin = std::chrono::seconds(2);
@@ -24,12 +36,17 @@
 }
 
 FrontOptions MakeFrontOptions(const Settings& settings,
-                              std::uint64_t incarnation) {
+                              std::uint64_t incarnation,
+                              GroupDirectory& groups) {
   FrontOptions options;
   options.incarnation = incarnation;
   options.distance = [own = settings.data_centre](const DataCentreName& name) {
     return name == own ? 0U : 1U;
   };
+  options.position_check = [&groups](const ServiceConfig& service,
+                                     LogPosition replica, LogPosition token) {
+    return groups.Satisfies(service, replica, token);
+  };
   return options;
 }
 
@@ -58,17 +75,21 @@
                                     settings.peer_address, incarnation_},
                   peers_, configs_, random_),
       distributor_(configs_, platform_, peers_, membership_, random_),
-      vm_list_(platform_,
-               [this](const std::vector<ListedVm>& vms) {
-                 membership_.OnVmList(vms, EventLoop::Now());
-               }),
+      vm_list_(
+          platform_, kVmPrefix, [this] { return IsWatcher(); },
+          [this](const auto& objects) { OnVmList(objects); }),
+      group_list_(
+          platform_, kGroupPrefix, [this] { return IsWatcher(); },
+          [this](const auto& objects) { OnGroupList(objects); }),
       front_(configs_, groups_, membership_, peers_, random_,
-             MakeFrontOptions(settings, incarnation_)),
+             MakeFrontOptions(settings, incarnation_, groups_)),
       pools_(configs_, groups_, membership_, endpoints_, peers_, tracing_,
-             settings.drain_timeout) {
-  callers_ = std::make_unique<CallerServer>(
-      loop, settings.caller_address, settings.max_sessions,
-      MakeCallerLimits(settings), *this);
+             settings.drain_timeout),
+      group_set_(configs_, groups_, membership_, endpoints_, peers_, platform_,
+                 random_, *this) {
+  callers_ = std::make_unique<CallerServer>(loop, settings.caller_address,
+                                            settings.max_sessions,
+                                            MakeCallerLimits(settings), *this);
   loop_.OnRoundEnd([this] { OnRound(); });
   OnRound();
   Log(LogLevel::kInfo, "proxy_started",
@@ -98,6 +119,7 @@
   } else {
     membership_.OnPeerMessage(vm, message, now);
     distributor_.OnPeerMessage(vm, message, now);
+    group_set_.OnPeerMessage(vm, message, now);
   }
 }
 
@@ -130,18 +152,91 @@
   front_.AbandonTransaction(transaction, EventLoop::Now());
 }
 
+// Passes the news on to some peers, each of which does the same once.
+void ProxyProcess::OnGroupChanged(const GroupUpdateMessage& update,
+                                  TimePoint now) {
+  Log(LogLevel::kInfo, "primary_changed",
+      {{"service", update.service},
+       {"term", update.term},
+       {"primary", update.primary}});
+  pools_.OnGroupChanged(update.service, update.term);
+  front_.OnGroupChanged(update.service, now);
+  std::vector<VmName> targets;
+  const std::vector<VmName>& peers = membership_.Peers();
+  std::sample(peers.begin(), peers.end(), std::back_inserter(targets),
+              kGroupUpdateFanOut, random_);
+  for (const VmName& vm : targets) peers_.Send(vm, update);
+}
+
+void ProxyProcess::HoldWrites(const ServiceName& service, TimePoint now) {
+  pools_.HoldWrites(service, now);
+}
+
+void ProxyProcess::ReleaseWrites(const ServiceName& service, TimePoint now) {
+  pools_.ReleaseWrites(service, now);
+}
+
+bool ProxyProcess::WritesInFlight(const ServiceName& service) {
+  return pools_.WritesInFlight(service);
+}
+
+// An entry that cannot be read is passed over; the others are still of use.
+void ProxyProcess::OnVmList(const std::vector<StoredObject>& objects) {
+  std::vector<ListedVm> vms;
+  for (const StoredObject& object : objects) {
+    try {
+      const nlohmann::json entry = ParseJsonObject(object.value);
+      vms.push_back({RequiredString(entry, "vm"),
+                     RequiredString(entry, "data_centre"),
+                     RequiredString(entry, "address"),
+                     OptionalBool(entry, "leaving", false)});
+    } catch (const DecodeError& error) {
+      Log(LogLevel::kWarning, "vm_entry_malformed",
+          {{"path", object.path}, {"error", error.what()}});
+    }
+  }
+  membership_.OnVmList(vms, EventLoop::Now());
+}
+
+void ProxyProcess::OnGroupList(const std::vector<StoredObject>& objects) {
+  for (const StoredObject& object : objects) {
+    const std::string service = object.path.substr(sizeof(kGroupPrefix) - 1);
+    try {
+      group_set_.OnAnnouncement(ParseGroupRecord(service, object.value),
+                                EventLoop::Now());
+    } catch (const DecodeError& error) {
+      Log(LogLevel::kWarning, "group_record_malformed",
+          {{"path", object.path}, {"error", error.what()}});
+    }
+  }
+}
+
+bool ProxyProcess::IsWatcher() const {
+  return membership_.IsFirstInDataCentre(kWatchKey, kWatchersInDataCentre);
+}
+
 void ProxyProcess::OnRound() {
   const TimePoint now = EventLoop::Now();
   vm_list_.Tick(now);
+  group_list_.Tick(now);
   membership_.Tick(now);
   distributor_.Tick(now);
   NoteChanges(now);
+  group_set_.Tick(now);
   front_.Tick(now);
   pools_.Tick(now);
-  const TimePoint next =
-      std::min({vm_list_.NextTick(), membership_.NextTick(),
-                distributor_.NextTick(), front_.NextTick(), pools_.NextTick()});
-  if (next == TimePoint::max()) return;
+  if (now >= next_leaving_check_) {
+    next_leaving_check_ = now + kLeavingCheckInterval;
+    group_set_.MoveLeavingPrimaries(
+        [this](const EndpointName& endpoint) {
+          return pools_.IsLeaving(endpoint);
+        },
+        now);
+  }
+  const TimePoint next = std::min(
+      {vm_list_.NextTick(), group_list_.NextTick(), membership_.NextTick(),
+       distributor_.NextTick(), group_set_.NextTick(), front_.NextTick(),
+       pools_.NextTick(), next_leaving_check_});
   if (armed_for_ > now && armed_for_ <= next) return;
   armed_for_ = std::max(next, now);
   // Only wakes the loop; the work is done at the end of the round.
@@ -156,6 +251,7 @@
   seen_revision_ = membership_.revision();
   seen_digest_ = configs_.digest();
   pools_.OnOwnershipChanged(now);
+  group_set_.OnOwnershipChanged(now);
 }
 
 // Exits once nothing is in flight, or when the time of the drain is over.
@@ -163,8 +259,7 @@
   const bool idle = callers_->in_flight() == 0 && front_.in_flight() == 0 &&
                     !front_.has_open_transactions() && pools_.idle();
   if (idle || EventLoop::Now() >= drain_deadline_) {
-    Log(LogLevel::kInfo, "drain_ended",
-        {{"vm", settings_.vm}, {"idle", idle}});
+    Log(LogLevel::kInfo, "drain_ended", {{"vm", settings_.vm}, {"idle", idle}});
     // The last answers are still in the sockets' queues.
     loop_.RunAfter(kIdlePoll * 5, [this] { loop_.Stop(); });
     return;
--- a/src/proxy/proxy_process.h
+++ b/src/proxy/proxy_process.h
@@ -3,11 +3,13 @@
 
 #include <memory>
 #include <random>
+#include <vector>
 
 #include "carawayhaven/time.h"
 #include "core/config/config_distributor.h"
 #include "core/config/config_store.h"
 #include "core/group/group_directory.h"
+#include "core/group/group_monitor.h"
 #include "core/membership/membership.h"
 #include "core/peer_link.h"
 #include "core/route/front.h"
@@ -15,11 +17,12 @@
 #include "net/endpoint_connector.h"
 #include "net/peer_transport.h"
 #include "net/platform_client.h"
+#include "proxy/group_set.h"
 #include "proxy/pool_set.h"
+#include "proxy/prefix_watcher.h"
 #include "proxy/settings.h"
 #include "proxy/span_sink.h"
 #include "proxy/tracing.h"
-#include "proxy/vm_list_reader.h"
 
 namespace carawayhaven {
 
@@ -27,7 +30,9 @@
 
 /// One proxy: joins the core with the network. Not thread-safe; one loop, one
 /// thread.
-class ProxyProcess : private PeerEvents, private CallerHandler {
+class ProxyProcess : private PeerEvents,
+                     private CallerHandler,
+                     private GroupMonitorHandler {
  public:
   /// Starts to listen. `loop` must outlive the process. Throws NetworkError
   /// when an address cannot be listened on.
@@ -46,11 +51,19 @@
   void OnTransactionAbandoned(const ServiceName& service,
                               const TransactionId& transaction) override;
 
+  void OnGroupChanged(const GroupUpdateMessage& update, TimePoint now) override;
+  void HoldWrites(const ServiceName& service, TimePoint now) override;
+  void ReleaseWrites(const ServiceName& service, TimePoint now) override;
+  bool WritesInFlight(const ServiceName& service) override;
+
+  void OnVmList(const std::vector<StoredObject>& objects);
+  void OnGroupList(const std::vector<StoredObject>& objects);
+
   /// Runs after each round of the loop: timed work and what depends on a
   /// changed configuration or membership.
   void OnRound();
   void NoteChanges(TimePoint now);
-  void ForwardGroupUpdate(const GroupUpdateMessage& update);
+  bool IsWatcher() const;
   void StopWhenIdle();
 
   EventLoop& loop_;
@@ -65,11 +78,14 @@
   ConfigStore configs_;
   Membership membership_;
   ConfigDistributor distributor_;
-  VmListReader vm_list_;
+  PrefixWatcher vm_list_;
+  PrefixWatcher group_list_;
   GroupDirectory groups_;
   Front front_;
   PoolSet pools_;
+  GroupSet group_set_;
   std::unique_ptr<CallerServer> callers_;
+  TimePoint next_leaving_check_;
   TimePoint armed_for_ = TimePoint::max();
   std::uint64_t seen_revision_ = 0;
   ConfigDigest seen_digest_;
--- a/test/group/fake_endpoint_group.h
+++ b/test/group/fake_endpoint_group.h
@@ -134,7 +134,9 @@
 
   ConnectionId Open(std::string_view address, EndpointEvents& events) override;
   bool Send(ConnectionId connection, const EndpointCommand& command) override;
-  void Close(ConnectionId connection) override { connections_.erase(connection); }
+  void Close(ConnectionId connection) override {
+    connections_.erase(connection);
+  }
   void CloseAllTo(std::size_t endpoint);
 
  private:
--- a/test/group/group_monitor_test.cc
+++ b/test/group/group_monitor_test.cc
@@ -27,9 +27,8 @@
 };
 
 void RestoreLater(FakeDeployment& world, std::size_t endpoint) {
-  world.clock.After(kFaultTime, [&world, endpoint] {
-    world.group.Restore(endpoint);
-  });
+  world.clock.After(kFaultTime,
+                    [&world, endpoint] { world.group.Restore(endpoint); });
 }
 
 void StoreFaultFor(FakeDeployment& world, StoreFault fault) {
