--- a/src/proxy/pool_set.cc
+++ b/src/proxy/pool_set.cc
@@ -130,14 +130,16 @@
   std::erase_if(retired_, [](const auto& pool) { return pool->idle(); });
   // A pool that this VM lost stays one interval longer, since a front may
   // still believe it to be the owner.
-  std::erase_if(pools_, [this](auto& item) {
-    Entry& entry = item.second;
-    if (entry.owned || draining_ || !entry.pool->idle()) {
-      entry.retired = false;
-      return false;
+  for (auto it = pools_.begin(); it != pools_.end();) {
+    Entry& entry = it->second;
+    const bool unused = !entry.owned && !draining_ && entry.pool->idle();
+    if (unused && entry.retired) {
+      it = pools_.erase(it);
+      continue;
     }
-    return !std::exchange(entry.retired, true) ? false : true;
-  });
+    entry.retired = unused;
+    ++it;
+  }
 }
 
 TimePoint PoolSet::NextTick() const {
--- a/src/proxy/pool_set.h
+++ b/src/proxy/pool_set.h
@@ -22,7 +22,7 @@
 
 /// The pools of the endpoints that this VM owns, or that other VMs believe it
 /// to own. Not thread-safe; one loop, one thread.
-class PoolSet : private EndpointPoolHandler {
+class PoolSet : public EndpointPoolHandler {
  public:
   /// Time after which a pool that this VM no longer owns is closed if idle.
   static constexpr Duration kRetireInterval = std::chrono::seconds(1);
--- a/src/proxy/proxy_process.h
+++ b/src/proxy/proxy_process.h
@@ -30,9 +30,9 @@
 
 /// One proxy: joins the core with the network. Not thread-safe; one loop, one
 /// thread.
-class ProxyProcess : private PeerEvents,
-                     private CallerHandler,
-                     private GroupMonitorHandler {
+class ProxyProcess : public PeerEvents,
+                     public CallerHandler,
+                     public GroupMonitorHandler {
  public:
   /// Starts to listen. `loop` must outlive the process. Throws NetworkError
   /// when an address cannot be listened on.
--- a/util/load/caller.cc
+++ b/util/load/caller.cc
@@ -119,7 +119,10 @@
       marker_ =
           "m" + std::to_string(number_) + "-" + std::to_string(next_marker_++);
       if (operation_ == Operation::kTransaction) {
-        second_key_ = RandomKey();
+        // Two different keys, or one marker would stand twice in one list.
+        do {
+          second_key_ = RandomKey();
+        } while (second_key_ == key_);
         context_.ledger.Record(marker_, {service(), {key_, second_key_}});
         transaction_step_ = 0;
         SendTransactionStep();
