--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -60,6 +60,7 @@
   lws_set_log_level(LLL_ERR, nullptr);
   lws_context_creation_info info{};
   info.port = CONTEXT_PORT_NO_LISTEN;
+  info.user = this;
   info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
   info.fd_limit_per_thread = kMaxDescriptors;
   context_ = lws_create_context(&info);
@@ -69,11 +70,17 @@
 
 EventLoop::~EventLoop() {
   signalled_context.store(nullptr);
+  closing_ = true;
   timers_.clear();
   lws_timer_.reset();
   lws_context_destroy(context_);
 }
 
+bool EventLoop::IsClosing(const lws* wsi) {
+  return static_cast<const EventLoop*>(lws_context_user(lws_get_context(wsi)))
+      ->closing_;
+}
+
 TimePoint EventLoop::Now() {
   return TimePoint(std::chrono::duration_cast<Duration>(
       std::chrono::steady_clock::now().time_since_epoch()));
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -8,6 +8,7 @@
 
 #include "carawayhaven/time.h"
 
+struct lws;
 struct lws_context;
 
 namespace carawayhaven {
@@ -48,6 +49,10 @@
 
   lws_context* context() const { return context_; }
 
+  /// True while the loop is being destroyed: sockets are closed then, but the
+  /// objects that their events would go to may be gone.
+  static bool IsClosing(const lws* wsi);
+
  private:
   void RunDueTimers();
   void ArmTimer();
@@ -60,6 +65,7 @@
   Callback on_termination_;
   Callback on_round_end_;
   bool stopped_ = false;
+  bool closing_ = false;
 };
 
 }  // namespace carawayhaven
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -175,7 +175,7 @@
       lws_set_opaque_user_data(wsi, nullptr);
       exchange->wsi = nullptr;
       const std::shared_ptr<Exchange> self = std::move(exchange->self);
-      exchange->End();
+      if (!EventLoop::IsClosing(wsi)) exchange->End();
       return 0;
     }
     default:
--- a/src/net/peer_connection.cc
+++ b/src/net/peer_connection.cc
@@ -87,4 +87,10 @@
   transport_.OnClosed(*this);
 }
 
+void PeerConnection::Discard() {
+  closed_ = true;
+  wsi_ = nullptr;
+  self_.reset();
+}
+
 }  // namespace carawayhaven
--- a/src/net/peer_connection.h
+++ b/src/net/peer_connection.h
@@ -45,6 +45,8 @@
   bool HandleReceive(std::span<const std::uint8_t> bytes);
   bool HandleWritable();
   void HandleClose();
+  /// The loop ends: frees the connection without an event.
+  void Discard();
 
  private:
   PeerTransport& transport_;
--- a/src/net/peer_transport.cc
+++ b/src/net/peer_transport.cc
@@ -125,7 +125,11 @@
     case LWS_CALLBACK_WSI_DESTROY:
       if (connection != nullptr) {
         lws_set_opaque_user_data(wsi, nullptr);
-        connection->HandleClose();
+        if (EventLoop::IsClosing(wsi)) {
+          connection->Discard();
+        } else {
+          connection->HandleClose();
+        }
       }
       return 0;
     default:
--- a/src/net/websocket_client.cc
+++ b/src/net/websocket_client.cc
@@ -20,7 +20,11 @@
 void CloseConnection(lws* wsi) {
   if (WebSocketConnection* connection = ConnectionOf(wsi)) {
     lws_set_opaque_user_data(wsi, nullptr);
-    connection->HandleClose();
+    if (EventLoop::IsClosing(wsi)) {
+      connection->Discard();
+    } else {
+      connection->HandleClose();
+    }
   }
 }
 
--- a/src/net/websocket_connection.cc
+++ b/src/net/websocket_connection.cc
@@ -86,4 +86,10 @@
   if (!aborted_) handler_.OnClose(self);
 }
 
+void WebSocketConnection::Discard() {
+  closed_ = true;
+  wsi_ = nullptr;
+  self_.reset();
+}
+
 }  // namespace carawayhaven
--- a/src/net/websocket_connection.h
+++ b/src/net/websocket_connection.h
@@ -60,6 +60,8 @@
   bool HandleReceive(std::string_view part, bool final);
   bool HandleWritable();
   void HandleClose();
+  /// The loop ends: frees the connection without an event.
+  void Discard();
 
  private:
   lws* wsi_ = nullptr;
--- a/src/net/websocket_server.cc
+++ b/src/net/websocket_server.cc
@@ -56,7 +56,11 @@
     case LWS_CALLBACK_CLOSED:
       if (WebSocketConnection* connection = ConnectionOf(wsi)) {
         lws_set_opaque_user_data(wsi, nullptr);
-        connection->HandleClose();
+        if (EventLoop::IsClosing(wsi)) {
+          connection->Discard();
+        } else {
+          connection->HandleClose();
+        }
       }
       return 0;
     default:
