--- a/src/core/config/config_distributor.cc
+++ b/src/core/config/config_distributor.cc
@@ -96,7 +96,8 @@
   }
   std::size_t bytes = 0;
   for (; entry != end && bytes < kMaxAnswerBytes; ++entry) {
-    const auto& [name, team] = *entry;
+    const TeamName& name = entry->first;
+    const ConfigStore::Team& team = entry->second;
     const auto held = known.find(name);
     const std::uint64_t version = held == known.end() ? 0 : held->second;
     const auto send = [&](std::uint64_t number, const std::string& value) {
@@ -200,7 +201,8 @@
   watch_not_before_ = now_ + kWatchMinGap;
   const std::weak_ptr<ConfigDistributor*> alive = alive_;
   platform_.Watch(kTeamsPrefix, revision_, [alive](const StoreReply& reply) {
-    if (const auto self = alive.lock()) (*self)->OnWatchReply(reply);
+    const auto self = alive.lock();
+    if (self != nullptr) (*self)->OnWatchReply(reply);
   });
 }
 
@@ -223,8 +225,8 @@
   const std::string_view prefix = kTeamsPrefix;
   for (const StoredObject& object : reply.objects) {
     if (!object.path.starts_with(prefix)) continue;
-    const std::string_view team =
-        std::string_view(object.path).substr(prefix.size());
+    std::string_view team = object.path;
+    team.remove_prefix(prefix.size());
     if (!Apply(team, object.version, object.value, now_)) continue;
     // The list that a proxy reads at its start is no news to others.
     if (!first) Spread(team, object.version, object.value, {});
--- a/src/core/config/config_submitter.cc
+++ b/src/core/config/config_submitter.cc
@@ -149,7 +149,8 @@
   const std::weak_ptr<ConfigSubmitter*> alive = alive_;
   const auto callback = [alive, id,
                          call = submission.call](const StoreReply& reply) {
-    if (const auto self = alive.lock()) (*self)->OnReply(id, call, reply);
+    const auto self = alive.lock();
+    if (self != nullptr) (*self)->OnReply(id, call, reply);
   };
   const std::string path = kTeamsPrefix + submission.team;
   if (submission.step == Step::kUpdate) {
--- a/src/core/membership/gossip.cc
+++ b/src/core/membership/gossip.cc
@@ -113,11 +113,16 @@
   }
   const MemberTable::Member* held = table_.Find(record.vm);
   const std::string address = held == nullptr ? "" : held->record.address;
+  // The first sign of life of a seed is no news to others: at a cold start of
+  // 830 VMs it would fill all heartbeats for three minutes.
+  const bool confirms_seed = held != nullptr && held->record.incarnation == 0 &&
+                             held->record.state == VmState::kAlive &&
+                             record.state == VmState::kAlive;
   if (!table_.Merge(record, now)) return;
   if (record.address != address) link_.SetAddress(record.vm, record.address);
   // A live seed comes from the platform's list, which every VM reads.
   const bool seed = record.incarnation == 0 && record.state == VmState::kAlive;
-  if (news && !seed) changes_.Add(record.vm);
+  if (news && !seed && !confirms_seed) changes_.Add(record.vm);
   if (record.state == VmState::kSuspected) {
     const auto [entry, added] = suspicions_.try_emplace(record.vm);
     Suspicion& suspicion = entry->second;
--- a/src/core/membership/member_table.cc
+++ b/src/core/membership/member_table.cc
@@ -71,10 +71,10 @@
 
 const std::vector<VmName>& MemberTable::OwnersIn(
     std::string_view data_centre) const {
-  static const std::vector<VmName> kNone;
+  static const std::vector<VmName> none;
   Rebuild();
   const auto found = owners_in_.find(data_centre);
-  return found == owners_in_.end() ? kNone : found->second;
+  return found == owners_in_.end() ? none : found->second;
 }
 
 const std::vector<VmName>& MemberTable::Reachable() const {
--- a/test/config/fake_platform_store.h
+++ b/test/config/fake_platform_store.h
@@ -1,6 +1,7 @@
 #ifndef CARAWAYHAVEN_TEST_CONFIG_FAKE_PLATFORM_STORE_H_
 #define CARAWAYHAVEN_TEST_CONFIG_FAKE_PLATFORM_STORE_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <list>
 #include <map>
@@ -89,12 +90,18 @@
   void Watch(const std::string& data_centre, std::string_view prefix,
              ObjectVersion after, const StoreCallback& callback) {
     if (!Admit(data_centre, callback)) return;
-    watches_.push_back({std::string(prefix), after, callback});
+    const std::uint64_t number = ++last_watch_;
+    watches_.push_back({number, std::string(prefix), after, callback});
     WakeWatches();
+    simulation_.After(kWaitingTime, [this, number] { EndWatch(number); });
   }
 
  private:
+  /// A watch without news ends after this time.
+  static constexpr Duration kWaitingTime = std::chrono::seconds(30);
+
   struct PendingWatch {
+    std::uint64_t number = 0;
     std::string prefix;
     ObjectVersion after = 0;
     StoreCallback callback;
@@ -113,6 +120,18 @@
         delay_, [reply = std::move(reply), callback] { callback(reply); });
   }
 
+  void EndWatch(std::uint64_t number) {
+    const auto found = std::find_if(
+        watches_.begin(), watches_.end(),
+        [&](const PendingWatch& watch) { return watch.number == number; });
+    if (found == watches_.end()) return;
+    StoreReply reply;
+    reply.status = StoreStatus::kOk;
+    reply.revision = revision_;
+    Answer(reply, found->callback);
+    watches_.erase(found);
+  }
+
   void WakeWatches() {
     for (auto watch = watches_.begin(); watch != watches_.end();) {
       StoreReply reply;
@@ -137,6 +156,7 @@
   std::list<PendingWatch> watches_;
   std::set<std::string> cut_off_;
   ObjectVersion revision_ = 0;
+  std::uint64_t last_watch_ = 0;
   bool down_ = false;
   Duration delay_ = std::chrono::milliseconds(3);
   int lose_put_answers_ = 0;
