--- a/src/core/config/team_config_parser.cc
+++ b/src/core/config/team_config_parser.cc
@@ -310,6 +310,7 @@
 }  // namespace
 
 std::string ConfigError::Format() const {
+  if (position.line == 0) return message;
   return "line " + std::to_string(position.line) + ", column " +
          std::to_string(position.column) + ": " + message;
 }
--- a/src/core/config/team_config_parser.h
+++ b/src/core/config/team_config_parser.h
@@ -18,7 +18,8 @@
   TextPosition position;
   std::string message;
 
-  /// Returns "line L, column C: message".
+  /// Returns "line L, column C: message", or the message alone when the error
+  /// has no place in the text.
   std::string Format() const;
 };
 
--- a/src/core/membership/member_view.h
+++ b/src/core/membership/member_view.h
@@ -16,8 +16,9 @@
 
   virtual const VmName& self_vm() const = 0;
 
-  /// Returns the live peers, without this VM. Leaving VMs are included, since
-  /// they still serve. Valid until the next event.
+  /// Returns the peers that are not dead, without this VM. Leaving VMs still
+  /// serve and suspected ones mostly are alive, so both are included. Valid
+  /// until the next event.
   virtual const std::vector<VmName>& Peers() const = 0;
 
   /// True when this VM is among the first `count` live, not leaving VMs of its
--- a/test/config/config_distribution_test.cc
+++ b/test/config/config_distribution_test.cc
@@ -78,6 +78,16 @@
   EXPECT_TRUE(InForceInTime(version));
 }
 
+// Guards against a data centre whose watchers are gone: each VM but one of each
+// data centre crashes, so that the role moves.
+TEST_F(ConfigDistribution, WatchersCrashOthersTakeOver) {
+  for (std::size_t i = 0; i < 9; ++i) cluster.Crash(i);
+  cluster.RunFor(seconds(5));
+  const ObjectVersion version = cluster.store.Write(
+      "teams/t", TeamValue(TeamText("t", {"s-1"}, "direct")));
+  EXPECT_TRUE(InForceInTime(version));
+}
+
 TEST_F(ConfigDistribution, BadTextInTheStoreChangesNothing) {
   cluster.store.Write("teams/t", "{}");
   cluster.RunFor(seconds(3));
@@ -116,6 +126,14 @@
   EXPECT_TRUE(InForceInTime(version));
 }
 
+// Guards against "unknown" where the store certainly took nothing.
+TEST_F(ConfigDistribution, OverloadedStoreNothingWasChanged) {
+  cluster.store.SetOverloaded(true);
+  const SubmitResult result = SubmitAt(0, first, "refused");
+  EXPECT_EQ(result.status, SubmitStatus::kUnavailable);
+  EXPECT_EQ(cluster.store.VersionOf("teams/t"), first);
+}
+
 // Guards against watches that hammer a store that is down: two watchers in
 // each of three data centres, at most one call each in a second on average.
 TEST_F(ConfigDistribution, StoreDownCallsBackOff) {
--- a/test/config/fake_platform_store.h
+++ b/test/config/fake_platform_store.h
@@ -28,6 +28,8 @@
     const std::list<PendingWatch> broken = std::exchange(watches_, {});
     for (const PendingWatch& watch : broken) Answer({}, watch.callback);
   }
+  /// While overloaded, calls are refused at once.
+  void SetOverloaded(bool overloaded) { overloaded_ = overloaded; }
   void SetDelay(Duration delay) { delay_ = delay; }
   /// The next updates take effect, but their answers are lost.
   void LosePutAnswers(int count) { lose_put_answers_ = count; }
@@ -109,6 +111,12 @@
 
   bool Admit(const std::string& data_centre, const StoreCallback& callback) {
     ++calls_;
+    if (overloaded_) {
+      StoreReply reply;
+      reply.status = StoreStatus::kOverloaded;
+      Answer(reply, callback);
+      return false;
+    }
     if (!down_ && !cut_off_.contains(data_centre)) return true;
     simulation_.After(std::chrono::seconds(1),
                       [callback] { callback(StoreReply{}); });
@@ -158,6 +166,7 @@
   ObjectVersion revision_ = 0;
   std::uint64_t last_watch_ = 0;
   bool down_ = false;
+  bool overloaded_ = false;
   Duration delay_ = std::chrono::milliseconds(3);
   int lose_put_answers_ = 0;
   std::uint64_t calls_ = 0;
--- a/test/config/team_config_parser_test.cc
+++ b/test/config/team_config_parser_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <fstream>
+#include <ostream>
 #include <sstream>
 #include <string>
 
@@ -19,6 +20,9 @@
   std::size_t errors = 1;
 };
 
+// Without it the listed test names would hold the bytes of the struct.
+void PrintTo(const BadText& bad, std::ostream* out) { *out << bad.name; }
+
 const std::string kHead = "team = \"t\"\n[[service]]\nname = \"s\"\n";
 const std::string kEndpoint =
     "[[service.endpoint]]\nname = \"e\"\naddress = \"127.0.0.1:1\"\n"
