--- a/test/config/fake_platform_store.h
+++ b/test/config/fake_platform_store.h
@@ -1,6 +1,7 @@
 #ifndef CARAWAYHAVEN_TEST_CONFIG_FAKE_PLATFORM_STORE_H_
 #define CARAWAYHAVEN_TEST_CONFIG_FAKE_PLATFORM_STORE_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <list>
 #include <map>
@@ -27,6 +28,8 @@
     const std::list<PendingWatch> broken = std::exchange(watches_, {});
     for (const PendingWatch& watch : broken) Answer({}, watch.callback);
   }
+  /// While overloaded, calls are refused at once.
+  void SetOverloaded(bool overloaded) { overloaded_ = overloaded; }
   void SetDelay(Duration delay) { delay_ = delay; }
   /// The next updates take effect, but their answers are lost.
   void LosePutAnswers(int count) { lose_put_answers_ = count; }
@@ -89,12 +92,18 @@
   void Watch(const std::string& data_centre, std::string_view prefix,
              ObjectVersion after, const StoreCallback& callback) {
     if (!Admit(data_centre, callback)) return;
-    watches_.push_back({std::string(prefix), after, callback});
+    const std::uint64_t number = ++last_watch_;
+    watches_.push_back({number, std::string(prefix), after, callback});
     WakeWatches();
+    simulation_.After(kWaitingTime, [this, number] { EndWatch(number); });
   }
 
  private:
+  /// A watch without news ends after this time.
+  static constexpr Duration kWaitingTime = std::chrono::seconds(30);
+
   struct PendingWatch {
+    std::uint64_t number = 0;
     std::string prefix;
     ObjectVersion after = 0;
     StoreCallback callback;
@@ -102,6 +111,12 @@
 
   bool Admit(const std::string& data_centre, const StoreCallback& callback) {
     ++calls_;
+    if (overloaded_) {
+      StoreReply reply;
+      reply.status = StoreStatus::kOverloaded;
+      Answer(reply, callback);
+      return false;
+    }
     if (!down_ && !cut_off_.contains(data_centre)) return true;
     simulation_.After(std::chrono::seconds(1),
                       [callback] { callback(StoreReply{}); });
@@ -113,6 +128,18 @@
         delay_, [reply = std::move(reply), callback] { callback(reply); });
   }
 
+  void EndWatch(std::uint64_t number) {
+    const auto found = std::find_if(
+        watches_.begin(), watches_.end(),
+        [&](const PendingWatch& watch) { return watch.number == number; });
+    if (found == watches_.end()) return;
+    StoreReply reply;
+    reply.status = StoreStatus::kOk;
+    reply.revision = revision_;
+    Answer(reply, found->callback);
+    watches_.erase(found);
+  }
+
   void WakeWatches() {
     for (auto watch = watches_.begin(); watch != watches_.end();) {
       StoreReply reply;
@@ -137,7 +164,9 @@
   std::list<PendingWatch> watches_;
   std::set<std::string> cut_off_;
   ObjectVersion revision_ = 0;
+  std::uint64_t last_watch_ = 0;
   bool down_ = false;
+  bool overloaded_ = false;
   Duration delay_ = std::chrono::milliseconds(3);
   int lose_put_answers_ = 0;
   std::uint64_t calls_ = 0;
