--- a/bench/replica_read_experiment.cc
+++ b/bench/replica_read_experiment.cc
@@ -17,10 +17,15 @@
 #include "core/route/front.h"
 #include "replica_read_world.h"
 #include "route/fake_route.h"
+#include "virtual_events.h"
 
 namespace carawayhaven::replica_read {
 namespace {
 
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
 constexpr std::size_t kFronts = 6;
 constexpr std::size_t kSessions = 120;
 constexpr Duration kRunTime = seconds(60);
@@ -268,7 +273,7 @@
   }
 
   Case setup_;
-  EventQueue events_;
+  VirtualEvents events_;
   Group group_;
   FakeServices services_;
   std::vector<std::unique_ptr<Node>> nodes_;
--- a/bench/replica_read_world.h
+++ b/bench/replica_read_world.h
@@ -5,12 +5,7 @@
 #include <chrono>
 #include <cmath>
 #include <cstdint>
-#include <functional>
-#include <map>
 #include <numbers>
-#include <queue>
-#include <string>
-#include <utility>
 #include <vector>
 
 #include "carawayhaven/log_position.h"
@@ -18,44 +13,7 @@
 
 namespace carawayhaven::replica_read {
 
-using std::chrono::microseconds;
 using std::chrono::milliseconds;
-using std::chrono::seconds;
-
-/// Events in virtual time; equal times keep their order of arrival.
-class EventQueue {
- public:
-  TimePoint now() const { return now_; }
-
-  void At(TimePoint at, std::function<void()> event) {
-    events_.push({at, next_++, std::move(event)});
-  }
-
-  /// Runs the next event. Returns false when there is none.
-  bool RunOne() {
-    if (events_.empty()) return false;
-    Event event = events_.top();
-    events_.pop();
-    now_ = event.at;
-    event.run();
-    return true;
-  }
-
- private:
-  struct Event {
-    TimePoint at;
-    std::uint64_t order;
-    std::function<void()> run;
-
-    bool operator<(const Event& other) const {
-      return std::pair(at, order) > std::pair(other.at, other.order);
-    }
-  };
-
-  TimePoint now_{};
-  std::uint64_t next_ = 0;
-  std::priority_queue<Event> events_;
-};
 
 /// True state of a group in term 1. Replica r holds at time t what the primary
 /// had at t - lag(t); the lag varies by a fifth over 7 s.
--- a/src/core/route/deadline_split.h
+++ b/src/core/route/deadline_split.h
@@ -14,9 +14,14 @@
 /// by a replica: about 100 ms between the farthest data centres. A quarter
 /// leaves short requests most of their time; above 250 ms more time does not
 /// help a resolve.
-constexpr Duration ResolveReserve(Duration left) {
-  return std::min<Duration>(left / 4, std::chrono::milliseconds(250));
-}
+struct ResolveReserve {
+  int divisor = 4;
+  Duration most = std::chrono::milliseconds(250);
+
+  constexpr Duration Of(Duration left) const {
+    return std::min(left / divisor, most);
+  }
+};
 
 /// Time after the owner's deadline in which the front still waits for the
 /// owner's verdict, which is cheaper than a resolve.
--- a/src/core/route/front_options.h
+++ b/src/core/route/front_options.h
@@ -6,6 +6,7 @@
 
 #include "carawayhaven/names.h"
 #include "core/limits/retry_budget.h"
+#include "core/route/deadline_split.h"
 #include "core/route/position_check.h"
 
 namespace carawayhaven {
@@ -20,6 +21,7 @@
   DataCentreDistance distance;
   PositionCheck position_check = SameTermPositionCheck;
   RetryBudgetOptions retry_budget;
+  ResolveReserve resolve_reserve;
 };
 
 }  // namespace carawayhaven
--- a/src/core/route/front_send.cc
+++ b/src/core/route/front_send.cc
@@ -91,7 +91,8 @@
 Request Front::MessageOf(const RequestState& state, TimePoint now) const {
   Request message = state.request;
   if (state.is_resolvable()) {
-    message.deadline -= ResolveReserve(state.request.deadline - now);
+    message.deadline -=
+        options_.resolve_reserve.Of(state.request.deadline - now);
   }
   return message;
 }
@@ -120,7 +121,7 @@
   if (state.accepts_replica() && !state.has_second_leg) {
     timer = now + ReadPatience(left);
   } else if (state.is_resolvable()) {
-    const Duration reserve = ResolveReserve(left);
+    const Duration reserve = options_.resolve_reserve.Of(left);
     timer -= reserve - ReplyGrace(reserve);
   }
   timers_.Set(state.key, timer);
@@ -154,7 +155,7 @@
   state.phase = RequestPhase::kForwarded;
   TimePoint timer = state.request.deadline;
   if (state.is_resolvable()) {
-    const Duration reserve = ResolveReserve(timer - now);
+    const Duration reserve = options_.resolve_reserve.Of(timer - now);
     timer -= reserve - ReplyGrace(reserve);
   }
   timers_.Set(state.key, timer);
