Front: deadline reserve from measured response times, redirect after a late refusal

A reserve of a quarter of the time left was shorter than a resolve takes. It is now three measured response times, at most half of the time left.

--- a/bench/replica_read_experiment.cc
+++ b/bench/replica_read_experiment.cc
@@ -312,9 +312,9 @@
     const double of_optimum = result.OfOptimum();
     least_of_optimum = std::min(least_of_optimum, of_optimum);
     stale += result.stale_own_reads;
-    const auto lag_ms = static_cast<long>(setup.lag.count() / 1000);
+    const auto lag_ms = static_cast<int>(setup.lag.count() / 1000);
     std::printf(
-        "%-9s %-8s %7ld %6zu | %6.3f %7.3f %7.3f %6.3f | %7.2f %7.1f | %6.1f "
+        "%-9s %-8s %7d %6zu | %6.3f %7.3f %7.3f %6.3f | %7.2f %7.1f | %6.1f "
         "%6.1f %6.1f | %5zu\n",
         setup.deployment, mode, lag_ms, result.front.count(),
         result.front.Share(), result.OptimumShare(), of_optimum,
@@ -324,7 +324,7 @@
     std::array<char, 320> row{};
     std::snprintf(
         row.data(), row.size(),
-        "%s{\"deployment\":\"%s\",\"acknowledge\":\"%s\",\"lag_ms\":%ld,"
+        "%s{\"deployment\":\"%s\",\"acknowledge\":\"%s\",\"lag_ms\":%d,"
         "\"share\":%.4f,\"optimum\":%.4f,\"of_optimum\":%.4f,"
         "\"round_robin\":%.4f,\"added_mean_ms\":%.3f,\"stale\":%zu}",
         rows.empty() ? "" : ",", setup.deployment, mode, lag_ms,
--- a/src/core/route/deadline_split.h
+++ b/src/core/route/deadline_split.h
@@ -8,21 +8,6 @@
 
 namespace carawayhaven {
 
-/// Part of the time left that a write keeps for a resolve.
-///
-/// A resolve takes a round trip to the owner and a confirmation of the primary
-/// by a replica: about 100 ms between the farthest data centres. A quarter
-/// leaves short requests most of their time; above 250 ms more time does not
-/// help a resolve.
-struct ResolveReserve {
-  int divisor = 4;
-  Duration most = std::chrono::milliseconds(250);
-
-  constexpr Duration Of(Duration left) const {
-    return std::min(left / divisor, most);
-  }
-};
-
 /// Time after the owner's deadline in which the front still waits for the
 /// owner's verdict, which is cheaper than a resolve.
 constexpr Duration ReplyGrace(Duration reserve) {
--- a/src/core/route/forwarder.cc
+++ b/src/core/route/forwarder.cc
@@ -22,26 +22,27 @@
 std::optional<ForwardLeg> Forwarder::Forward(RequestKey key,
                                              const EndpointConfig& endpoint,
                                              Term term, const Request& request,
-                                             const std::set<VmName>& skipped) {
+                                             const std::set<VmName>& skipped,
+                                             TimePoint now) {
   for (const VmName& owner : owners_.OwnersOf(endpoint, kOwnersTried)) {
     if (skipped.contains(owner)) continue;
-    auto leg = ForwardTo(owner, key, endpoint.name, term, request);
+    auto leg = ForwardTo(owner, key, endpoint.name, term, request, now);
     if (leg) return leg;
   }
   return std::nullopt;
 }
 
-std::optional<ForwardLeg> Forwarder::ForwardTo(const VmName& owner,
-                                               RequestKey key,
-                                               const EndpointName& endpoint,
-                                               Term term,
-                                               const Request& request) {
-  ForwardLeg leg{next_correlation_++,
-                 key,
-                 owner,
-                 endpoint,
-                 term,
-                 request.kind == RequestKind::kResolve};
+std::optional<ForwardLeg> Forwarder::ForwardTo(
+    const VmName& owner, RequestKey key, const EndpointName& endpoint,
+    Term term, const Request& request, TimePoint now) {
+  ForwardLeg leg;
+  leg.correlation = next_correlation_++;
+  leg.request = key;
+  leg.owner = owner;
+  leg.endpoint = endpoint;
+  leg.term = term;
+  leg.resolves = request.kind == RequestKind::kResolve;
+  leg.sent_at = now;
   if (!peers_.Send(owner,
                    ForwardMessage{leg.correlation, endpoint, term, request})) {
     return std::nullopt;
--- a/src/core/route/forwarder.h
+++ b/src/core/route/forwarder.h
@@ -10,6 +10,7 @@
 
 #include "carawayhaven/names.h"
 #include "carawayhaven/request.h"
+#include "carawayhaven/time.h"
 
 namespace carawayhaven {
 
@@ -28,6 +29,7 @@
   EndpointName endpoint;
   Term term = 0;
   bool resolves = false;
+  TimePoint sent_at;
 };
 
 /// Sends requests to pool owners and matches the replies to them. Correlation
@@ -43,12 +45,13 @@
   std::optional<ForwardLeg> Forward(RequestKey key,
                                     const EndpointConfig& endpoint, Term term,
                                     const Request& request,
-                                    const std::set<VmName>& skipped);
+                                    const std::set<VmName>& skipped,
+                                    TimePoint now);
 
   /// Sends to that owner only.
   std::optional<ForwardLeg> ForwardTo(const VmName& owner, RequestKey key,
                                       const EndpointName& endpoint, Term term,
-                                      const Request& request);
+                                      const Request& request, TimePoint now);
 
   /// Removes and returns the leg; nothing when the correlation id is unknown or
   /// was sent to another VM.
--- a/src/core/route/front.cc
+++ b/src/core/route/front.cc
@@ -135,6 +135,10 @@
   terms_.Learn(state->request.service, reply.term,
                from_primary ? leg->endpoint : EndpointName());
   selector_.OnOutcome(state->request, outcome, now);
+  if (leg->resolves ||
+      (state->is_resolvable() && outcome.verdict == Verdict::kRan)) {
+    ReserveOf(state->request.service).OnAnswer(now - leg->sent_at);
+  }
   OnOutcome(*state, *leg, reply, now);
 }
 
@@ -202,7 +206,10 @@
             state.reason == Reason::kNone ? Reason::kDeadline : state.reason);
         return;
       }
-      DropLegs(state, true);
+      for (const CorrelationId correlation : state.legs) {
+        const ForwardLeg* leg = forwarder_.Find(correlation);
+        if (leg != nullptr) state.skipped_owners.insert(leg->owner);
+      }
       SendResolve(state, now);
       return;
     case RequestPhase::kEnded:
@@ -219,21 +226,18 @@
     End(state, Verdict::kNotRun, Reason::kDeadline);
     return;
   }
-  // All legs of a request that is no read have the same owner.
-  ForwardLeg leg;
-  for (const CorrelationId correlation : std::exchange(state.legs, {})) {
-    if (auto dropped = forwarder_.Forget(correlation)) leg = *dropped;
-  }
-  selector_.OnEnded(leg.endpoint);
+  // A request that is no read has one leg. It stays while the request is being
+  // resolved, since a late kRan settles it.
+  const ForwardLeg* found = forwarder_.Find(state.legs.front());
+  if (found == nullptr) return;
+  const ForwardLeg leg = *found;
   OnNoAnswer(state, leg, Reason::kDeadline, now);
 }
 
-void Front::DropLegs(RequestState& state, bool skip_owners) {
+void Front::DropLegs(RequestState& state) {
   for (const CorrelationId correlation : std::exchange(state.legs, {})) {
     const auto leg = forwarder_.Forget(correlation);
-    if (!leg) continue;
-    selector_.OnEnded(leg->endpoint);
-    if (skip_owners) state.skipped_owners.insert(leg->owner);
+    if (leg) selector_.OnEnded(leg->endpoint);
   }
 }
 
@@ -245,7 +249,7 @@
 }
 
 void Front::End(RequestState& state, Outcome outcome) {
-  DropLegs(state, false);
+  DropLegs(state);
   timers_.Cancel(state.key);
   awaiting_primary_[state.request.service].erase(state.key);
   state.phase = RequestPhase::kEnded;
--- a/src/core/route/front.h
+++ b/src/core/route/front.h
@@ -21,6 +21,7 @@
 #include "core/route/id_source.h"
 #include "core/route/replica_selector.h"
 #include "core/route/request_state.h"
+#include "core/route/resolve_reserve.h"
 #include "core/route/term_hints.h"
 #include "core/route/timer_queue.h"
 #include "core/route/transaction_table.h"
@@ -92,7 +93,7 @@
   void OnForwardedTimer(RequestState& state, TimePoint now);
   void End(RequestState& state, Outcome outcome);
   void End(RequestState& state, Verdict verdict, Reason reason);
-  void DropLegs(RequestState& state, bool skip_owners);
+  void DropLegs(RequestState& state);
 
   // front_send.cc: choice of the place and sending.
   void Route(RequestState& state, TimePoint now);
@@ -107,7 +108,7 @@
   void AddLeg(RequestState& state, const ForwardLeg& leg);
   void RefusePrimary(RequestState& state, const EndpointName& endpoint);
   EndpointName PrimaryFor(RequestState& state, const ServiceConfig& service);
-  Request MessageOf(const RequestState& state, TimePoint now) const;
+  Request MessageOf(const RequestState& state, TimePoint now);
 
   // front_outcome.cc: what follows an outcome or its absence.
   void OnOutcome(RequestState& state, const ForwardLeg& leg,
@@ -132,7 +133,10 @@
                 TimePoint now);
   bool IsOfOlderTerm(const ServiceName& service, Term term) const;
   bool HasNewPrimary(const RequestState& state) const;
+  bool KnowsOtherPrimary(const RequestState& state,
+                         const ForwardLeg& leg) const;
   RetryBudget& BudgetOf(const ServiceName& service);
+  ResolveReserve& ReserveOf(const ServiceName& service);
 
   FrontOptions options_;
   const ServiceDirectory& services_;
@@ -146,6 +150,7 @@
   TransactionTable transactions_;
   TimerQueue timers_;
   std::map<ServiceName, RetryBudget> budgets_;
+  std::map<ServiceName, ResolveReserve> reserves_;
   RequestKey next_key_ = 1;
   std::unordered_map<RequestKey, std::shared_ptr<RequestState>> requests_;
   std::map<ServiceName, std::set<RequestKey>> awaiting_primary_;
--- a/src/core/route/front_options.h
+++ b/src/core/route/front_options.h
@@ -6,8 +6,8 @@
 
 #include "carawayhaven/names.h"
 #include "core/limits/retry_budget.h"
-#include "core/route/deadline_split.h"
 #include "core/route/position_check.h"
+#include "core/route/resolve_reserve.h"
 
 namespace carawayhaven {
 
@@ -21,7 +21,7 @@
   DataCentreDistance distance;
   PositionCheck position_check = SameTermPositionCheck;
   RetryBudgetOptions retry_budget;
-  ResolveReserve resolve_reserve;
+  ResolveReserveOptions resolve_reserve;
 };
 
 }  // namespace carawayhaven
--- a/src/core/route/front_outcome.cc
+++ b/src/core/route/front_outcome.cc
@@ -26,6 +26,14 @@
     OnResolved(state, leg, reply, now);
     return;
   }
+  if (state.may_have_run()) {
+    // A late answer to the attempt that is being resolved: kRan is final.
+    if (reply.outcome.verdict == Verdict::kRan &&
+        !IsOfOlderTerm(state.request.service, reply.term)) {
+      End(state, reply.outcome);
+    }
+    return;
+  }
   if (state.request.kind == RequestKind::kBegin) {
     OnBeginOutcome(state, leg, reply, now);
     return;
@@ -80,10 +88,9 @@
       if (outcome.reason == Reason::kNotPrimary) {
         RefusePrimary(state, leg.endpoint);
       }
-      const bool learnt = IsOfOlderTerm(state.request.service, leg.term);
-      const bool moved =
-          service != nullptr && terms_.PrimaryOf(*service) != leg.endpoint;
-      if (learnt && (moved || outcome.reason == Reason::kStaleTerm)) {
+      const bool retries_at_once =
+          has_newer_term || KnowsOtherPrimary(state, leg);
+      if (retries_at_once) {
         RetryElsewhere(state, now);
       } else {
         AwaitPrimary(state, now);
@@ -113,6 +120,8 @@
     RepeatResolve(state, now);
     return;
   }
+  // The attempt that is being resolved.
+  if (state.may_have_run()) return;
   state.reason = reason;
   if (state.is_resolvable()) {
     if (state.is_step()) transactions_.Remove(state.request.transaction);
@@ -166,7 +175,8 @@
       state.skipped_owners.insert(leg.owner);
     }
     const bool elsewhere = outcome.reason == Reason::kLeaving ||
-                           IsOfOlderTerm(state.request.service, leg.term);
+                           IsOfOlderTerm(state.request.service, leg.term) ||
+                           KnowsOtherPrimary(state, leg);
     if (elsewhere) {
       RepeatResolve(state, now);
     } else {
@@ -188,6 +198,7 @@
     return;
   }
   // All attempts up to this one are cancelled, so nothing can run any more.
+  DropLegs(state);
   state.phase = RequestPhase::kWaiting;
   const bool is_write = state.request.kind == RequestKind::kStatement;
   if (!is_write || attempt::IsLast(state.request.id.attempt)) {
@@ -326,7 +337,7 @@
   state->is_internal = true;
   const auto leg =
       forwarder_.ForwardTo(transaction.owner, state->key, transaction.endpoint,
-                           transaction.term, state->request);
+                           transaction.term, state->request, now);
   if (!leg) return;
   AddLeg(*state, *leg);
   state->phase = RequestPhase::kForwarded;
@@ -339,6 +350,14 @@
   return config != nullptr && term < terms_.TermOf(*config);
 }
 
+bool Front::KnowsOtherPrimary(const RequestState& state,
+                              const ForwardLeg& leg) const {
+  const ServiceConfig* config = services_.FindService(state.request.service);
+  if (config == nullptr) return false;
+  const EndpointName primary = terms_.PrimaryOf(*config);
+  return primary != leg.endpoint && !state.not_primary.contains(primary);
+}
+
 bool Front::HasNewPrimary(const RequestState& state) const {
   const ServiceConfig* config = services_.FindService(state.request.service);
   return config != nullptr && state.awaited_above &&
@@ -352,4 +371,11 @@
       .first->second;
 }
 
+ResolveReserve& Front::ReserveOf(const ServiceName& service) {
+  const auto found = reserves_.find(service);
+  if (found != reserves_.end()) return found->second;
+  return reserves_.emplace(service, ResolveReserve(options_.resolve_reserve))
+      .first->second;
+}
+
 }  // namespace carawayhaven
--- a/src/core/route/front_send.cc
+++ b/src/core/route/front_send.cc
@@ -88,11 +88,11 @@
 
 // The owner's deadline of a write is earlier than the caller's, so that time
 // for a resolve is left.
-Request Front::MessageOf(const RequestState& state, TimePoint now) const {
+Request Front::MessageOf(const RequestState& state, TimePoint now) {
   Request message = state.request;
   if (state.is_resolvable()) {
     message.deadline -=
-        options_.resolve_reserve.Of(state.request.deadline - now);
+        ReserveOf(state.request.service).Of(state.request.deadline - now);
   }
   return message;
 }
@@ -103,7 +103,7 @@
   std::optional<ForwardLeg> leg;
   if (config != nullptr) {
     leg = forwarder_.Forward(state.key, *config, terms_.TermOf(service),
-                             MessageOf(state, now), state.skipped_owners);
+                             MessageOf(state, now), state.skipped_owners, now);
   }
   if (!leg) {
     state.skipped_owners.clear();
@@ -121,7 +121,7 @@
   if (state.accepts_replica() && !state.has_second_leg) {
     timer = now + ReadPatience(left);
   } else if (state.is_resolvable()) {
-    const Duration reserve = options_.resolve_reserve.Of(left);
+    const Duration reserve = ReserveOf(state.request.service).Of(left);
     timer -= reserve - ReplyGrace(reserve);
   }
   timers_.Set(state.key, timer);
@@ -145,7 +145,7 @@
   }
   const auto leg =
       forwarder_.ForwardTo(transaction.owner, state.key, transaction.endpoint,
-                           transaction.term, MessageOf(state, now));
+                           transaction.term, MessageOf(state, now), now);
   if (!leg) {
     transactions_.Remove(id);
     End(state, Verdict::kNotRun, Reason::kPeerLost);
@@ -155,7 +155,7 @@
   state.phase = RequestPhase::kForwarded;
   TimePoint timer = state.request.deadline;
   if (state.is_resolvable()) {
-    const Duration reserve = options_.resolve_reserve.Of(timer - now);
+    const Duration reserve = ReserveOf(state.request.service).Of(timer - now);
     timer -= reserve - ReplyGrace(reserve);
   }
   timers_.Set(state.key, timer);
@@ -175,7 +175,7 @@
     message.kind = RequestKind::kResolve;
     message.transaction.clear();
     leg = forwarder_.Forward(state.key, *primary, terms_.TermOf(*service),
-                             message, state.skipped_owners);
+                             message, state.skipped_owners, now);
   }
   if (!leg) {
     state.skipped_owners.clear();
@@ -185,12 +185,11 @@
   ++stats_.resolves;
   AddLeg(state, *leg);
   state.phase = RequestPhase::kResolving;
-  // A resolve may be repeated at will, so a silent owner costs half of the time
-  // left at most.
+  // A resolve may be repeated at will, and the answer to any copy settles it.
   constexpr Duration kLeastPatience = std::chrono::milliseconds(20);
-  const Duration left = state.request.deadline - now;
-  timers_.Set(state.key, std::min(state.request.deadline,
-                                  now + std::max(left / 2, kLeastPatience)));
+  const Duration patience =
+      std::max(kLeastPatience, ReserveOf(state.request.service).ResponseTime());
+  timers_.Set(state.key, std::min(state.request.deadline, now + patience));
 }
 
 // The first leg goes on: a read that takes long would never end if it were
@@ -217,7 +216,7 @@
   }
   const auto leg =
       forwarder_.Forward(state.key, *config, terms_.TermOf(*service),
-                         state.request, state.skipped_owners);
+                         state.request, state.skipped_owners, now);
   if (!leg) return;
   ++stats_.retries;
   AddLeg(state, *leg);
--- /dev/null
+++ b/src/core/route/resolve_reserve.cc
@@ -0,0 +1,22 @@
+#include "core/route/resolve_reserve.h"
+
+#include <algorithm>
+
+namespace carawayhaven {
+
+void ResolveReserve::OnAnswer(Duration took) {
+  constexpr int kWeight = 16;
+  // A few writes run up to 200 times longer; unbounded they would dominate.
+  const Duration sample = std::min(took, 2 * ResponseTime());
+  const Duration difference = sample - mean_;
+  mean_ += difference / kWeight;
+  deviation_ += (std::chrono::abs(difference) - deviation_) / kWeight;
+}
+
+Duration ResolveReserve::Of(Duration left) const {
+  if (left / 2 < ResponseTime()) return Duration(0);
+  return std::min(
+      {left / 2, options_.responses * ResponseTime(), options_.most});
+}
+
+}  // namespace carawayhaven
