--- a/bench/front_benchmark.cc
+++ b/bench/front_benchmark.cc
@@ -12,7 +12,7 @@
 
 // One write from Submit to its reply, with the timer work of a loop, while
 // state.range(0) others are in flight.
-void BM_FrontWrite(benchmark::State& state) {
+void FrontWrite(benchmark::State& state) {
   FakeServices services;
   GroupDirectory groups;
   FakeOwners owners("v");
@@ -41,7 +41,7 @@
     front.OnForwardReply("a-1", reply, At(1));
   }
 }
-BENCHMARK(BM_FrontWrite)->Arg(0)->Arg(400)->Arg(4000);
+BENCHMARK(FrontWrite)->Arg(0)->Arg(400)->Arg(4000);
 
 }  // namespace
 }  // namespace carawayhaven
