--- a/src/core/route/deadline_split.h
+++ b/src/core/route/deadline_split.h
@@ -8,16 +8,6 @@
 
 namespace carawayhaven {
 
-/// Part of the time left that a write keeps for a resolve.
-///
-/// A resolve takes a round trip to the owner and a confirmation of the primary
-/// by a replica: about 100 ms between the farthest data centres. A quarter
-/// leaves short requests most of their time; above 250 ms more time does not
-/// help a resolve.
-constexpr Duration ResolveReserve(Duration left) {
-  return std::min<Duration>(left / 4, std::chrono::milliseconds(250));
-}
-
 /// Time after the owner's deadline in which the front still waits for the
 /// owner's verdict, which is cheaper than a resolve.
 constexpr Duration ReplyGrace(Duration reserve) {
