--- a/bench/pool_run.h
+++ b/bench/pool_run.h
@@ -2,6 +2,7 @@
 #define CARAWAYHAVEN_BENCH_POOL_RUN_H_
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -79,7 +80,8 @@
   if (values.empty()) return Duration{0};
   const auto rank = static_cast<std::size_t>(
       quantile * static_cast<double>(values.size() - 1));
-  std::nth_element(values.begin(), values.begin() + static_cast<long>(rank),
+  std::nth_element(values.begin(),
+                   values.begin() + static_cast<std::ptrdiff_t>(rank),
                    values.end());
   return values[rank];
 }
