--- a/src/proxy/admin_api.cc
+++ b/src/proxy/admin_api.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "proxy/admin_backend.h"
+#include "proxy/resolvable_id.h"
 #include "proxy/status_json.h"
 
 namespace carawayhaven {
@@ -40,13 +41,6 @@
          });
 }
 
-// Control characters would not survive the way through logs and terminals.
-bool IsRequestId(std::string_view text) {
-  return !text.empty() && text.size() <= AdminApi::kMaxRequestIdBytes &&
-         std::none_of(text.begin(), text.end(),
-                      [](unsigned char c) { return std::iscntrl(c) != 0; });
-}
-
 std::optional<ObjectVersion> ParseVersion(std::string_view text) {
   ObjectVersion version = 0;
   const char* end = text.data() + text.size();
@@ -80,14 +74,15 @@
       return response;
     }
     case SubmitStatus::kInvalid: {
-      Json faults = Json::array();
-      for (const TextFault& fault : result.faults) {
-        faults.push_back({{"line", fault.position.line},
-                          {"column", fault.position.column},
-                          {"message", fault.message}});
+      Json errors = Json::array();
+      for (const ConfigError& error : result.errors) {
+        errors.push_back({{"line", error.position.line},
+                          {"column", error.position.column},
+                          {"message", error.message}});
       }
-      return JsonResponse(422, {{"error", "the text has errors"},
-                                {"faults", std::move(faults)}});
+      return JsonResponse(422,
+                          {{"error", "the text has errors; nothing changed"},
+                           {"errors", std::move(errors)}});
     }
     case SubmitStatus::kUnavailable:
       return ErrorResponse(
@@ -109,10 +104,14 @@
         std::chrono::ceil<std::chrono::milliseconds>(outcome.retry_after)
             .count();
   }
-  // The verdict is the answer; without one the caller may ask again.
-  const int status = outcome.verdict == Verdict::kMayHaveRun     ? 504
-                     : outcome.reason == Reason::kUnknownService ? 404
-                                                                 : 200;
+  int status = 200;
+  if (outcome.verdict == Verdict::kMayHaveRun) {
+    status = 504;
+    json["error"] = "the verdict is not known yet; ask again";
+  } else if (outcome.reason == Reason::kUnknownService) {
+    status = 404;
+    json["error"] = "no team declares the service";
+  }
   return JsonResponse(status, json);
 }
 
@@ -231,7 +230,6 @@
 
 void AdminApi::HandleResolve(std::string_view rest,
                              const HttpResponder& responder) {
-  // The id comes last, so it may contain slashes.
   const std::size_t slash = rest.find('/');
   if (slash == std::string_view::npos) {
     responder(
@@ -243,11 +241,9 @@
   if (!IsName(service)) {
     responder(
         ErrorResponse(400, std::string("the service's name ") + kNameRule));
-  } else if (!IsRequestId(id)) {
+  } else if (!IsResolvableId(id)) {
     responder(
-        ErrorResponse(400,
-                      "the request id must have 1 to 256 bytes without control "
-                      "characters"));
+        ErrorResponse(400, std::string("the request id ") + kResolvableIdRule));
   } else {
     backend_.Resolve(std::string(service), std::string(id),
                      [responder](const Outcome& outcome) {
--- a/src/proxy/admin_api.h
+++ b/src/proxy/admin_api.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "carawayhaven/names.h"
+#include "core/config/team_config_parser.h"
 #include "net/http_server.h"
 #include "proxy/secret.h"
 
@@ -21,9 +22,8 @@
   using Tokens = std::map<TeamName, Secret, std::less<>>;
 
   static constexpr std::size_t kMaxNameBytes = 64;
-  static constexpr std::size_t kMaxRequestIdBytes = 256;
-  /// Leaves room in a store object of 1 MB for the text as escaped JSON.
-  static constexpr std::size_t kMaxTeamTextBytes = 448 * 1024;
+  static constexpr std::size_t kMaxTeamTextBytes =
+      TeamConfigParser::kMaxTextBytes;
   /// Name in the tokens of those who may drain a proxy.
   static constexpr std::string_view kOperators = "operators";
 
--- a/src/proxy/admin_backend.h
+++ b/src/proxy/admin_backend.h
@@ -7,10 +7,10 @@
 #include <string_view>
 #include <vector>
 
-#include "carawayhaven/exceptions.h"
 #include "carawayhaven/names.h"
 #include "carawayhaven/outcome.h"
 #include "carawayhaven/time.h"
+#include "core/config/config_submitter.h"
 #include "core/platform_store.h"
 #include "proxy/proxy_status.h"
 
@@ -31,31 +31,6 @@
   std::vector<SeenTeamVersion> seen;
 };
 
-/// An error in a text that an operator submitted.
-struct TextFault {
-  TextPosition position;
-  std::string message;
-};
-
-enum class SubmitStatus {
-  kAccepted,
-  /// Another version stands; nothing changed.
-  kConflict,
-  /// The text has errors; nothing changed.
-  kInvalid,
-  /// The store cannot be reached or refused the call; nothing changed.
-  kUnavailable,
-  /// The store did not answer: the update may have taken effect.
-  kUnknown,
-};
-
-struct SubmitResult {
-  SubmitStatus status = SubmitStatus::kUnknown;
-  /// kAccepted: the new version. kConflict: the version that stands.
-  ObjectVersion version = 0;
-  std::vector<TextFault> faults;
-};
-
 struct Readiness {
   bool ready = false;
   /// Why the proxy is not ready; empty when it is.
@@ -66,7 +41,6 @@
 /// thread.
 class AdminBackend {
  public:
-  using SubmitCallback = std::function<void(const SubmitResult&)>;
   using ResolveCallback = std::function<void(const Outcome&)>;
 
   virtual ~AdminBackend() = default;
--- a/src/proxy/metrics.cc
+++ b/src/proxy/metrics.cc
@@ -150,9 +150,10 @@
   void Format(std::string& text) const {
     text += "# HELP " + name_ + ' ' + help_ + "\n# TYPE " + name_ + ' ' +
             type_ + '\n';
-    for (const auto& [labels, metric] : series_) {
-      std::visit([&](const auto& held) { FormatSeries(text, labels, *held); },
-                 metric);
+    for (const auto& entry : series_) {
+      std::visit(
+          [&](const auto& held) { FormatSeries(text, entry.first, *held); },
+          entry.second);
     }
   }
 
--- a/src/proxy/settings_parser.cc
+++ b/src/proxy/settings_parser.cc
@@ -169,7 +169,8 @@
     return;
   }
   try {
-    FileReader(*this).Read(toml::parse(std::string_view(sources_.text)));
+    const std::string_view text = sources_.text;
+    FileReader(*this).Read(toml::parse(text));
   } catch (const toml::parse_error& error) {
     // toml++ stops at the first error of syntax.
     AddFault(sources_.file_name, PositionOf(error.source()),
--- a/src/proxy/state_log.cc
+++ b/src/proxy/state_log.cc
@@ -17,7 +17,8 @@
   if (found != states_.end() && found->second == state) return false;
   std::vector<LogField> line{{subject_field_, subject}, {"state", state}};
   if (found != states_.end()) {
-    line.emplace_back("previous", std::string_view(found->second));
+    const std::string_view previous = found->second;
+    line.emplace_back("previous", previous);
   }
   line.insert(line.end(), fields.begin(), fields.end());
   Log(level, event_, line);
--- a/src/proxy/trace_span.cc
+++ b/src/proxy/trace_span.cc
@@ -20,7 +20,7 @@
   nlohmann::json operator()(const auto& value) const { return value; }
   nlohmann::json operator()(std::nullptr_t) const { return nullptr; }
   nlohmann::json operator()(string_view text) const {
-    return std::string(text);
+    return nlohmann::json(std::string{text.data(), text.size()});
   }
   nlohmann::json operator()(const char* text) const {
     return text == nullptr ? nlohmann::json() : nlohmann::json(text);
@@ -45,7 +45,7 @@
                             const auto& fields) {
   nlohmann::json record = nlohmann::json::object();
   for (const auto& [key, value] : fields) {
-    record[std::string(key)] = ValueToJson::Convert(value);
+    record[std::string{key.data(), key.size()}] = ValueToJson::Convert(value);
   }
   record["time_us"] = Microseconds(timestamp.time_since_epoch());
   return record;
--- a/src/proxy/tracing.cc
+++ b/src/proxy/tracing.cc
@@ -88,9 +88,9 @@
     }
     TraceContext context = parent != nullptr ? *parent : NewTrace();
     context.span_id = NewId();
-    return std::make_unique<TraceSpan>(*this, context,
-                                       parent != nullptr ? parent->span_id : 0,
-                                       std::string(operation), options);
+    return std::make_unique<TraceSpan>(
+        *this, context, parent != nullptr ? parent->span_id : 0,
+        std::string{operation.data(), operation.size()}, options);
   } catch (const std::exception&) {
     // The interface asks for null when a span cannot be made.
     return nullptr;
@@ -138,7 +138,7 @@
       [&found](opentracing::string_view key,
                opentracing::string_view value) -> expected<void> {
         if (EqualsIgnoringCase(key, kTraceparent)) {
-          found = std::string(value);
+          found.emplace(value.data(), value.size());
         }
         return {};
       });
