--- /dev/null
+++ b/src/cli/command.h
@@ -0,0 +1,63 @@
+#ifndef CARAWAYHAVEN_CLI_COMMAND_H_
+#define CARAWAYHAVEN_CLI_COMMAND_H_
+
+#include <tclap/CmdLine.h>
+
+#include <iosfwd>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cli/exit_code.h"
+
+namespace carawayhaven {
+
+/// What a command uses of its process. The streams must outlive the command.
+struct CommandContext {
+  std::ostream& out;
+  std::ostream& err;
+  std::map<std::string, std::string, std::less<>> environment;
+};
+
+/// A subcommand. Its arguments are members that register with
+/// `command_line()`. Runs once; not thread-safe.
+class Command {
+ public:
+  Command(std::string name, std::string summary, const CommandContext& context);
+  virtual ~Command();
+  Command(const Command&) = delete;
+  Command& operator=(const Command&) = delete;
+
+  const std::string& name() const { return name_; }
+  const std::string& summary() const { return summary_; }
+
+  /// Parses the arguments, without the name of the command, and runs it. Writes
+  /// help and usage errors itself. Returns the exit code.
+  int Run(const std::vector<std::string>& arguments);
+
+ protected:
+  virtual ExitCode Execute() = 0;
+
+  TCLAP::CmdLine& command_line() { return command_line_; }
+  std::ostream& out() const { return context_.out; }
+  std::ostream& err() const { return context_.err; }
+  const CommandContext& context() const { return context_; }
+
+  /// Returns the content of the file, or writes an error and returns nothing.
+  std::optional<std::string> ReadFile(const std::string& path) const;
+
+ private:
+  class Output;
+
+  std::string name_;
+  std::string summary_;
+  const CommandContext& context_;
+  std::unique_ptr<Output> output_;
+  TCLAP::CmdLine command_line_;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_CLI_COMMAND_H_
--- /dev/null
+++ b/src/cli/command_list.h
@@ -0,0 +1,34 @@
+#ifndef CARAWAYHAVEN_CLI_COMMAND_LIST_H_
+#define CARAWAYHAVEN_CLI_COMMAND_LIST_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cli/proxy_command.h"
+
+namespace carawayhaven {
+
+class AdminClient;
+
+/// All subcommands of the binary.
+class CommandList {
+ public:
+  /// `context` and `client` must outlive the list.
+  CommandList(const CommandContext& context, AdminClient& client,
+              ProxyCommand::RunProxy run_proxy);
+
+  /// Runs the command that the first argument names with the other arguments
+  /// and returns the exit code.
+  int Run(const std::vector<std::string>& arguments);
+
+ private:
+  void WriteUsage(std::ostream& out) const;
+
+  const CommandContext& context_;
+  std::vector<std::unique_ptr<Command>> commands_;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_CLI_COMMAND_LIST_H_
--- /dev/null
+++ b/src/cli/resolve_command.cc
@@ -0,0 +1,35 @@
+#include "cli/resolve_command.h"
+
+#include <ostream>
+
+#include "proxy/resolvable_id.h"
+
+namespace carawayhaven {
+
+ResolveCommand::ResolveCommand(const CommandContext& context,
+                               AdminClient& client)
+    : AdminCommand("resolve",
+                   "settles whether a write ran; a write that has not run is "
+                   "cancelled for good",
+                   context, client),
+      service_("service", "service of the write", true, "", "SERVICE",
+               command_line()),
+      id_("id", "request id of the write", true, "", "ID", command_line()) {}
+
+ExitCode ResolveCommand::CallProxy() {
+  // The names of services follow a stricter rule, which the proxy checks.
+  if (!IsResolvableId(service_.getValue()) || !IsResolvableId(id_.getValue())) {
+    err() << "SERVICE and ID " << kResolvableIdRule << '\n';
+    return kExitUsage;
+  }
+  if (!CheckReachable()) return kExitUnreachable;
+  HttpRequest request;
+  request.method = "POST";
+  request.path = "/resolve/" + service_.getValue() + '/' + id_.getValue();
+  const HttpResponse response = Send(request);
+  if (response.status != 200) return ReportFailure(response);
+  out() << JsonMember(response.body, "verdict") << '\n';
+  return kExitOk;
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/src/cli/resolve_command.h
@@ -0,0 +1,25 @@
+#ifndef CARAWAYHAVEN_CLI_RESOLVE_COMMAND_H_
+#define CARAWAYHAVEN_CLI_RESOLVE_COMMAND_H_
+
+#include <string>
+
+#include "cli/admin_command.h"
+
+namespace carawayhaven {
+
+/// Settles the verdict of a write by its request id.
+class ResolveCommand : public AdminCommand {
+ public:
+  ResolveCommand(const CommandContext& context, AdminClient& client);
+
+ protected:
+  ExitCode CallProxy() override;
+
+ private:
+  TCLAP::UnlabeledValueArg<std::string> service_;
+  TCLAP::UnlabeledValueArg<std::string> id_;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_CLI_RESOLVE_COMMAND_H_
