--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -1,30 +1,54 @@
-#include <fstream>
+#include <exception>
 #include <iostream>
-#include <sstream>
+#include <string>
+#include <vector>
 
+#include "cli/command_list.h"
+#include "cli/loop_admin_client.h"
 #include "net/event_loop.h"
 #include "proxy/logging.h"
 #include "proxy/proxy_process.h"
-#include "proxy/settings_parser.h"
+
+// Variables of the process, declared by POSIX.
+extern char** environ;  // NOLINT(readability-identifier-naming)
+
+namespace carawayhaven {
+namespace {
+
+CommandContext MakeContext() {
+  CommandContext context{std::cout, std::cerr, {}};
+  for (char** entry = environ; *entry != nullptr; ++entry) {
+    const std::string variable = *entry;
+    const std::size_t equals = variable.find('=');
+    if (equals == std::string::npos) continue;
+    context.environment[variable.substr(0, equals)] =
+        variable.substr(equals + 1);
+  }
+  return context;
+}
+
+// Runs until a termination signal has drained the proxy.
+ExitCode RunProxy(const Settings& settings) {
+  const LogSink log(settings.log_level, std::cerr);
+  EventLoop loop;
+  ProxyProcess proxy(loop, settings);
+  loop.OnTerminationSignal([&proxy] { proxy.Drain(); });
+  loop.Run();
+  return kExitOk;
+}
+
+}  // namespace
+}  // namespace carawayhaven
 
 int main(int argc, char** argv) {
-  if (argc < 4) return 2;
-  std::ifstream file(argv[3]);
-  std::stringstream text;
-  text << file.rdbuf();
-  carawayhaven::SettingsSources sources;
-  sources.file_name = argv[3];
-  sources.text = text.str();
+  using namespace carawayhaven;  // NOLINT(google-build-using-namespace)
   try {
-    const auto loaded = carawayhaven::SettingsParser::Parse(sources);
-    carawayhaven::LogSink sink(loaded.settings.log_level, std::cerr);
-    carawayhaven::EventLoop loop;
-    carawayhaven::ProxyProcess proxy(loop, loaded.settings);
-    loop.OnTerminationSignal([&proxy] { proxy.Drain(); });
-    loop.Run();
+    const CommandContext context = MakeContext();
+    LoopAdminClient client;
+    return CommandList(context, client, RunProxy)
+        .Run(std::vector<std::string>(argv + 1, argv + argc));
   } catch (const std::exception& error) {
-    std::cerr << error.what() << "\n";
-    return 1;
+    std::cerr << "carawayhaven: " << error.what() << '\n';
+    return kExitUsage;
   }
-  return 0;
 }
