Split grants no longer promote a primary that is cut off

Two candidates that fenced the same term left one with the grants of the old primary and one replica; it promoted the old primary, which cannot confirm. A majority that needs the old primary now counts only when nobody refused, and a candidate of a higher rank waits until the lower rank has reported its suspicion.

--- a/src/core/group/group_monitor.cc
+++ b/src/core/group/group_monitor.cc
@@ -85,9 +85,8 @@
 
 TimePoint GroupMonitor::NextTick() const {
   if (found_) return TimePoint::min();
-  TimePoint next =
-      std::min({next_refresh_, next_status_, detector_.NextTick(),
-                promoter_.NextTick(), announcer_.NextTick()});
+  TimePoint next = std::min({next_refresh_, next_status_, detector_.NextTick(),
+                             promoter_.NextTick(), announcer_.NextTick()});
   if (detector_.suspected()) next = std::min(next, next_report_);
   return next;
 }
@@ -136,8 +135,7 @@
   Raise({service_.name, answer.term, answer.primary, {}}, now);
 }
 
-void GroupMonitor::OnPromoted(const GroupUpdateMessage& update,
-                              TimePoint now) {
+void GroupMonitor::OnPromoted(const GroupUpdateMessage& update, TimePoint now) {
   Raise(update, now);
   announcer_.Announce(update, Duration(0), now);
   // Peers that own an endpoint learn it directly, the others through them.
@@ -165,9 +163,8 @@
 
 void GroupMonitor::Refresh(TimePoint now) {
   next_refresh_ = now + kRefreshInterval;
-  std::erase_if(reports_, [now](const auto& entry) {
-    return entry.second.until <= now;
-  });
+  std::erase_if(reports_,
+                [now](const auto& entry) { return entry.second.until <= now; });
   RefreshOwned();
   WatchPrimary(now);
 }
@@ -273,8 +270,9 @@
   }
   owned.stranded_since.reset();
   const EndpointName& primary = directory_.ViewOf(service_).primary;
-  if (endpoint == primary || (answer.term == term && answer.primary == primary &&
-                              answer.role == EndpointRole::kReplica)) {
+  if (endpoint == primary ||
+      (answer.term == term && answer.primary == primary &&
+       answer.role == EndpointRole::kReplica)) {
     return;
   }
   EndpointCommand command;
@@ -290,8 +288,8 @@
   const EndpointName primary = directory_.ViewOf(service_).primary;
   if (!detector_.suspected()) {
     if (next_plan_ > now) return;
-    const auto stranded = std::find_if(
-        owned_.begin(), owned_.end(), [now](const auto& entry) {
+    const auto stranded =
+        std::find_if(owned_.begin(), owned_.end(), [now](const auto& entry) {
           const auto& since = entry.second.stranded_since;
           return since && *since + kStrandedLimit <= now;
         });
@@ -306,12 +304,20 @@
     return;
   }
   int rank = 0;
+  Duration stagger{0};
   for (const EndpointConfig& endpoint : service_.endpoints) {
     if (endpoint.name == primary) continue;
     if (owned_.contains(endpoint.name) && HasSecondObserver(endpoint, now)) {
-      promoter_.Stand(rank * kStagger, now);
+      promoter_.Stand(stagger + rank * kStagger, now);
       return;
     }
+    // A candidate of a lower rank that does not suspect the primary yet may be
+    // one probe behind and would start together with this one.
+    const auto report = reports_.find(endpoint.name);
+    const bool started = report != reports_.end() &&
+                         report->second.until > now &&
+                         report->second.term == watched_term_;
+    if (!started) stagger = kLateCandidate;
     ++rank;
   }
 }
@@ -324,14 +330,13 @@
                     return OwnerOf(endpoint) == vm_;
                   });
   if (alone) return true;
-  return std::any_of(
-      reports_.begin(), reports_.end(), [&](const auto& entry) {
-        const EndpointConfig* observer = Find(entry.first);
-        const Report& report = entry.second;
-        return observer != nullptr && report.vm != vm_ && report.until > now &&
-               report.term == watched_term_ &&
-               observer->data_centre != own.data_centre;
-      });
+  return std::any_of(reports_.begin(), reports_.end(), [&](const auto& entry) {
+    const EndpointConfig* observer = Find(entry.first);
+    const Report& report = entry.second;
+    return observer != nullptr && report.vm != vm_ && report.until > now &&
+           report.term == watched_term_ &&
+           observer->data_centre != own.data_centre;
+  });
 }
 
 VmName GroupMonitor::OwnerOf(const EndpointConfig& endpoint) const {
--- a/src/core/group/group_monitor.h
+++ b/src/core/group/group_monitor.h
@@ -55,6 +55,8 @@
   /// Four reports; a report that is older says nothing of the present.
   static constexpr Duration kReportLifetime = std::chrono::seconds(1);
   static constexpr Duration kStagger = std::chrono::milliseconds(300);
+  /// Probe interval and the way of the report between regions.
+  static constexpr Duration kLateCandidate = std::chrono::milliseconds(300);
   static constexpr Duration kStatusInterval = std::chrono::milliseconds(500);
   static constexpr Duration kStatusTimeout = std::chrono::seconds(1);
   /// The owner of the new primary announces when the candidate did not.
--- a/src/core/group/promoter.cc
+++ b/src/core/group/promoter.cc
@@ -68,7 +68,7 @@
   } else if (state_ == "verifying") {
     Fire("silent", now);
   } else if (state_ == "fencing") {
-    Fire(Grants(false) >= majority() ? "granted" : "failed", now);
+    Fire(GrantsSuffice() ? "granted" : "failed", now);
   } else if (state_ == "following") {
     Fire("followed", now);
   } else if (state_ == "backing_off") {
@@ -119,8 +119,8 @@
   NoteTerm(answer.term);
   // Before the fence an earlier attempt's own term is news as well: its
   // promotion may have succeeded without an answer.
-  const bool fenced = state_ == "fencing" || state_ == "promoting" ||
-                      state_ == "following";
+  const bool fenced =
+      state_ == "fencing" || state_ == "promoting" || state_ == "following";
   if (answer.term > (fenced ? term_ : old_term_)) {
     const std::string before = state_;
     handler_.OnHigherTermSeen(answer, now);
@@ -187,17 +187,17 @@
 void Promoter::CheckSurvey(TimePoint now) {
   std::size_t reached = 0;
   std::size_t replicas = 0;
-  bool fenced = false;
+  was_fenced_ = false;
   for (const auto& [name, contact] : contacts_) {
     if (!contact.answer) continue;
     ++reached;
     if (name != old_primary_) ++replicas;
-    if (contact.answer->term > old_term_) fenced = true;
+    if (contact.answer->term > old_term_) was_fenced_ = true;
   }
   // A primary that answers but cannot confirm lacks its replicas; then a
   // majority that needs it could not confirm either. Once an endpoint has
   // granted a later term, the old primary is an endpoint like any other.
-  if (replicas >= majority() || (fenced && reached >= majority())) {
+  if (replicas >= majority() || (was_fenced_ && reached >= majority())) {
     Fire("majority", now);
   }
 }
@@ -244,16 +244,25 @@
   return grants;
 }
 
+// The suspected primary may be cut off from the others, so a majority that
+// needs it counts only when the others are silent, not when they refused: then
+// another candidate is active and the next term has all of them.
+bool Promoter::GrantsSuffice() const {
+  if (Grants(true) >= majority()) return true;
+  const bool refused =
+      std::any_of(contacts_.begin(), contacts_.end(), [](const auto& entry) {
+        return entry.second.answer &&
+               entry.second.answer->status != EndpointStatus::kOk;
+      });
+  return !refused && (planned_ || was_fenced_) && Grants(false) >= majority();
+}
+
 void Promoter::CheckGrants(TimePoint now) {
-  std::size_t answered = 0;
-  for (const auto& [name, contact] : contacts_) {
-    if (contact.answer) ++answered;
-  }
-  const std::size_t refused = answered - Grants(false);
-  if (refused + majority() > service_.endpoints.size()) {
-    Fire("failed", now);
-  } else if (answered == service_.endpoints.size()) {
-    Fire("granted", now);
+  const auto answered = static_cast<std::size_t>(std::count_if(
+      contacts_.begin(), contacts_.end(),
+      [](const auto& entry) { return entry.second.answer.has_value(); }));
+  if (answered == service_.endpoints.size()) {
+    Fire(GrantsSuffice() ? "granted" : "failed", now);
   } else if (Grants(!planned_) >= majority()) {
     deadline_ = std::min(deadline_, now + kGrantGrace);
   }
@@ -371,9 +380,9 @@
   for (const auto& [name, contact] : contacts_) {
     const EndpointConfig* endpoint = Find(name);
     const bool eligible =
-        wanted.empty() ? name != old_primary_ && endpoint != nullptr &&
-                             !endpoint->leaving
-                       : name == wanted;
+        wanted.empty()
+            ? name != old_primary_ && endpoint != nullptr && !endpoint->leaving
+            : name == wanted;
     if (eligible && contact.answer && contact.answer->position >= position) {
       target_ = name;
       Fire("caught_up", now);
--- a/src/core/group/promoter.h
+++ b/src/core/group/promoter.h
@@ -142,6 +142,7 @@
   std::size_t majority() const;
   const EndpointConfig* Find(std::string_view endpoint) const;
   std::size_t Grants(bool without_primary) const;
+  bool GrantsSuffice() const;
   EndpointName ChooseGranted() const;
   void ReleaseWrites(TimePoint now);
 
@@ -166,6 +167,8 @@
   /// Primary and term that the attempt replaces.
   EndpointName old_primary_;
   Term old_term_ = 0;
+  /// The survey found an endpoint that has granted a term above old_term_.
+  bool was_fenced_ = false;
   /// Names this attempt in grants.
   std::string candidate_;
   EndpointName chosen_;
--- a/test/group/fake_endpoint_group.cc
+++ b/test/group/fake_endpoint_group.cc
@@ -98,14 +98,13 @@
   FakeEndpoint& endpoint = endpoints_[index];
   if (!endpoint.up) return;
   if (endpoint.frozen) {
-    endpoint.backlog.push_back([this, index, command, reply] {
-      Arrive(index, command, reply);
-    });
+    endpoint.backlog.push_back(
+        [this, index, command, reply] { Arrive(index, command, reply); });
     return;
   }
   EndpointStatus status = EndpointStatus::kOk;
-  const bool granted = command.term == endpoint.term &&
-                       command.candidate == endpoint.granted_to;
+  const bool granted =
+      command.term == endpoint.term && command.candidate == endpoint.granted_to;
   const bool is_primary = endpoint.role == EndpointRole::kPrimary;
   if (command.term < endpoint.term) {
     status = EndpointStatus::kStaleTerm;
@@ -178,11 +177,10 @@
       const LogPosition wanted = command.min_position;
       const bool follows = replica.term == command.term &&
                            replica.primary == endpoints_[index].name;
-      const bool holds =
-          wanted.index == 0 ||
-          (replica.log.size() >= wanted.index &&
-           replica.synced_term == command.term &&
-           replica.log[wanted.index - 1].term == wanted.term);
+      const bool holds = wanted.index == 0 ||
+                         (replica.log.size() >= wanted.index &&
+                          replica.synced_term == command.term &&
+                          replica.log[wanted.index - 1].term == wanted.term);
       if (!Linked(index, i) || !follows || !holds) return;
       time_.After(delay, [this, i, index, command, reply, done] {
         const FakeEndpoint& primary = endpoints_[index];
@@ -284,15 +282,13 @@
   const std::size_t endpoint = found->second.endpoint;
   group_.time_.After(DelayTo(endpoint), [this, id, endpoint, command] {
     if (id < group_[endpoint].silent_below) return;
-    group_.Arrive(endpoint, command,
-                  [this, id, endpoint](const EndpointAnswer& answer) {
-                    Deliver(id, DelayTo(endpoint),
-                            [this, id, answer](EndpointEvents& receiver,
-                                               Connection&) {
-                              receiver.OnAnswer(id, answer,
-                                                group_.time_.now());
-                            });
+    group_.Arrive(
+        endpoint, command, [this, id, endpoint](const EndpointAnswer& answer) {
+          Deliver(id, DelayTo(endpoint),
+                  [this, id, answer](EndpointEvents& receiver, Connection&) {
+                    receiver.OnAnswer(id, answer, group_.time_.now());
                   });
+        });
   });
   return true;
 }
@@ -309,9 +305,10 @@
 }
 
 void FakeStore::End(const StoreReply& reply, StoreCallback callback) {
-  const Duration delay = fault == StoreFault::kSlow
-                             ? std::chrono::milliseconds(1500 + random_() % 1500)
-                             : std::chrono::milliseconds(3);
+  const Duration delay =
+      fault == StoreFault::kSlow
+          ? std::chrono::milliseconds(1500 + random_() % 1500)
+          : std::chrono::milliseconds(3);
   time_.After(delay, [reply, callback] { callback(reply); });
 }
 
@@ -319,8 +316,8 @@
   StoreReply reply;
   if (fault != StoreFault::kDown) {
     const auto found = objects.find(std::string(path));
-    reply.status = found == objects.end() ? StoreStatus::kNotFound
-                                          : StoreStatus::kOk;
+    reply.status =
+        found == objects.end() ? StoreStatus::kNotFound : StoreStatus::kOk;
     if (found != objects.end()) reply.object = found->second;
   }
   End(reply, std::move(callback));
@@ -351,9 +348,9 @@
       latency_(latency),
       index_(index),
       name_("vm" + std::to_string(index)) {
-  monitor = std::make_unique<GroupMonitor>(group_.config(), name_, link, *this,
-                                           store, *this, directory, random,
-                                           *this);
+  monitor =
+      std::make_unique<GroupMonitor>(group_.config(), name_, link, *this, store,
+                                     *this, directory, random, *this);
 }
 
 std::vector<VmName> FakeVm::OwnersOf(const EndpointConfig& endpoint,
@@ -379,7 +376,7 @@
     return;
   }
   event();
-  if (observer) observer(*this);
+  for (const auto& observer : observers) observer(*this);
   if (!paused_) Arm();
 }
 
@@ -409,11 +406,7 @@
 
 FakeWriter::FakeWriter(VirtualTime& time, FakeEndpointGroup& group, FakeVm& vm,
                        Duration interval, AcknowledgeMode mode)
-    : time_(time),
-      group_(group),
-      vm_(vm),
-      interval_(interval),
-      mode_(mode) {
+    : time_(time), group_(group), vm_(vm), interval_(interval), mode_(mode) {
   Step();
 }
 
@@ -488,8 +481,8 @@
     if (sent.empty() || !ok) return;
     sent.mapped().position = answer.position;
     if (mode_ == AcknowledgeMode::kPrimary) {
-      acknowledged.push_back({sent.mapped().id, term_, primary_, now,
-                              now - sent.mapped().at});
+      acknowledged.push_back(
+          {sent.mapped().id, term_, primary_, now, now - sent.mapped().at});
       return;
     }
     executed_.push_back(sent.mapped());
@@ -502,16 +495,16 @@
     : random(seed), group(clock, latency), store(clock, random) {
   group.config().acknowledge = mode;
   for (std::size_t i = 0; i < 4; ++i) {
-    vms.push_back(std::make_unique<FakeVm>(clock, group, store, latency, i,
-                                           random()));
+    vms.push_back(
+        std::make_unique<FakeVm>(clock, group, store, latency, i, random()));
   }
   for (auto& vm : vms) {
     for (auto& peer : vms) vm->peers.push_back(peer.get());
     clock.After(std::chrono::milliseconds(random() % 250),
                 [&vm] { vm->Start(); });
   }
-  writer = std::make_unique<FakeWriter>(clock, group, *vms[3], write_interval,
-                                        mode);
+  writer =
+      std::make_unique<FakeWriter>(clock, group, *vms[3], write_interval, mode);
 }
 
 bool FakeDeployment::LogHolds(std::size_t endpoint, std::uint64_t id) {
--- a/test/group/fake_endpoint_group.h
+++ b/test/group/fake_endpoint_group.h
@@ -134,7 +134,9 @@
 
   ConnectionId Open(std::string_view address, EndpointEvents& events) override;
   bool Send(ConnectionId connection, const EndpointCommand& command) override;
-  void Close(ConnectionId connection) override { connections_.erase(connection); }
+  void Close(ConnectionId connection) override {
+    connections_.erase(connection);
+  }
   void CloseAllTo(std::size_t endpoint);
 
  private:
@@ -200,7 +202,7 @@
   std::mt19937_64 random;
   std::unique_ptr<GroupMonitor> monitor;
   /// Called after each event of the VM.
-  std::function<void(FakeVm&)> observer;
+  std::vector<std::function<void(FakeVm&)>> observers;
   bool holding = false;
   bool writes_in_flight = false;
 
--- a/test/group/group_monitor_test.cc
+++ b/test/group/group_monitor_test.cc
@@ -27,9 +27,8 @@
 };
 
 void RestoreLater(FakeDeployment& world, std::size_t endpoint) {
-  world.clock.After(kFaultTime, [&world, endpoint] {
-    world.group.Restore(endpoint);
-  });
+  world.clock.After(kFaultTime,
+                    [&world, endpoint] { world.group.Restore(endpoint); });
 }
 
 void StoreFaultFor(FakeDeployment& world, StoreFault fault) {
@@ -40,13 +39,14 @@
 
 /// Pauses the first VM that reaches the state, once.
 void PauseCandidate(FakeDeployment& world, const char* state, Duration time) {
+  const auto done = std::make_shared<bool>(false);
   for (auto& vm : world.vms) {
-    vm->observer = [&world, state, time](FakeVm& self) {
-      if (self.monitor->promoter_state() != state) return;
-      for (auto& other : world.vms) other->observer = nullptr;
+    vm->observers.push_back([&world, state, time, done](FakeVm& self) {
+      if (*done || self.monitor->promoter_state() != state) return;
+      *done = true;
       self.Pause();
       world.clock.After(time, [&self] { self.Resume(); });
-    };
+    });
   }
 }
 
@@ -237,10 +237,11 @@
 // fails between fence and promotion: the majority that is left includes the
 // old primary.
 TEST_F(GroupOfThree, ChosenFailsBeforePromotionIsReplacedInHigherTerm) {
+  const auto done = std::make_shared<bool>(false);
   for (auto& vm : world_.vms) {
-    vm->observer = [this](FakeVm& self) {
-      if (self.monitor->promoter_state() != "promoting") return;
-      for (auto& other : world_.vms) other->observer = nullptr;
+    vm->observers.push_back([this, done](FakeVm& self) {
+      if (*done || self.monitor->promoter_state() != "promoting") return;
+      *done = true;
       for (std::size_t i = 1; i < 3; ++i) {
         // Fails whichever of the two was chosen.
         if (world_.group[i].log.size() >= world_.group[3 - i].log.size()) {
@@ -248,7 +249,7 @@
           break;
         }
       }
-    };
+    });
   }
   world_.group.Freeze(0);
   world_.clock.After(seconds(3), [this] { world_.group.Restore(0); });
