--- a/src/core/group/group_monitor.cc
+++ b/src/core/group/group_monitor.cc
@@ -304,12 +304,20 @@
     return;
   }
   int rank = 0;
+  Duration stagger{0};
   for (const EndpointConfig& endpoint : service_.endpoints) {
     if (endpoint.name == primary) continue;
     if (owned_.contains(endpoint.name) && HasSecondObserver(endpoint, now)) {
-      promoter_.Stand(rank * kStagger, now);
+      promoter_.Stand(stagger + rank * kStagger, now);
       return;
     }
+    // A candidate of a lower rank that does not suspect the primary yet may be
+    // one probe behind and would start together with this one.
+    const auto report = reports_.find(endpoint.name);
+    const bool started = report != reports_.end() &&
+                         report->second.until > now &&
+                         report->second.term == watched_term_;
+    if (!started) stagger = kLateCandidate;
     ++rank;
   }
 }
--- a/src/core/group/promoter.cc
+++ b/src/core/group/promoter.cc
@@ -61,28 +61,31 @@
 
 void Promoter::Tick(TimePoint now) {
   if (now < deadline_ || EndAfterPause(now)) return;
-  if (state_ == "waiting") {
-    Fire("turn", now);
-  } else if (state_ == "surveying" || state_ == "promoting") {
-    Fire("failed", now);
-  } else if (state_ == "verifying") {
-    Fire("silent", now);
-  } else if (state_ == "fencing") {
-    Fire(Grants(false) >= majority() ? "granted" : "failed", now);
-  } else if (state_ == "following") {
-    Fire("followed", now);
-  } else if (state_ == "backing_off") {
-    Fire("expired", now);
-  } else if (now >= step_ends_) {
+  if (state_ == "fencing") {
+    Fire(GrantsSuffice() ? "granted" : "failed", now);
+  } else if (state_ == "holding" || state_ == "catching_up") {
+    PollPlanned(now);
+  } else {
+    static const std::map<std::string, std::string, std::less<>> timeouts = {
+        {"waiting", "turn"},       {"surveying", "failed"},
+        {"verifying", "silent"},   {"promoting", "failed"},
+        {"following", "followed"}, {"backing_off", "expired"}};
+    Fire(timeouts.at(state_), now);
+  }
+}
+
+void Promoter::PollPlanned(TimePoint now) {
+  if (now >= step_ends_) {
     Fire("failed", now);
-  } else if (state_ == "holding") {
-    deadline_ = now + kHoldPoll;
+    return;
+  }
+  deadline_ = now + kHoldPoll;
+  if (state_ == "holding") {
     if (!handler_.WritesInFlight()) Fire("drained", now);
-  } else if (state_ == "catching_up") {
-    deadline_ = now + kHoldPoll;
-    for (auto& [name, contact] : contacts_) {
-      if (contact.answer) Send(contact, EndpointOperation::kStatus, old_term_);
-    }
+    return;
+  }
+  for (auto& [name, contact] : contacts_) {
+    if (contact.answer) Send(contact, EndpointOperation::kStatus, old_term_);
   }
 }
 
@@ -187,17 +190,17 @@
 void Promoter::CheckSurvey(TimePoint now) {
   std::size_t reached = 0;
   std::size_t replicas = 0;
-  bool fenced = false;
+  was_fenced_ = false;
   for (const auto& [name, contact] : contacts_) {
     if (!contact.answer) continue;
     ++reached;
     if (name != old_primary_) ++replicas;
-    if (contact.answer->term > old_term_) fenced = true;
+    if (contact.answer->term > old_term_) was_fenced_ = true;
   }
   // A primary that answers but cannot confirm lacks its replicas; then a
   // majority that needs it could not confirm either. Once an endpoint has
   // granted a later term, the old primary is an endpoint like any other.
-  if (replicas >= majority() || (fenced && reached >= majority())) {
+  if (replicas >= majority() || (was_fenced_ && reached >= majority())) {
     Fire("majority", now);
   }
 }
@@ -244,16 +247,25 @@
   return grants;
 }
 
+// The suspected primary may be cut off from the others, so a majority that
+// needs it counts only when the others are silent, not when they refused: then
+// another candidate is active and the next term has all of them.
+bool Promoter::GrantsSuffice() const {
+  if (Grants(true) >= majority()) return true;
+  const bool refused =
+      std::any_of(contacts_.begin(), contacts_.end(), [](const auto& entry) {
+        return entry.second.answer &&
+               entry.second.answer->status != EndpointStatus::kOk;
+      });
+  return !refused && (planned_ || was_fenced_) && Grants(false) >= majority();
+}
+
 void Promoter::CheckGrants(TimePoint now) {
-  std::size_t answered = 0;
-  for (const auto& [name, contact] : contacts_) {
-    if (contact.answer) ++answered;
-  }
-  const std::size_t refused = answered - Grants(false);
-  if (refused + majority() > service_.endpoints.size()) {
-    Fire("failed", now);
-  } else if (answered == service_.endpoints.size()) {
-    Fire("granted", now);
+  const auto answered = static_cast<std::size_t>(std::count_if(
+      contacts_.begin(), contacts_.end(),
+      [](const auto& entry) { return entry.second.answer.has_value(); }));
+  if (answered == service_.endpoints.size()) {
+    Fire(GrantsSuffice() ? "granted" : "failed", now);
   } else if (Grants(!planned_) >= majority()) {
     deadline_ = std::min(deadline_, now + kGrantGrace);
   }
