--- a/include/carawayhaven/error_messages.h
+++ b/include/carawayhaven/error_messages.h
@@ -51,6 +51,10 @@
     "the store did not answer after the update was sent; it may have taken "
     "effect; read the team's object back and compare, or submit again from the "
     "same version (safe: at most one takes effect): submission ";
+inline constexpr char kUndeclaredEvent[] = "chart declares no event ";
+inline constexpr char kUndeclaredState[] = "chart declares no state ";
+inline constexpr char kUnreachableState[] = "chart never reaches the state ";
+inline constexpr char kNoWayOut[] = "chart has no way out of the state ";
 inline constexpr char kContextFailed[] = "cannot create the event loop";
 
 }  // namespace carawayhaven::error_messages
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -5,6 +5,9 @@
 
 #include "cli/command_list.h"
 #include "cli/loop_admin_client.h"
+#include "net/event_loop.h"
+#include "proxy/logging.h"
+#include "proxy/proxy_process.h"
 
 // Variables of the process, declared by POSIX.
 extern char** environ;  // NOLINT(readability-identifier-naming)
@@ -24,9 +27,13 @@
   return context;
 }
 
-ExitCode RunProxy(const Settings& /*settings*/) {
-  std::cerr << "this build has no proxy process\n";
-  return kExitRefused;
+ExitCode RunProxy(const Settings& settings) {
+  LogSink sink(settings.log_level, std::cerr);
+  EventLoop loop;
+  ProxyProcess proxy(loop, settings);
+  loop.OnTerminationSignal([&proxy] { proxy.Drain(); });
+  loop.Run();
+  return kExitOk;
 }
 
 }  // namespace
--- /dev/null
+++ b/src/proxy/group_set.h
@@ -0,0 +1,70 @@
+#ifndef CARAWAYHAVEN_PROXY_GROUP_SET_H_
+#define CARAWAYHAVEN_PROXY_GROUP_SET_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string_view>
+
+#include "carawayhaven/names.h"
+#include "carawayhaven/time.h"
+#include "core/group/group_monitor.h"
+
+namespace carawayhaven {
+
+class EndpointLink;
+class GroupDirectory;
+class OwnerResolver;
+class PeerLink;
+class PlatformStore;
+class ServiceDirectory;
+
+/// The monitors of the groups of which this VM owns an endpoint. A VM monitors
+/// only these, so that its work does not grow with the number of databases of
+/// the whole fleet. Not thread-safe; one loop, one thread.
+class GroupSet {
+ public:
+  /// All arguments must outlive the set.
+  GroupSet(const ServiceDirectory& services, GroupDirectory& groups,
+           const OwnerResolver& owners, EndpointLink& link, PeerLink& peers,
+           PlatformStore& store, std::mt19937_64& random,
+           GroupMonitorHandler& handler);
+  ~GroupSet();
+
+  /// Makes and drops monitors. To be called when the configuration or the
+  /// membership has changed.
+  void OnOwnershipChanged(TimePoint now);
+
+  /// Takes SuspectReport and GroupUpdate messages; the term of a group that is
+  /// not monitored here goes to the directory.
+  void OnPeerMessage(const VmName& vm, const PeerMessage& message,
+                     TimePoint now);
+
+  /// Takes the announcement of a group from the store.
+  void OnAnnouncement(const GroupUpdateMessage& update, TimePoint now);
+
+  /// Starts planned changes of the primaries for which `leaves` is true.
+  void MoveLeavingPrimaries(
+      const std::function<bool(const EndpointName&)>& leaves, TimePoint now);
+
+  void Tick(TimePoint now);
+  TimePoint NextTick() const;
+
+ private:
+  bool OwnsPartOf(const ServiceConfig& service) const;
+
+  const ServiceDirectory& services_;
+  GroupDirectory& groups_;
+  const OwnerResolver& owners_;
+  EndpointLink& link_;
+  PeerLink& peers_;
+  PlatformStore& store_;
+  std::mt19937_64& random_;
+  GroupMonitorHandler& handler_;
+  std::map<ServiceName, std::unique_ptr<GroupMonitor>, std::less<>> monitors_;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_PROXY_GROUP_SET_H_
