--- a/src/cli/loop_admin_client.cc
+++ b/src/cli/loop_admin_client.cc
@@ -15,10 +15,7 @@
   client.Send(address, request, kCallTimeout,
               [&result, &loop](const HttpResponse& response) {
                 result = response;
-                // The loop may go on waiting for sockets after Stop; a timer
-                // ends that wait.
-                loop->RunAfter(std::chrono::milliseconds(1),
-                               [&loop] { loop->Stop(); });
+                loop->Stop();
               });
   loop->Run();
   // The loop refers to the client until its end.
