--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -1,3 +1,5 @@
+#include <unistd.h>
+
 #include <exception>
 #include <iostream>
 #include <string>
@@ -9,9 +11,6 @@
 #include "proxy/logging.h"
 #include "proxy/proxy_process.h"
 
-// Variables of the process, declared by POSIX.
-extern char** environ;  // NOLINT(readability-identifier-naming)
-
 namespace carawayhaven {
 namespace {
 
