--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -1,3 +1,5 @@
+#include <unistd.h>
+
 #include <exception>
 #include <iostream>
 #include <string>
@@ -9,9 +11,6 @@
 #include "proxy/logging.h"
 #include "proxy/proxy_process.h"
 
-// Variables of the process, declared by POSIX.
-extern char** environ;  // NOLINT(readability-identifier-naming)
-
 namespace carawayhaven {
 namespace {
 
@@ -27,9 +26,8 @@
   return context;
 }
 
-// Runs until a termination signal has drained the proxy.
 ExitCode RunProxy(const Settings& settings) {
-  const LogSink log(settings.log_level, std::cerr);
+  LogSink sink(settings.log_level, std::cerr);
   EventLoop loop;
   ProxyProcess proxy(loop, settings);
   loop.OnTerminationSignal([&proxy] { proxy.Drain(); });
