--- a/src/net/platform_client.cc
+++ b/src/net/platform_client.cc
@@ -76,35 +76,32 @@
     : address_(std::move(address)), client_(loop) {}
 
 void PlatformClient::Get(std::string_view path, StoreCallback callback) {
-  ++calls_;
   HttpRequest request;
   request.method = "GET";
   request.path = ObjectPath(path);
-  client_.Send(address_, std::move(request), kCallTimeout,
-               [path = std::string(path),
-                callback = std::move(callback)](const HttpResponse& response) {
-                 callback(ObjectReply(path, response));
-               });
+  Send(std::move(request), kCallTimeout,
+       [path = std::string(path),
+        callback = std::move(callback)](const HttpResponse& response) {
+         callback(ObjectReply(path, response));
+       });
 }
 
 void PlatformClient::Put(std::string_view path, std::string_view value,
                          ObjectVersion expected, StoreCallback callback) {
-  ++calls_;
   HttpRequest request;
   request.method = "PUT";
   request.path = ObjectPath(path);
   request.if_match = std::to_string(expected);
   request.body = value;
-  client_.Send(address_, std::move(request), kCallTimeout,
-               [path = std::string(path),
-                callback = std::move(callback)](const HttpResponse& response) {
-                 callback(ObjectReply(path, response));
-               });
+  Send(std::move(request), kCallTimeout,
+       [path = std::string(path),
+        callback = std::move(callback)](const HttpResponse& response) {
+         callback(ObjectReply(path, response));
+       });
 }
 
 void PlatformClient::Watch(std::string_view prefix, ObjectVersion after,
                            StoreCallback callback) {
-  ++calls_;
   HttpRequest request;
   request.method = "GET";
   request.path = ObjectPath(prefix);
@@ -115,4 +112,15 @@
                });
 }
 
+void PlatformClient::Send(HttpRequest request, Duration timeout,
+                          HttpResponseCallback done) {
+  ++calls_;
+  client_.Send(address_, std::move(request), timeout,
+               [this, done = std::move(done)](const HttpResponse& response) {
+                 reachable_ =
+                     StatusOf(response.status) != StoreStatus::kUnknown;
+                 done(response);
+               });
+}
+
 }  // namespace carawayhaven
--- a/src/net/platform_client.h
+++ b/src/net/platform_client.h
@@ -27,10 +27,17 @@
   /// Calls made so far; a watch counts as one.
   std::uint64_t calls() const { return calls_; }
 
+  /// True when the store answered the last call that ended.
+  bool reachable() const { return reachable_; }
+
  private:
+  /// Makes a call and notes whether it was answered.
+  void Send(HttpRequest request, Duration timeout, HttpResponseCallback done);
+
   std::string address_;
   HttpClient client_;
   std::uint64_t calls_ = 0;
+  bool reachable_ = false;
 };
 
 }  // namespace carawayhaven
--- a/src/proxy/pool_set.cc
+++ b/src/proxy/pool_set.cc
@@ -47,6 +47,21 @@
     peers_.Send(from, refusal);
     return;
   }
+  const bool is_new = message.request.transaction.empty() ||
+                      message.request.kind == RequestKind::kBegin;
+  if (is_new && RefusesNewWork(message.endpoint, *entry, now)) {
+    // The front passes the endpoint over for a read, and waits for the new
+    // primary with a write.
+    ForwardReplyMessage refusal{
+        message.correlation, groups_.TermOf(service), {}};
+    refusal.outcome.reason =
+        message.request.access == AccessMode::kRead && message.request.max_age
+            ? Reason::kBehind
+            : Reason::kNotPrimary;
+    refusal.outcome.served_by = message.endpoint;
+    peers_.Send(from, refusal);
+    return;
+  }
   std::shared_ptr<opentracing::Span> span =
       tracing_.StartHop(kQueueSpan, message.request.traceparent);
   span->SetTag("endpoint", message.endpoint);
@@ -75,6 +90,10 @@
   }
   for (auto& [endpoint, entry] : pools_) {
     entry.owned = owned.contains(endpoint);
+    const EndpointEntry declared = services_.FindEndpoint(endpoint);
+    if (declared.endpoint != nullptr && declared.endpoint->leaving) {
+      NoteLeaving(entry, true, now);
+    }
   }
   for (const auto& [endpoint, is_owned] : owned) {
     if (Entry* entry = FindOrCreate(endpoint, now)) entry->owned = true;
@@ -108,7 +127,12 @@
 
 bool PoolSet::IsLeaving(std::string_view endpoint) const {
   const auto found = pools_.find(endpoint);
-  return found != pools_.end() && found->second.leaving;
+  return found != pools_.end() && found->second.leaving_since.has_value();
+}
+
+const EndpointPool* PoolSet::Find(std::string_view endpoint) const {
+  const auto found = pools_.find(endpoint);
+  return found == pools_.end() ? nullptr : found->second.pool.get();
 }
 
 void PoolSet::Drain(TimePoint now) {
@@ -162,7 +186,28 @@
                                const EndpointAnswer& answer, TimePoint now) {
   groups_.Observe(endpoint, {answer.position, answer.age, now});
   const auto found = pools_.find(endpoint);
-  if (found != pools_.end()) found->second.leaving = answer.leaving;
+  if (found == pools_.end()) return;
+  const EndpointEntry declared = services_.FindEndpoint(endpoint);
+  const bool declared_leaving =
+      declared.endpoint != nullptr && declared.endpoint->leaving;
+  NoteLeaving(found->second, answer.leaving || declared_leaving, now);
+}
+
+bool PoolSet::RefusesNewWork(const EndpointName& name, const Entry& entry,
+                             TimePoint now) const {
+  if (!entry.leaving_since) return false;
+  const ServiceConfig* service = services_.FindService(entry.service);
+  const bool is_primary =
+      service != nullptr && groups_.ViewOf(*service).primary == name;
+  return !is_primary || now >= *entry.leaving_since + kLeavingPrimaryLimit;
+}
+
+void PoolSet::NoteLeaving(Entry& entry, bool leaving, TimePoint now) const {
+  if (!leaving) {
+    entry.leaving_since.reset();
+  } else if (!entry.leaving_since) {
+    entry.leaving_since = now;
+  }
 }
 
 // Returns the pool, made anew when the endpoint's settings have changed; null
@@ -185,6 +230,7 @@
   entry.pool = std::make_unique<EndpointPool>(std::move(options), link_, *this);
   entry.pool->SetTerm(groups_.ViewOf(*declared.service).term);
   if (draining_) entry.pool->Drain(now);
+  if (declared.endpoint->leaving) NoteLeaving(entry, true, now);
   return &pools_.emplace(EndpointName(endpoint), std::move(entry))
               .first->second;
 }
--- a/src/proxy/pool_set.h
+++ b/src/proxy/pool_set.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 #include "carawayhaven/names.h"
@@ -24,6 +25,12 @@
 /// to own. Not thread-safe; one loop, one thread.
 class PoolSet : public EndpointPoolHandler {
  public:
+  /// A primary that leaves still takes work for this time, in which a planned
+  /// change moves the primary. With the time for the configuration or the
+  /// answer to arrive it stays below the 2 s after which an endpoint that
+  /// leaves gets nothing new.
+  static constexpr Duration kLeavingPrimaryLimit =
+      std::chrono::milliseconds(1500);
   /// Time after which a pool that this VM no longer owns is closed if idle.
   static constexpr Duration kRetireInterval = std::chrono::seconds(1);
 
@@ -51,9 +58,13 @@
   void ReleaseWrites(std::string_view service, TimePoint now);
   bool WritesInFlight(std::string_view service) const;
 
-  /// Endpoints that said in an answer that they leave.
+  /// True when the endpoint's configuration or one of its answers says that it
+  /// leaves.
   bool IsLeaving(std::string_view endpoint) const;
 
+  /// Returns the endpoint's pool, or null when this VM has none.
+  const EndpointPool* Find(std::string_view endpoint) const;
+
   void Drain(TimePoint now);
   bool idle() const;
 
@@ -72,12 +83,16 @@
     EndpointPoolOptions options;
     bool owned = false;
     bool retired = false;
-    bool leaving = false;
+    /// When the endpoint was first known to leave.
+    std::optional<TimePoint> leaving_since;
   };
 
   void OnEndpointAnswer(const EndpointName& endpoint,
                         const EndpointAnswer& answer, TimePoint now) override;
   Entry* FindOrCreate(std::string_view endpoint, TimePoint now);
+  bool RefusesNewWork(const EndpointName& name, const Entry& entry,
+                      TimePoint now) const;
+  void NoteLeaving(Entry& entry, bool leaving, TimePoint now) const;
   EndpointPoolOptions OptionsFor(std::string_view endpoint) const;
 
   const ServiceDirectory& services_;
--- /dev/null
+++ b/src/proxy/proxy_admin.cc
@@ -0,0 +1,251 @@
+#include "proxy/proxy_admin.h"
+
+#include <utility>
+#include <vector>
+
+#include "core/config/config_distributor.h"
+#include "core/config/config_store.h"
+#include "core/config/config_submitter.h"
+#include "core/config/team_config.h"
+#include "core/config/team_object.h"
+#include "core/group/group_directory.h"
+#include "core/membership/membership.h"
+#include "core/route/front.h"
+#include "net/caller_server.h"
+#include "net/event_loop.h"
+#include "net/peer_transport.h"
+#include "net/platform_client.h"
+#include "proxy/build_version.h"
+#include "proxy/pool_set.h"
+#include "proxy/proxy_status.h"
+#include "proxy/settings.h"
+#include "proxy/tracing.h"
+
+namespace carawayhaven {
+namespace {
+
+void RaiseTo(Counter& counter, std::uint64_t total) {
+  if (total > counter.value()) counter.Increment(total - counter.value());
+}
+
+PoolStatus StatusOfPool(const EndpointPool& pool, std::uint32_t slots) {
+  const PoolStats stats = pool.stats();
+  PoolStatus status;
+  status.slots = slots;
+  status.running = static_cast<std::uint32_t>(stats.running);
+  status.waiting =
+      static_cast<std::uint32_t>(stats.queued_short + stats.queued_long);
+  status.open_connections = static_cast<std::uint32_t>(stats.connections);
+  status.open_transactions =
+      static_cast<std::uint32_t>(stats.open_transactions);
+  status.breaker_open = stats.breaker_open;
+  return status;
+}
+
+}  // namespace
+
+ProxyAdmin::ProxyAdmin(const ProxyParts& parts, std::function<void()> drain)
+    : parts_(parts),
+      drain_(std::move(drain)),
+      started_at_(EventLoop::Now()),
+      proxy_metrics_(metrics_) {}
+
+void ProxyAdmin::NoteVersions(TimePoint now) {
+  for (const auto& [name, team] : parts_.configs.teams()) {
+    if (team.version == 0) continue;
+    std::deque<SeenVersion>& seen = seen_[name];
+    if (!seen.empty() && seen.front().version == team.version) continue;
+    seen.push_front({team.version, now});
+    if (seen.size() > kMaxSeenVersions) seen.pop_back();
+  }
+}
+
+ProxyStatus ProxyAdmin::Status() const {
+  ProxyStatus status;
+  status.vm = parts_.settings.vm;
+  status.data_centre = parts_.settings.data_centre;
+  status.region = parts_.settings.region;
+  status.build_version = kBuildVersion;
+  status.uptime = EventLoop::Now() - started_at_;
+  status.leaving = leaving_;
+  if (callers_ != nullptr) {
+    status.sessions = static_cast<std::uint32_t>(callers_->sessions());
+  }
+  status.requests_in_flight =
+      static_cast<std::uint32_t>(parts_.front.in_flight());
+  status.store_reachable = parts_.platform.reachable();
+  for (const auto& [name, team] : parts_.configs.teams()) {
+    status.teams.push_back({name, team.version});
+  }
+  for (const ServiceName& name : parts_.configs.Services()) {
+    status.groups.push_back(StatusOf(*parts_.configs.FindService(name)));
+  }
+  status.members.push_back(parts_.membership.table().self());
+  for (const auto& [name, member] : parts_.membership.table().members()) {
+    status.members.push_back(member.record);
+  }
+  return status;
+}
+
+GroupStatus ProxyAdmin::StatusOf(const ServiceConfig& service) const {
+  const GroupView& view = parts_.groups.ViewOf(service);
+  GroupStatus status;
+  status.service = service.name;
+  status.team = parts_.configs.TeamOf(service.name);
+  status.term = view.term;
+  status.primary = view.primary;
+  for (const EndpointConfig& config : service.endpoints) {
+    EndpointReport endpoint;
+    endpoint.name = config.name;
+    endpoint.address = config.address;
+    endpoint.data_centre = config.data_centre;
+    endpoint.leaving = config.leaving || parts_.pools.IsLeaving(config.name);
+    endpoint.is_primary = config.name == view.primary;
+    const std::vector<VmName> owners = parts_.membership.OwnersOf(config, 1);
+    if (!owners.empty()) endpoint.owner = owners.front();
+    if (const auto* seen = parts_.groups.ObservationOf(config.name)) {
+      endpoint.position = seen->position;
+      endpoint.lag = seen->age;
+      endpoint.observed_ago = EventLoop::Now() - seen->observed_at;
+    }
+    if (const EndpointPool* pool = parts_.pools.Find(config.name)) {
+      endpoint.pool = StatusOfPool(*pool, service.slots);
+    }
+    status.endpoints.push_back(std::move(endpoint));
+  }
+  return status;
+}
+
+Readiness ProxyAdmin::CheckReadiness() const {
+  if (leaving_) return {false, "the proxy is leaving"};
+  if (parts_.configs.Services().empty()) {
+    return {false,
+            "no configuration yet: neither the store nor a peer gave one"};
+  }
+  return {true, ""};
+}
+
+std::string ProxyAdmin::MetricsText() const {
+  RefreshMetrics();
+  RefreshPoolMetrics();
+  return metrics_.FormatPrometheus();
+}
+
+std::optional<TeamDocument> ProxyAdmin::FindTeam(std::string_view team) const {
+  const ConfigStore::Team* found = parts_.configs.FindTeam(team);
+  if (found == nullptr || found->version == 0) return std::nullopt;
+  const auto object = TeamObject::Parse(found->value);
+  if (!object) return std::nullopt;
+  TeamDocument document{object->text, found->version, {}};
+  const auto seen = seen_.find(team);
+  if (seen != seen_.end()) {
+    for (const SeenVersion& version : seen->second) {
+      document.seen.push_back(
+          {version.version, EventLoop::Now() - version.applied_at});
+    }
+  }
+  return document;
+}
+
+void ProxyAdmin::Submit(const TeamName& team, const std::string& text,
+                        ObjectVersion based_on, SubmitCallback done) {
+  parts_.submitter.Submit(team, text, based_on, std::move(done),
+                          EventLoop::Now());
+}
+
+void ProxyAdmin::Resolve(const ServiceName& service, const std::string& id,
+                         ResolveCallback done) {
+  const TimePoint now = EventLoop::Now();
+  Request request;
+  request.kind = RequestKind::kResolve;
+  request.service = service;
+  request.id.value = id;
+  request.deadline = now + parts_.settings.default_timeout;
+  parts_.front.Submit(std::move(request), std::move(done), now);
+}
+
+void ProxyAdmin::RefreshMetrics() const {
+  ProxyMetrics& metrics = proxy_metrics_;
+  if (callers_ != nullptr) {
+    metrics.sessions.Set(static_cast<double>(callers_->sessions()));
+    RaiseTo(metrics.refused_sessions, callers_->stats().sessions_refused);
+    RaiseTo(metrics.malformed_messages, callers_->stats().invalid_messages);
+  }
+  metrics.requests_in_flight.Set(static_cast<double>(parts_.front.in_flight()));
+  RaiseTo(metrics.malformed_frames, parts_.peers.stats().malformed_frames);
+  RaiseTo(metrics.late_answers, parts_.front.stats().dropped_replies);
+  metrics.live_peers.Set(static_cast<double>(parts_.membership.Peers().size()));
+  RaiseTo(metrics.config_updates, parts_.distributor.counters().applied);
+  RaiseTo(metrics.dropped_spans, parts_.tracing.dropped_spans());
+  const auto total = [this](std::string_view name, std::string_view help,
+                            std::uint64_t value) {
+    RaiseTo(metrics_.GetCounter(name, help), value);
+  };
+  const FrontStats& front = parts_.front.stats();
+  total("carawayhaven_retries_total", "Attempts after the first one.",
+        front.retries);
+  total("carawayhaven_retries_refused_total", "Retries refused by the budget.",
+        front.retries_refused);
+  total("carawayhaven_resolves_total", "Resolves sent for unknown verdicts.",
+        front.resolves);
+  total("carawayhaven_peer_bytes_sent_total", "Bytes sent to other proxies.",
+        parts_.peers.stats().bytes_sent);
+  total("carawayhaven_peer_bytes_received_total",
+        "Bytes received from other proxies.",
+        parts_.peers.stats().bytes_received);
+  total("carawayhaven_store_calls_total",
+        "Calls of the platform's store; a waiting watch is one.",
+        parts_.platform.calls());
+}
+
+void ProxyAdmin::RefreshPoolMetrics() const {
+  parts_.pools.ForEach([this](const EndpointName& name,
+                              const EndpointPool& pool) {
+    const PoolStats stats = pool.stats();
+    const MetricLabels labels = {{"endpoint", name}};
+    const auto set = [this, &labels](std::string_view metric,
+                                     std::string_view help, std::size_t value) {
+      metrics_.GetGauge(metric, help, labels).Set(static_cast<double>(value));
+    };
+    const auto raise = [this, &labels](std::string_view metric,
+                                       std::string_view help,
+                                       std::uint64_t value) {
+      RaiseTo(metrics_.GetCounter(metric, help, labels), value);
+    };
+    set("carawayhaven_pool_queued_short", "Short requests that wait.",
+        stats.queued_short);
+    set("carawayhaven_pool_queued_long", "Long requests that wait.",
+        stats.queued_long);
+    set("carawayhaven_pool_running", "Statements on the endpoint.",
+        stats.running);
+    set("carawayhaven_pool_connections", "Open connections.",
+        stats.connections);
+    set("carawayhaven_pool_transactions", "Open transactions.",
+        stats.open_transactions);
+    set("carawayhaven_pool_awaiting_confirmation",
+        "Requests that ran and wait for a replica.",
+        stats.awaiting_confirmation);
+    set("carawayhaven_pool_breaker_open",
+        "1 while no connections are opened after failures.",
+        stats.breaker_open ? 1 : 0);
+    raise("carawayhaven_pool_refused_total",
+          "Requests refused early or at a queue limit.", stats.refused);
+    raise("carawayhaven_pool_expired_total",
+          "Requests whose deadline passed in the queue.",
+          stats.expired_in_queue);
+    raise("carawayhaven_pool_confirmed_total",
+          "Requests released by a confirmation.", stats.confirmed);
+    raise("carawayhaven_pool_unconfirmed_total",
+          "Requests that ended without their confirmation.", stats.unconfirmed);
+    raise("carawayhaven_pool_stray_answers_total",
+          "Answers of the endpoint without a request.", stats.stray_answers);
+    raise("carawayhaven_pool_silent_connections_total",
+          "Connections closed because they went silent.",
+          stats.silent_connections);
+    raise("carawayhaven_pool_reclaimed_transactions_total",
+          "Idle transactions ended under demand.",
+          stats.reclaimed_transactions);
+  });
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/src/proxy/proxy_admin.h
@@ -0,0 +1,103 @@
+#ifndef CARAWAYHAVEN_PROXY_PROXY_ADMIN_H_
+#define CARAWAYHAVEN_PROXY_PROXY_ADMIN_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "carawayhaven/time.h"
+#include "proxy/admin_backend.h"
+#include "proxy/metrics.h"
+#include "proxy/proxy_metrics.h"
+
+namespace carawayhaven {
+
+class CallerServer;
+class ConfigDistributor;
+class ConfigStore;
+class ConfigSubmitter;
+class Front;
+class GroupDirectory;
+class Membership;
+class PeerTransport;
+class PlatformClient;
+class PoolSet;
+class ServiceDirectory;
+class Tracing;
+struct EndpointConfig;
+struct GroupStatus;
+struct ServiceConfig;
+struct Settings;
+
+/// The parts of a proxy that the admin API reports on.
+struct ProxyParts {
+  const Settings& settings;
+  const ConfigStore& configs;
+  const ConfigDistributor& distributor;
+  ConfigSubmitter& submitter;
+  const Membership& membership;
+  GroupDirectory& groups;
+  Front& front;
+  const PoolSet& pools;
+  const PeerTransport& peers;
+  const PlatformClient& platform;
+  const Tracing& tracing;
+};
+
+/// Answers the admin API from the parts of the process. Not thread-safe; one
+/// loop, one thread.
+class ProxyAdmin : public AdminBackend {
+ public:
+  /// Versions of a team that are kept for its history.
+  static constexpr std::size_t kMaxSeenVersions = 16;
+
+  /// All parts must outlive the object. `drain` starts the graceful shutdown.
+  ProxyAdmin(const ProxyParts& parts, std::function<void()> drain);
+
+  /// Callers are served from now on.
+  void SetCallers(const CallerServer& callers) { callers_ = &callers; }
+  void SetLeaving() { leaving_ = true; }
+
+  /// Records the versions in force. To be called when they have changed.
+  void NoteVersions(TimePoint now);
+
+  ProxyMetrics& metrics() { return proxy_metrics_; }
+
+  ProxyStatus Status() const override;
+  Readiness CheckReadiness() const override;
+  std::string MetricsText() const override;
+  std::optional<TeamDocument> FindTeam(std::string_view team) const override;
+  void Submit(const TeamName& team, const std::string& text,
+              ObjectVersion based_on, SubmitCallback done) override;
+  void Drain() override { drain_(); }
+  void Resolve(const ServiceName& service, const std::string& id,
+               ResolveCallback done) override;
+
+ private:
+  struct SeenVersion {
+    ObjectVersion version = 0;
+    TimePoint applied_at;
+  };
+
+  GroupStatus StatusOf(const ServiceConfig& service) const;
+  void RefreshMetrics() const;
+  void RefreshPoolMetrics() const;
+
+  ProxyParts parts_;
+  std::function<void()> drain_;
+  const CallerServer* callers_ = nullptr;
+  TimePoint started_at_;
+  bool leaving_ = false;
+  std::map<TeamName, std::deque<SeenVersion>, std::less<>> seen_;
+  // Gauges and totals are taken over from the parts when metrics are read.
+  mutable Metrics metrics_;
+  mutable ProxyMetrics proxy_metrics_;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_PROXY_PROXY_ADMIN_H_
--- a/src/proxy/proxy_process.cc
+++ b/src/proxy/proxy_process.cc
@@ -10,6 +10,7 @@
 #include "core/config/team_config.h"
 #include "core/group/group_record.h"
 #include "core/group/position_rule.h"
+#include "net/address.h"
 #include "net/event_loop.h"
 #include "proxy/logging.h"
 #include "wire/json_fields.h"
@@ -75,6 +76,7 @@
                                     settings.peer_address, incarnation_},
                   peers_, configs_, random_),
       distributor_(configs_, platform_, peers_, membership_, random_),
+      submitter_(configs_, distributor_, platform_, random_),
       vm_list_(
           platform_, kVmPrefix, [this] { return IsWatcher(); },
           [this](const auto& objects) { OnVmList(objects); }),
@@ -86,10 +88,18 @@
       pools_(configs_, groups_, membership_, endpoints_, peers_, tracing_,
              settings.drain_timeout),
       group_set_(configs_, groups_, membership_, endpoints_, peers_, platform_,
-                 random_, *this) {
+                 random_, *this),
+      admin_(
+          ProxyParts{settings_, configs_, distributor_, submitter_, membership_,
+                     groups_, front_, pools_, peers_, platform_, tracing_},
+          [this] { Drain(); }),
+      admin_api_(admin_, settings_.admin_tokens),
+      admin_server_(loop, ParseAddress(settings.admin_address).ip,
+                    ParseAddress(settings.admin_address).port, admin_api_) {
   callers_ = std::make_unique<CallerServer>(loop, settings.caller_address,
                                             settings.max_sessions,
                                             MakeCallerLimits(settings), *this);
+  admin_.SetCallers(*callers_);
   loop_.OnRoundEnd([this] { OnRound(); });
   OnRound();
   Log(LogLevel::kInfo, "proxy_started",
@@ -103,6 +113,7 @@
   const TimePoint now = EventLoop::Now();
   drain_deadline_ = now + settings_.drain_timeout + kDrainMargin;
   Log(LogLevel::kInfo, "drain_started", {{"vm", settings_.vm}});
+  admin_.SetLeaving();
   membership_.Leave(now);
   callers_->AnnounceLeaving();
   front_.Drain(now);
@@ -135,16 +146,19 @@
   span->SetTag("service", request.service);
   request.traceparent = Tracing::TraceparentOf(*span);
   const bool begin = request.kind == RequestKind::kBegin;
+  const AccessMode access = request.access;
+  const TimePoint now = EventLoop::Now();
   front_.Submit(
       std::move(request),
-      [begin, respond = std::move(respond),
+      [this, begin, access, now, respond = std::move(respond),
        span = std::move(span)](const Outcome& outcome) {
         span->SetTag("verdict", std::string(VerdictName(outcome.verdict)));
         span->Finish();
+        admin_.metrics().CountOutcome(access, outcome, EventLoop::Now() - now);
         const bool opened = begin && outcome.verdict == Verdict::kRan;
         respond(outcome, opened ? outcome.payload : std::string());
       },
-      EventLoop::Now());
+      now);
 }
 
 void ProxyProcess::OnTransactionAbandoned(const ServiceName& /*service*/,
@@ -217,10 +231,16 @@
 
 void ProxyProcess::OnRound() {
   const TimePoint now = EventLoop::Now();
+  if (armed_for_ <= now) {
+    admin_.metrics().loop_delay.Observe(
+        std::chrono::duration<double>(now - armed_for_).count());
+    armed_for_ = TimePoint::max();
+  }
   vm_list_.Tick(now);
   group_list_.Tick(now);
   membership_.Tick(now);
   distributor_.Tick(now);
+  submitter_.Tick(now);
   NoteChanges(now);
   group_set_.Tick(now);
   front_.Tick(now);
@@ -235,9 +255,9 @@
   }
   const TimePoint next = std::min(
       {vm_list_.NextTick(), group_list_.NextTick(), membership_.NextTick(),
-       distributor_.NextTick(), group_set_.NextTick(), front_.NextTick(),
-       pools_.NextTick(), next_leaving_check_});
-  if (armed_for_ > now && armed_for_ <= next) return;
+       distributor_.NextTick(), submitter_.NextTick(), group_set_.NextTick(),
+       front_.NextTick(), pools_.NextTick(), next_leaving_check_});
+  if (armed_for_ <= next) return;
   armed_for_ = std::max(next, now);
   // Only wakes the loop; the work is done at the end of the round.
   loop_.RunAfter(armed_for_ - now, [] {});
@@ -250,10 +270,28 @@
   }
   seen_revision_ = membership_.revision();
   seen_digest_ = configs_.digest();
+  GiveUpLostVms(now);
+  admin_.NoteVersions(now);
   pools_.OnOwnershipChanged(now);
   group_set_.OnOwnershipChanged(now);
 }
 
+// A VM that is suspected or dead may be frozen with its links open. Requests
+// on the way to it are settled through another owner; a false suspicion costs
+// only that.
+void ProxyProcess::GiveUpLostVms(TimePoint now) {
+  for (const auto& [vm, member] : membership_.table().members()) {
+    const VmState state = member.record.state;
+    const bool lost = state == VmState::kSuspected || state == VmState::kDead;
+    if (!lost) {
+      lost_vms_.erase(vm);
+    } else if (lost_vms_.insert(vm).second) {
+      Log(LogLevel::kWarning, "peer_lost", {{"vm", vm}});
+      front_.OnPeerLost(vm, now);
+    }
+  }
+}
+
 // Exits once nothing is in flight, or when the time of the drain is over.
 void ProxyProcess::StopWhenIdle() {
   const bool idle = callers_->in_flight() == 0 && front_.in_flight() == 0 &&
--- a/src/proxy/proxy_process.h
+++ b/src/proxy/proxy_process.h
@@ -3,11 +3,13 @@
 
 #include <memory>
 #include <random>
+#include <set>
 #include <vector>
 
 #include "carawayhaven/time.h"
 #include "core/config/config_distributor.h"
 #include "core/config/config_store.h"
+#include "core/config/config_submitter.h"
 #include "core/group/group_directory.h"
 #include "core/group/group_monitor.h"
 #include "core/membership/membership.h"
@@ -15,11 +17,14 @@
 #include "core/route/front.h"
 #include "net/caller_server.h"
 #include "net/endpoint_connector.h"
+#include "net/http_server.h"
 #include "net/peer_transport.h"
 #include "net/platform_client.h"
+#include "proxy/admin_api.h"
 #include "proxy/group_set.h"
 #include "proxy/pool_set.h"
 #include "proxy/prefix_watcher.h"
+#include "proxy/proxy_admin.h"
 #include "proxy/settings.h"
 #include "proxy/span_sink.h"
 #include "proxy/tracing.h"
@@ -63,6 +68,7 @@
   /// changed configuration or membership.
   void OnRound();
   void NoteChanges(TimePoint now);
+  void GiveUpLostVms(TimePoint now);
   bool IsWatcher() const;
   void StopWhenIdle();
 
@@ -78,17 +84,23 @@
   ConfigStore configs_;
   Membership membership_;
   ConfigDistributor distributor_;
+  ConfigSubmitter submitter_;
   PrefixWatcher vm_list_;
   PrefixWatcher group_list_;
   GroupDirectory groups_;
   Front front_;
   PoolSet pools_;
   GroupSet group_set_;
+  ProxyAdmin admin_;
+  AdminApi admin_api_;
+  HttpServer admin_server_;
   std::unique_ptr<CallerServer> callers_;
   TimePoint next_leaving_check_;
   TimePoint armed_for_ = TimePoint::max();
   std::uint64_t seen_revision_ = 0;
   ConfigDigest seen_digest_;
+  /// VMs whose requests in flight were given up.
+  std::set<VmName> lost_vms_;
   bool draining_ = false;
   TimePoint drain_deadline_ = TimePoint::max();
 };
--- a/src/proxy/proxy_status.h
+++ b/src/proxy/proxy_status.h
@@ -24,7 +24,7 @@
   bool breaker_open = false;
 };
 
-struct EndpointStatus {
+struct EndpointReport {
   EndpointName name;
   std::string address;
   DataCentreName data_centre;
@@ -46,7 +46,7 @@
   TeamName team;
   Term term = 0;
   EndpointName primary;
-  std::vector<EndpointStatus> endpoints;
+  std::vector<EndpointReport> endpoints;
 };
 
 /// What GET /status reports of one proxy.
--- a/src/proxy/status_json.cc
+++ b/src/proxy/status_json.cc
@@ -37,7 +37,7 @@
           {"breaker_open", pool.breaker_open}};
 }
 
-Json EndpointToJson(const EndpointStatus& endpoint) {
+Json EndpointToJson(const EndpointReport& endpoint) {
   Json json = {{"name", endpoint.name},
                {"address", endpoint.address},
                {"data_centre", endpoint.data_centre},
@@ -56,7 +56,7 @@
 
 Json GroupToJson(const GroupStatus& group) {
   Json endpoints = Json::array();
-  for (const EndpointStatus& endpoint : group.endpoints) {
+  for (const EndpointReport& endpoint : group.endpoints) {
     endpoints.push_back(EndpointToJson(endpoint));
   }
   return {{"service", group.service},
