--- a/src/core/config/team_config.h
+++ b/src/core/config/team_config.h
@@ -24,6 +24,9 @@
   std::string address;
   DataCentreName data_centre;
   bool leaving = false;
+
+  friend bool operator==(const EndpointConfig&,
+                         const EndpointConfig&) = default;
 };
 
 /// One service and the group of endpoints behind it. The first endpoint is the
@@ -36,6 +39,8 @@
   /// Connections that an endpoint accepts.
   std::uint32_t connections = 20;
   std::vector<EndpointConfig> endpoints;
+
+  friend bool operator==(const ServiceConfig&, const ServiceConfig&) = default;
 };
 
 /// The content of a team's text.
--- a/src/core/group/group_monitor.cc
+++ b/src/core/group/group_monitor.cc
@@ -38,6 +38,10 @@
 }
 
 void GroupMonitor::Update(const ServiceConfig& service, TimePoint now) {
+  if (service == service_) {
+    Refresh(now);
+    return;
+  }
   promoter_.Withdraw(now);
   service_ = service;
   for (auto& [name, owned] : owned_) {
--- a/src/core/group/group_monitor.h
+++ b/src/core/group/group_monitor.h
@@ -73,7 +73,9 @@
                std::mt19937_64& random, GroupMonitorHandler& handler);
   ~GroupMonitor() override;
 
-  /// Takes a changed configuration of the service.
+  /// Takes the configuration of the service. A changed one ends an attempt to
+  /// promote and opens the connections anew; the same one only looks at the
+  /// ownership again.
   void Update(const ServiceConfig& service, TimePoint now);
 
   /// Moves the primary away from its endpoint without an error for callers.
