--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -1,5 +1,6 @@
 #include "net/event_loop.h"
 
+#include <ev.h>
 #include <libwebsockets.h>
 
 #include <algorithm>
@@ -28,32 +29,45 @@
 
 }  // namespace
 
-// Ties one libwebsockets timer to the loop's earliest deadline.
-class EventLoop::LwsTimer {
+// The libev loop that serves libwebsockets and the timers of this class. Its
+// epoll costs nothing for an idle socket; the poll() that libwebsockets uses by
+// itself looks at each open one in each round.
+class EventLoop::Driver {
  public:
-  explicit LwsTimer(EventLoop& loop) : timer_{{}, &loop} {}
-  ~LwsTimer() { lws_sul_cancel(&timer_.sul); }
-  LwsTimer(const LwsTimer&) = delete;
-  LwsTimer& operator=(const LwsTimer&) = delete;
+  explicit Driver(EventLoop& loop) : loop_(ev_loop_new(EVBACKEND_EPOLL)) {
+    if (loop_ == nullptr) throw NetworkError(error_messages::kContextFailed);
+    ev_timer_init(&timer_, &Driver::OnExpired, 0.0, 0.0);
+    timer_.data = &loop;
+  }
+  ~Driver() {
+    ev_timer_stop(loop_, &timer_);
+    ev_loop_destroy(loop_);
+  }
+  Driver(const Driver&) = delete;
+  Driver& operator=(const Driver&) = delete;
+
+  struct ev_loop* loop() const {
+    return loop_;
+  }
 
   void Arm(Duration delay) {
-    lws_sul_schedule(timer_.loop->context_, 0, &timer_.sul,
-                     &LwsTimer::OnExpired,
-                     std::max<lws_usec_t>(delay.count(), 1));
+    ev_timer_stop(loop_, &timer_);
+    // A timer counts from the loop's time, which is that of its last round.
+    ev_now_update(loop_);
+    ev_timer_set(&timer_, std::chrono::duration<double>(delay).count(), 0.0);
+    ev_timer_start(loop_, &timer_);
   }
 
+  void RunRound() { ev_run(loop_, EVRUN_ONCE); }
+
  private:
-  // Standard layout, so that the timer can be found from its first member.
-  struct Timer {
-    lws_sorted_usec_list_t sul;
-    EventLoop* loop;
-  };
-
-  static void OnExpired(lws_sorted_usec_list_t* sul) {
-    lws_container_of(sul, Timer, sul)->loop->RunDueTimers();
+  static void OnExpired(struct ev_loop* /*loop*/, ev_timer* timer,
+                        int /*events*/) {
+    static_cast<EventLoop*>(timer->data)->RunDueTimers();
   }
 
-  Timer timer_;
+  struct ev_loop* loop_;
+  ev_timer timer_{};
 };
 
 EventLoop::EventLoop() {
@@ -61,18 +75,19 @@
   lws_context_creation_info info{};
   info.port = CONTEXT_PORT_NO_LISTEN;
   info.user = this;
-  info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
+  info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_LIBEV;
   info.fd_limit_per_thread = kMaxDescriptors;
+  driver_ = std::make_unique<Driver>(*this);
+  void* foreign_loops[] = {driver_->loop()};
+  info.foreign_loops = foreign_loops;
   context_ = lws_create_context(&info);
   if (context_ == nullptr) throw NetworkError(error_messages::kContextFailed);
-  lws_timer_ = std::make_unique<LwsTimer>(*this);
 }
 
 EventLoop::~EventLoop() {
   signalled_context.store(nullptr);
   closing_ = true;
   timers_.clear();
-  lws_timer_.reset();
   lws_context_destroy(context_);
 }
 
@@ -100,7 +115,7 @@
 
 void EventLoop::Run() {
   while (!stopped_) {
-    if (lws_service(context_, 0) < 0) break;
+    driver_->RunRound();
     if (termination_requested != 0 && on_termination_) {
       termination_requested = 0;
       std::exchange(on_termination_, nullptr)();
@@ -124,7 +139,7 @@
 
 void EventLoop::ArmTimer() {
   if (timers_.empty()) return;
-  lws_timer_->Arm(timers_.begin()->first - Now());
+  driver_->Arm(std::max(timers_.begin()->first - Now(), Duration::zero()));
 }
 
 }  // namespace carawayhaven
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -57,11 +57,11 @@
   void RunDueTimers();
   void ArmTimer();
 
-  class LwsTimer;
+  class Driver;
 
   lws_context* context_ = nullptr;
   std::multimap<TimePoint, Callback> timers_;
-  std::unique_ptr<LwsTimer> lws_timer_;
+  std::unique_ptr<Driver> driver_;
   Callback on_termination_;
   Callback on_round_end_;
   bool stopped_ = false;
