Front: settle a repeated commit by its request id

A commit that was sent again, to this front or to another, was refused as "not run" although its first copy may have run; a refused resolve had the same verdict. Both tests failed before: the second commit got kNotRun, now it is resolved and returns kRan; the refused resolve now says kMayHaveRun. Ruled out: answering kMayHaveRun without a resolve, which leaves the work to the caller. The old test expected kUnknownTransaction for a commit after a lost owner; it now checks the same for a statement, and that the commit is settled as not run without an effect.

--- a/src/core/route/front.cc
+++ b/src/core/route/front.cc
@@ -37,7 +37,14 @@
   Outcome refusal;
   if (request.deadline <= now) refusal = NotRun(Reason::kDeadline);
   if (refusal.reason != Reason::kNone || !Prepare(request, refusal)) {
-    ++stats_.not_run;
+    // The verdict of a resolve is about the write with its id, and a commit
+    // may be the copy of one that ran.
+    if (request.kind == RequestKind::kResolve ||
+        request.kind == RequestKind::kCommit) {
+      refusal.verdict = Verdict::kMayHaveRun;
+    }
+    ++(refusal.verdict == Verdict::kNotRun ? stats_.not_run
+                                           : stats_.may_have_run);
     done(refusal);
     return;
   }
@@ -72,8 +79,15 @@
   const bool ends_transaction = request.kind == RequestKind::kCommit ||
                                 request.kind == RequestKind::kRollback;
   if (ends_transaction || is_step) {
-    if (transaction == nullptr || transaction->commits ||
-        transaction->service != request.service) {
+    const bool is_usable = transaction != nullptr && !transaction->commits &&
+                           transaction->service == request.service;
+    if (!is_usable && request.kind == RequestKind::kCommit &&
+        !request.id.value.empty()) {
+      // An earlier copy of the commit may have run, here or at another front;
+      // only its request id can tell.
+      request.kind = RequestKind::kResolve;
+      request.transaction.clear();
+    } else if (!is_usable) {
       refusal = NotRun(Reason::kUnknownTransaction);
       return false;
     }
--- a/test/route/front_transaction_test.cc
+++ b/test/route/front_transaction_test.cc
@@ -30,8 +30,33 @@
   Submit(Step(RequestKind::kStatement, "t1"));
   front_.OnPeerLost("a-1", now_);
   EXPECT_EQ(outcome_->verdict, Verdict::kNotRun);
-  Submit(Step(RequestKind::kCommit, "t1"));
+  Submit(Step(RequestKind::kStatement, "t1"));
   EXPECT_EQ(outcome_->reason, Reason::kUnknownTransaction);
+  Submit(Step(RequestKind::kCommit, "t1"));
+  AnswerFrom(2);
+  EXPECT_EQ(outcome_->verdict, Verdict::kNotRun);
+  EXPECT_EQ(group_.EffectsOf("commit"), 0);
+}
+
+// Guards against "not run" for a commit that ran before its caller moved to
+// this front and sent it again.
+TEST_F(FrontWithTransaction, CommitIsRepeatedElsewhereIsResolved) {
+  Submit(Step(RequestKind::kCommit, "t1"));
+  Answer(1);
+  ASSERT_EQ(outcome_->verdict, Verdict::kRan);
+  Submit(Step(RequestKind::kCommit, "t1"));
+  EXPECT_EQ(peers_.sent.at(2).message.request.kind, RequestKind::kResolve);
+  Answer(2);
+  EXPECT_EQ(outcome_->verdict, Verdict::kRan);
+  EXPECT_EQ(group_.EffectsOf("commit"), 1);
+}
+
+// Guards against a refused resolve that reads as "the write did not run".
+TEST_F(FrontWithTransaction, ResolveIsRefusedMayHaveRun) {
+  front_.Drain(now_);
+  Submit(Step(RequestKind::kResolve, ""));
+  EXPECT_EQ(outcome_->verdict, Verdict::kMayHaveRun);
+  EXPECT_EQ(outcome_->reason, Reason::kLeaving);
 }
 
 // Guards against a commit under a primary that was replaced.
