Refuse services with more than four endpoints

A write is acknowledged when one replica has confirmed it, and a promotion fences a majority. With five endpoints two hold the write and three are fenced, which need not meet (2 + 3 = 5), so a failover could lose it; up to four they always do. The parser accepted nine. Ruled out for now: confirmations by more than one replica, which no user needs with three endpoints.

--- a/include/carawayhaven/error_messages.h
+++ b/include/carawayhaven/error_messages.h
@@ -36,7 +36,8 @@
 inline constexpr char kTooManyDeclaredServices[] =
     "more than 512 services in one text";
 inline constexpr char kTooManyEndpoints[] =
-    "more than 9 endpoints in one service";
+    "more than 4 endpoints in one service: a write is confirmed by one "
+    "replica, which a majority of five endpoints could miss";
 inline constexpr char kOtherTeam[] =
     "the text declares another team than the one it is submitted for: ";
 inline constexpr char kServiceTaken[] = "name belongs to another team: ";
--- a/src/core/config/team_config_parser.h
+++ b/src/core/config/team_config_parser.h
@@ -36,7 +36,9 @@
   /// because TOML forbids the control characters that need longer escapes.
   static constexpr std::size_t kMaxTextBytes = 256 * 1024;
   static constexpr std::size_t kMaxServices = 512;
-  static constexpr std::size_t kMaxEndpoints = 9;
+  /// An acknowledged write is on the primary and one replica. With five
+  /// endpoints a majority of three could be fenced and promoted without it.
+  static constexpr std::size_t kMaxEndpoints = 4;
   static constexpr std::size_t kMaxNameLength = 64;
   static constexpr std::uint32_t kMaxSlots = 1024;
   static constexpr std::uint32_t kMaxConnections = 10'000;
