--- a/src/core/config/config_store.cc
+++ b/src/core/config/config_store.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "carawayhaven/error_messages.h"
+#include "core/mutation.h"
 
 namespace carawayhaven {
 namespace {
@@ -32,7 +33,8 @@
                                std::string_view value) {
   const auto found = teams_.find(team);
   if (version == 0 ||
-      (found != teams_.end() && version <= found->second.version)) {
+      (found != teams_.end() && version <= found->second.version &&
+       !MutationEnabled(Mutation::kApplyOlderConfig))) {
     return ApplyResult::kStale;
   }
   const std::uint64_t seen = found == teams_.end() ? 0 : found->second.seen;
--- a/src/core/group/group_monitor.cc
+++ b/src/core/group/group_monitor.cc
@@ -9,6 +9,7 @@
 #include "core/endpoint_command.h"
 #include "core/group/group_directory.h"
 #include "core/membership/owner_resolver.h"
+#include "core/mutation.h"
 #include "core/peer_link.h"
 
 namespace carawayhaven {
@@ -329,7 +330,7 @@
                   [this](const EndpointConfig& endpoint) {
                     return OwnerOf(endpoint) == vm_;
                   });
-  if (alone) return true;
+  if (alone || MutationEnabled(Mutation::kSkipSecondObserver)) return true;
   return std::any_of(reports_.begin(), reports_.end(), [&](const auto& entry) {
     const EndpointConfig* observer = Find(entry.first);
     const Report& report = entry.second;
--- a/src/core/group/promoter.cc
+++ b/src/core/group/promoter.cc
@@ -7,6 +7,7 @@
 #include "core/chart/chart_parser.h"
 #include "core/config/team_config.h"
 #include "core/group/group_directory.h"
+#include "core/mutation.h"
 
 namespace carawayhaven {
 namespace {
@@ -289,7 +290,10 @@
       continue;
     }
     const LogPosition position = contact.answer->position;
-    if (best.empty() || position > best_position ||
+    const bool is_ahead = MutationEnabled(Mutation::kPromoteLongestLog)
+                              ? position.index > best_position.index
+                              : position > best_position;
+    if (best.empty() || is_ahead ||
         (position == best_position && preference(name) > preference(best))) {
       best = name;
       best_position = position;
--- a/src/core/queue/answer_outcome.cc
+++ b/src/core/queue/answer_outcome.cc
@@ -3,6 +3,7 @@
 #include "carawayhaven/request.h"
 #include "core/endpoint_answer.h"
 #include "core/endpoint_command.h"
+#include "core/mutation.h"
 
 namespace carawayhaven {
 
@@ -30,7 +31,9 @@
   command.access = request.access;
   command.id = request.id;
   command.max_age = request.max_age;
-  command.min_position = request.min_position;
+  if (!MutationEnabled(Mutation::kSkipTokenCheck)) {
+    command.min_position = request.min_position;
+  }
   return command;
 }
 
@@ -77,6 +80,11 @@
 
 bool NeedsConfirmation(const Request& request, const EndpointAnswer& answer,
                        AcknowledgeMode mode) {
+  if (MutationEnabled(Mutation::kAcknowledgeBeforeConfirm) ||
+      (MutationEnabled(Mutation::kResolveWithoutConfirm) &&
+       request.kind == RequestKind::kResolve)) {
+    return false;
+  }
   if (answer.status != EndpointStatus::kOk &&
       answer.status != EndpointStatus::kDuplicate &&
       answer.status != EndpointStatus::kConflict) {
@@ -89,7 +97,8 @@
   if (request.kind == RequestKind::kStatement) {
     if (!request.transaction.empty()) return false;
     if (request.access == AccessMode::kRead) {
-      return !request.max_age.has_value();
+      return !request.max_age.has_value() &&
+             !MutationEnabled(Mutation::kReadWithoutConfirm);
     }
   }
   return mode == AcknowledgeMode::kReplica;
--- a/src/core/queue/confirmation_tracker.cc
+++ b/src/core/queue/confirmation_tracker.cc
@@ -4,6 +4,7 @@
 
 #include "core/endpoint_answer.h"
 #include "core/endpoint_command.h"
+#include "core/mutation.h"
 #include "core/queue/answer_outcome.h"
 #include "core/queue/completions.h"
 
@@ -32,7 +33,7 @@
           .emplace(sequence,
                    Entry{std::move(work), std::move(outcome), term, round_ + 1})
           .first;
-  if (term < term_) {
+  if (term < term_ && !MutationEnabled(Mutation::kReleaseByOtherTerm)) {
     EndUnconfirmed(entry, Reason::kStaleTerm);
     return;
   }
@@ -44,7 +45,8 @@
   term_ = term;
   for (auto entry = entries_.begin(); entry != entries_.end();) {
     const auto current = entry++;
-    if (current->second.term < term_) {
+    if (current->second.term < term_ &&
+        !MutationEnabled(Mutation::kReleaseByOtherTerm)) {
       EndUnconfirmed(current, Reason::kStaleTerm);
     }
   }
@@ -174,10 +176,13 @@
 
 void ConfirmationTracker::Release() {
   auto entry = entries_.begin();
-  while (entry != entries_.end() && entry->second.round <= round_) {
+  while (entry != entries_.end() &&
+         (entry->second.round <= round_ ||
+          MutationEnabled(Mutation::kReleaseByOlderRound))) {
     // A confirmation under another term says nothing about this entry: the
     // endpoint may have discarded it while it was not the primary.
-    if (entry->second.term != confirm_term_) {
+    if (entry->second.term != confirm_term_ &&
+        !MutationEnabled(Mutation::kReleaseByOtherTerm)) {
       ++entry;
       continue;
     }
--- a/src/core/queue/endpoint_pool.cc
+++ b/src/core/queue/endpoint_pool.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/endpoint_command.h"
+#include "core/mutation.h"
 #include "core/queue/admission_control.h"
 #include "core/queue/answer_outcome.h"
 
@@ -202,7 +203,8 @@
   }
   const auto found = running_.find(connection);
   if (found != running_.end() &&
-      found->second.correlation == answer.correlation) {
+      (found->second.correlation == answer.correlation ||
+       MutationEnabled(Mutation::kAcceptForeignAnswer))) {
     Running running = std::move(found->second);
     running_.erase(found);
     if (running.counts_as_long) --running_long_;
@@ -451,7 +453,8 @@
     connections_.Return(id, now);
     return;
   }
-  const bool ok = status == EndpointStatus::kOk;
+  const bool ok = status == EndpointStatus::kOk ||
+                  MutationEnabled(Mutation::kReuseUnknownConnection);
   switch (request.kind) {
     case RequestKind::kCommit:
       if (ok || status == EndpointStatus::kConflict) break;
@@ -552,9 +555,11 @@
 void EndpointPool::EndRunning(Running& running, Reason reason) {
   const Request& request = running.work.request;
   // An uncommitted transaction ends with its connection.
-  const bool uncommitted = !request.transaction.empty() &&
-                           request.kind != RequestKind::kCommit &&
-                           request.kind != RequestKind::kResolve;
+  bool uncommitted = !request.transaction.empty() &&
+                     request.kind != RequestKind::kCommit &&
+                     request.kind != RequestKind::kResolve;
+  uncommitted =
+      uncommitted || MutationEnabled(Mutation::kReportNotRunAfterSend);
   EndWork(running.work, uncommitted ? Verdict::kNotRun : Verdict::kMayHaveRun,
           reason);
 }
--- a/src/core/route/forwarder.cc
+++ b/src/core/route/forwarder.cc
@@ -4,6 +4,7 @@
 
 #include "core/config/team_config.h"
 #include "core/membership/owner_resolver.h"
+#include "core/mutation.h"
 #include "core/peer_link.h"
 #include "core/peer_message.h"
 
@@ -55,6 +56,12 @@
 std::optional<ForwardLeg> Forwarder::Take(CorrelationId correlation,
                                           const VmName& from) {
   const auto found = legs_.find(correlation);
+  if (MutationEnabled(Mutation::kAcceptForeignReply) && found == legs_.end()) {
+    const auto of_owner = legs_of_owner_.find(from);
+    if (of_owner != legs_of_owner_.end()) {
+      return Forget(*of_owner->second.begin());
+    }
+  }
   if (found == legs_.end() || found->second.owner != from) return std::nullopt;
   return Forget(correlation);
 }
--- a/src/core/route/front.cc
+++ b/src/core/route/front.cc
@@ -7,6 +7,7 @@
 #include "core/config/service_directory.h"
 #include "core/config/team_config.h"
 #include "core/membership/owner_resolver.h"
+#include "core/mutation.h"
 #include "core/route/attempt.h"
 
 namespace carawayhaven {
@@ -100,8 +101,10 @@
     }
     request.id.value = request_ids_.Next();
   }
-  request.id.attempt = is_resolve ? attempt::LastOf(request.id.attempt)
-                                  : attempt::FirstOf(request.id.attempt);
+  const bool cancels_range =
+      is_resolve && !MutationEnabled(Mutation::kResolveFirstAttemptOnly);
+  request.id.attempt = cancels_range ? attempt::LastOf(request.id.attempt)
+                                     : attempt::FirstOf(request.id.attempt);
   if (is_commit) transaction->commits = true;
   return true;
 }
--- a/src/core/route/front_outcome.cc
+++ b/src/core/route/front_outcome.cc
@@ -4,6 +4,7 @@
 
 #include "core/config/service_directory.h"
 #include "core/config/team_config.h"
+#include "core/mutation.h"
 #include "core/route/attempt.h"
 #include "core/route/deadline_split.h"
 #include "core/route/front.h"
@@ -123,6 +124,12 @@
   // The attempt that is being resolved.
   if (state.may_have_run()) return;
   state.reason = reason;
+  if (MutationEnabled(Mutation::kRetryAfterSend) && state.is_resolvable() &&
+      !state.is_step() && now < state.request.deadline) {
+    ++state.request.id.attempt;
+    RetryElsewhere(state, now);
+    return;
+  }
   if (state.is_resolvable()) {
     if (state.is_step()) transactions_.Remove(state.request.transaction);
     StartResolve(state, reason, now);
@@ -206,7 +213,9 @@
         state.reason == Reason::kNone ? Reason::kCancelled : state.reason);
     return;
   }
-  ++state.request.id.attempt;
+  if (!MutationEnabled(Mutation::kKeepAttemptAfterResolve)) {
+    ++state.request.id.attempt;
+  }
   if (state.request.deadline - now < kLeastAttemptTime) {
     End(state, Verdict::kNotRun, state.reason);
     return;
@@ -347,7 +356,8 @@
 
 bool Front::IsOfOlderTerm(const ServiceName& service, Term term) const {
   const ServiceConfig* config = services_.FindService(service);
-  return config != nullptr && term < terms_.TermOf(*config);
+  return config != nullptr && term < terms_.TermOf(*config) &&
+         !MutationEnabled(Mutation::kIgnoreHigherTerm);
 }
 
 bool Front::KnowsOtherPrimary(const RequestState& state,
--- a/test/group/fake_endpoint_group.cc
+++ b/test/group/fake_endpoint_group.cc
@@ -62,6 +62,7 @@
 
 void FakeEndpointGroup::Crash(std::size_t index) {
   endpoints_[index].up = false;
+  endpoints_[index].transactions.clear();
   for (FakeLink* link : links_) link->CloseAllTo(index);
 }
 
@@ -80,27 +81,178 @@
   endpoints_[index].silent_below = next_connection_;
 }
 
-EndpointAnswer FakeEndpointGroup::AnswerOf(const FakeEndpoint& endpoint,
-                                           const EndpointCommand& command) {
+EndpointAnswer FakeEndpointGroup::AnswerOf(
+    const FakeEndpoint& endpoint, const EndpointCommand& command) const {
   EndpointAnswer answer;
   answer.correlation = command.correlation;
   answer.term = endpoint.term;
   answer.role = endpoint.role;
   answer.primary = endpoint.primary;
+  if (endpoint.role == EndpointRole::kReplica) {
+    answer.age = time_.now() - endpoint.synced_at;
+  }
   if (!endpoint.log.empty()) {
     answer.position = {endpoint.log.back().term, endpoint.log.size()};
   }
   return answer;
 }
 
-void FakeEndpointGroup::Arrive(std::size_t index,
+void FakeEndpointGroup::Receive(std::size_t index, ConnectionId connection,
+                                const EndpointCommand& command,
+                                const Reply& reply) {
+  if (command.operation != EndpointOperation::kExecute ||
+      statement_time == Duration(0)) {
+    Arrive(index, connection, command, reply);
+    return;
+  }
+  time_.After(statement_time, [this, index, connection, command, reply] {
+    Arrive(index, connection, command, reply);
+  });
+}
+
+void FakeEndpointGroup::Disconnect(std::size_t index, ConnectionId connection) {
+  FakeEndpoint& endpoint = endpoints_[index];
+  if (connection < endpoint.silent_below) return;
+  if (endpoint.frozen) {
+    endpoint.backlog.push_back(
+        [this, index, connection] { Disconnect(index, connection); });
+    return;
+  }
+  endpoint.transactions.erase(connection);
+}
+
+void FakeEndpointGroup::RunRead(const FakeEndpoint& endpoint,
+                                ConnectionId connection,
+                                const EndpointCommand& command,
+                                EndpointAnswer& answer) {
+  const bool is_primary = endpoint.role == EndpointRole::kPrimary;
+  const auto transaction = endpoint.transactions.find(connection);
+  const bool in_transaction = transaction != endpoint.transactions.end();
+  if (!command.max_age && !is_primary) {
+    answer.status = EndpointStatus::kNotPrimary;
+    return;
+  }
+  // A replica follows the rule of the design's section 7 with its own log.
+  const LogPosition token = command.min_position;
+  std::uint64_t needed = token.index;
+  if (answer.position.term > token.term) {
+    for (std::size_t i = 0; i < endpoint.log.size(); ++i) {
+      if (endpoint.log[i].term <= token.term) continue;
+      needed = std::min<std::uint64_t>(needed, i + 1);
+      break;
+    }
+  }
+  if (answer.position.term < token.term || endpoint.log.size() < needed ||
+      (command.max_age && answer.age > *command.max_age)) {
+    answer.status = EndpointStatus::kBehind;
+    return;
+  }
+  const std::string& key = command.parameters;
+  answer.payload = key;
+  const auto add = [&](const auto& writes) {
+    for (const auto& [written, value] : writes) {
+      if (written == key) answer.payload += " " + value;
+    }
+  };
+  for (const FakeEndpoint::Entry& entry : endpoint.log) add(entry.writes);
+  if (in_transaction) add(transaction->second.writes);
+}
+
+void FakeEndpointGroup::RunWrite(FakeEndpoint& endpoint,
+                                 ConnectionId connection,
+                                 const EndpointCommand& command,
+                                 EndpointAnswer& answer) {
+  const auto transaction = endpoint.transactions.find(connection);
+  const bool in_transaction = transaction != endpoint.transactions.end();
+  const bool is_execute = command.operation == EndpointOperation::kExecute;
+  const std::size_t space = command.parameters.find(' ');
+  if (is_execute && in_transaction) {
+    if (transaction->second.term != endpoint.term) {
+      answer.status = EndpointStatus::kError;
+      return;
+    }
+    transaction->second.writes.emplace_back(
+        command.parameters.substr(0, space),
+        command.parameters.substr(space + 1));
+    answer.payload = "in transaction";
+    return;
+  }
+  FakeEndpoint::Entry entry{endpoint.term, 0, time_.now(), command.id.value,
+                            std::nullopt,  {}};
+  const bool resolves = command.operation == EndpointOperation::kResolve;
+  bool ran = false;
+  std::optional<std::uint32_t> cancelled;
+  for (const FakeEndpoint::Entry& old : endpoint.log) {
+    if (old.request != entry.request || old.request.empty()) continue;
+    ran = ran || !old.cancelled;
+    if (old.cancelled) cancelled = std::max(cancelled, old.cancelled);
+  }
+  answer.payload = "done " + entry.request;
+  if (resolves) {
+    answer.ran = ran;
+    if (ran || (cancelled && *cancelled >= command.id.attempt)) return;
+    entry.cancelled = command.id.attempt;
+  } else if (ran) {
+    answer.status = EndpointStatus::kDuplicate;
+  } else if (cancelled && command.id.attempt <= *cancelled) {
+    answer.status = EndpointStatus::kCancelled;
+  } else if (is_execute) {
+    if (entry.request.empty()) {
+      // A step of a transaction that has ended with its connection.
+      answer.status = EndpointStatus::kError;
+    } else {
+      entry.writes.emplace_back(command.parameters.substr(0, space),
+                                command.parameters.substr(space + 1));
+    }
+  } else if (!in_transaction || transaction->second.term != endpoint.term) {
+    answer.status = EndpointStatus::kError;
+  } else {
+    entry.writes = transaction->second.writes;
+  }
+  if (in_transaction && !resolves) endpoint.transactions.erase(transaction);
+  if (answer.status != EndpointStatus::kOk) return;
+  endpoint.log.push_back(std::move(entry));
+  answer.position = {endpoint.term, endpoint.log.size()};
+}
+
+void FakeEndpointGroup::RunData(FakeEndpoint& endpoint, ConnectionId connection,
+                                const EndpointCommand& command,
+                                EndpointAnswer& answer) {
+  const bool is_read = command.operation == EndpointOperation::kExecute &&
+                       command.access == AccessMode::kRead;
+  if (command.operation == EndpointOperation::kRollback) {
+    endpoint.transactions.erase(connection);
+  } else if (is_read && command.statement == "get") {
+    RunRead(endpoint, connection, command, answer);
+  } else if (endpoint.role != EndpointRole::kPrimary ||
+             command.term != endpoint.term) {
+    answer.status = EndpointStatus::kNotPrimary;
+  } else if (command.operation == EndpointOperation::kBegin) {
+    endpoint.transactions.try_emplace(
+        connection, FakeEndpoint::Transaction{endpoint.term, {}});
+  } else if (command.statement.empty() &&
+             command.operation == EndpointOperation::kExecute) {
+    endpoint.log.push_back({endpoint.term,
+                            std::stoull(command.id.value),
+                            time_.now(),
+                            {},
+                            std::nullopt,
+                            {}});
+    answer.position = {endpoint.term, endpoint.log.size()};
+  } else {
+    RunWrite(endpoint, connection, command, answer);
+  }
+}
+
+void FakeEndpointGroup::Arrive(std::size_t index, ConnectionId connection,
                                const EndpointCommand& command,
                                const Reply& reply) {
   FakeEndpoint& endpoint = endpoints_[index];
   if (!endpoint.up) return;
   if (endpoint.frozen) {
-    endpoint.backlog.push_back(
-        [this, index, command, reply] { Arrive(index, command, reply); });
+    endpoint.backlog.push_back([this, index, connection, command, reply] {
+      Arrive(index, connection, command, reply);
+    });
     return;
   }
   EndpointStatus status = EndpointStatus::kOk;
@@ -122,7 +274,8 @@
     if (granted && !is_primary && endpoint.primary.empty()) {
       endpoint.role = EndpointRole::kPrimary;
       endpoint.primary = endpoint.name;
-      endpoint.log.push_back({endpoint.term, 0, time_.now()});
+      endpoint.log.push_back(
+          {endpoint.term, 0, time_.now(), {}, std::nullopt, {}});
     } else if (!granted) {
       status = EndpointStatus::kRefused;
     }
@@ -134,16 +287,17 @@
     } else {
       status = EndpointStatus::kRefused;
     }
-  } else if (command.operation != EndpointOperation::kStatus) {
-    if (!is_primary || command.term != endpoint.term) {
-      status = EndpointStatus::kNotPrimary;
-    } else if (command.operation == EndpointOperation::kConfirm) {
+  } else if (command.operation == EndpointOperation::kConfirm) {
+    if (is_primary && command.term == endpoint.term) {
       Confirm(index, command, reply, std::make_shared<bool>(false));
       return;
-    } else {
-      endpoint.log.push_back(
-          {endpoint.term, std::stoull(command.id.value), time_.now()});
     }
+    status = EndpointStatus::kNotPrimary;
+  } else if (command.operation != EndpointOperation::kStatus) {
+    EndpointAnswer answer = AnswerOf(endpoint, command);
+    RunData(endpoint, connection, command, answer);
+    reply(answer);
+    return;
   }
   if (endpoint.drop_answer == command.operation) {
     endpoint.drop_answer.reset();
@@ -230,6 +384,7 @@
                primary.log[replica.log.size()].at <= shipped) {
           replica.log.push_back(primary.log[replica.log.size()]);
         }
+        replica.synced_at = std::max(replica.synced_at, shipped);
       });
     }
   }
@@ -283,8 +438,9 @@
   const std::size_t endpoint = found->second.endpoint;
   group_.time_.After(DelayTo(endpoint), [this, id, endpoint, command] {
     if (id < group_[endpoint].silent_below) return;
-    group_.Arrive(
-        endpoint, command, [this, id, endpoint](const EndpointAnswer& answer) {
+    group_.Receive(
+        endpoint, id, command,
+        [this, id, endpoint](const EndpointAnswer& answer) {
           Deliver(id, DelayTo(endpoint),
                   [this, id, answer](EndpointEvents& receiver, Connection&) {
                     receiver.OnAnswer(id, answer, group_.time_.now());
@@ -294,6 +450,19 @@
   return true;
 }
 
+void FakeLink::Close(ConnectionId id) {
+  const auto found = connections_.find(id);
+  if (found == connections_.end()) return;
+  const std::size_t endpoint = found->second.endpoint;
+  connections_.erase(found);
+  group_.time_.After(DelayTo(endpoint),
+                     [this, endpoint, id] { group_.Disconnect(endpoint, id); });
+}
+
+void FakeLink::CloseAll() {
+  while (!connections_.empty()) Close(connections_.begin()->first);
+}
+
 void FakeLink::CloseAllTo(std::size_t endpoint) {
   for (const auto& [id, connection] : connections_) {
     if (connection.endpoint != endpoint) continue;
--- a/test/group/fake_endpoint_group.h
+++ b/test/group/fake_endpoint_group.h
@@ -52,6 +52,16 @@
     Term term = 0;
     std::uint64_t id = 0;
     TimePoint at;
+    /// Request id of the effect or of the cancel marker.
+    std::string request;
+    /// Set for a cancel marker: attempts up to this one are refused.
+    std::optional<std::uint32_t> cancelled;
+    /// Key and value of each write.
+    std::vector<std::pair<std::string, std::string>> writes;
+  };
+  struct Transaction {
+    Term term = 0;
+    std::vector<std::pair<std::string, std::string>> writes;
   };
   EndpointName name;
   Term term = 1;
@@ -62,6 +72,10 @@
   /// Term whose primary's log this log is known to be a prefix of.
   Term synced_term = 1;
   Duration lag{0};
+  /// Time at which the primary had what this log holds.
+  TimePoint synced_at;
+  /// Open transactions. A connection in a transaction runs every write in it.
+  std::map<ConnectionId, Transaction> transactions;
   bool up = true;
   bool frozen = false;
   /// No traffic with the other endpoints; proxies reach it.
@@ -105,18 +119,32 @@
   /// Each answered kConfirm, in the order of the answers at the endpoints.
   std::vector<Confirmation> confirmations;
 
+  /// Time that a statement takes before it has its effect.
+  Duration statement_time{0};
+
  private:
   friend class FakeLink;
   using Reply = std::function<void(const EndpointAnswer&)>;
 
-  void Arrive(std::size_t index, const EndpointCommand& command,
-              const Reply& reply);
+  void Receive(std::size_t index, ConnectionId connection,
+               const EndpointCommand& command, const Reply& reply);
+  void Arrive(std::size_t index, ConnectionId connection,
+              const EndpointCommand& command, const Reply& reply);
+  void Disconnect(std::size_t index, ConnectionId connection);
+  /// Runs a statement ("append" with "KEY VALUE", "get" with "KEY"), a step of
+  /// a transaction or a resolve. The answer holds status and payload.
+  void RunData(FakeEndpoint& endpoint, ConnectionId connection,
+               const EndpointCommand& command, EndpointAnswer& answer);
+  void RunRead(const FakeEndpoint& endpoint, ConnectionId connection,
+               const EndpointCommand& command, EndpointAnswer& answer);
+  void RunWrite(FakeEndpoint& endpoint, ConnectionId connection,
+                const EndpointCommand& command, EndpointAnswer& answer);
   void Confirm(std::size_t index, const EndpointCommand& command,
                const Reply& reply, const std::shared_ptr<bool>& done);
   bool Linked(std::size_t a, std::size_t b) const;
   void Replicate();
-  static EndpointAnswer AnswerOf(const FakeEndpoint& endpoint,
-                                 const EndpointCommand& command);
+  EndpointAnswer AnswerOf(const FakeEndpoint& endpoint,
+                          const EndpointCommand& command) const;
 
   VirtualTime& time_;
   FakeLatency latency_;
@@ -135,10 +163,10 @@
 
   ConnectionId Open(std::string_view address, EndpointEvents& events) override;
   bool Send(ConnectionId connection, const EndpointCommand& command) override;
-  void Close(ConnectionId connection) override {
-    connections_.erase(connection);
-  }
+  void Close(ConnectionId connection) override;
   void CloseAllTo(std::size_t endpoint);
+  /// Ends all connections without an event, as when the process ends.
+  void CloseAll();
 
  private:
   struct Connection {
