--- a/test/history/fake_proxies.cc
+++ b/test/history/fake_proxies.cc
@@ -486,6 +486,17 @@
          world.Kill(target);
          return [&world, target] { world.Restart(target); };
        }},
+      // Answers to the process before arrive at its successor.
+      {"restart proxy over and over",
+       [](World& world, std::size_t target) -> End {
+         for (int i = 0; i < 20; ++i) {
+           world.clock.After(milliseconds(25 * i), [&world, target] {
+             world.Kill(target);
+             world.Restart(target);
+           });
+         }
+         return [] {};
+       }},
       {"two owners",
        [](World& world, std::size_t target) -> End {
          FakeProxy& proxy = world.Vm(target);
--- a/test/history/history_checker.cc
+++ b/test/history/history_checker.cc
@@ -236,7 +236,14 @@
         write.number < number) {
       Report(recorded, "does not see the session's own " + write.value);
     } else if (writer.answered <= current_at) {
-      Report(recorded, "is too old, misses " + write.value);
+      std::ostringstream text;
+      text << "is too old for " << (recorded.submitted - current_at).count()
+           << " us, misses " << write.value << " of "
+           << writer.answered.time_since_epoch().count() << " us"
+           << (recorded.answer->from_replica ? ", replica" : ", primary")
+           << " in term " << recorded.answer->position.term << ", written in "
+           << writer.answer->position.term;
+      Report(recorded, text.str());
     }
   }
 }
