Pool: refuse reads with an age that a replaced primary served

Cause: a primary states the age 0. One that was frozen through its replacement knows nothing of the new term until it is told, and a front that does know chose it as a replica; the command carried the new term, but the answer's older term was not looked at. Ruled out: the replica's age in the fake (the answer came from a primary of term 1 while term 2 had acknowledged the write).

--- a/src/core/mutation.h
+++ b/src/core/mutation.h
@@ -38,6 +38,12 @@
   kIgnoreHigherTerm,
   /// A request that may have run is reported as "not run".
   kReportNotRunAfterSend,
+  /// A read with an age takes the answer of a primary of an older term.
+  kReadFromReplacedPrimary,
+  /// The correlation ids of a front start anew with each process.
+  kCorrelationStartsAnew,
+  /// An owner runs each copy of a forwarded request.
+  kAcceptRepeatedForward,
 };
 
 #ifdef CARAWAYHAVEN_MUTATIONS
--- a/src/core/queue/endpoint_pool.cc
+++ b/src/core/queue/endpoint_pool.cc
@@ -439,6 +439,18 @@
   if (work.done == nullptr) return;
   Outcome outcome = OutcomeOf(answer, work.request);
   outcome.served_by = options_.endpoint;
+  // A primary of an older term than the command's has been replaced without
+  // its knowledge, so the age that it states is wrong.
+  const bool is_replaced = answer.role == EndpointRole::kPrimary &&
+                           answer.term < running.term &&
+                           !MutationEnabled(Mutation::kReadFromReplacedPrimary);
+  if (is_replaced && !IsWrite(work.request) && work.request.max_age) {
+    outcome = Outcome{};
+    outcome.reason = Reason::kBehind;
+    outcome.served_by = options_.endpoint;
+    completions_.Add(work, std::move(outcome));
+    return;
+  }
   if (NeedsConfirmation(work.request, answer, options_.acknowledge)) {
     confirmations_.Add(std::move(work), std::move(outcome), running.term, now);
   } else {
--- a/test/mutation_environment.cc
+++ b/test/mutation_environment.cc
@@ -29,6 +29,9 @@
     {"accept_foreign_answer", Mutation::kAcceptForeignAnswer},
     {"ignore_higher_term", Mutation::kIgnoreHigherTerm},
     {"report_not_run_after_send", Mutation::kReportNotRunAfterSend},
+    {"read_from_replaced_primary", Mutation::kReadFromReplacedPrimary},
+    {"correlation_starts_anew", Mutation::kCorrelationStartsAnew},
+    {"accept_repeated_forward", Mutation::kAcceptRepeatedForward},
 };
 
 bool SetMutation() {
