Forwarder: start correlation ids above the process's incarnation

Cause: each process of a VM counted from 1, and owners address replies to the VM. A front that was restarted could take a reply to its predecessor for its own request and give one caller the answer of another. Before: FrontWithWrite.RestartsDropsRepliesToItsPredecessor fails (the new front's write ended as ran by the old one's reply). After: it passes. Ruled out: the check of the sender, which is the same owner in both cases.

--- a/src/core/route/forwarder.cc
+++ b/src/core/route/forwarder.cc
@@ -17,8 +17,13 @@
 
 }  // namespace
 
-Forwarder::Forwarder(const OwnerResolver& owners, PeerLink& peers)
-    : owners_(owners), peers_(peers) {}
+Forwarder::Forwarder(const OwnerResolver& owners, PeerLink& peers,
+                     std::uint64_t incarnation)
+    : owners_(owners),
+      peers_(peers),
+      next_correlation_(MutationEnabled(Mutation::kCorrelationStartsAnew)
+                            ? 1
+                            : incarnation + 1) {}
 
 std::optional<ForwardLeg> Forwarder::Forward(RequestKey key,
                                              const EndpointConfig& endpoint,
--- a/src/core/route/forwarder.h
+++ b/src/core/route/forwarder.h
@@ -33,11 +33,16 @@
 };
 
 /// Sends requests to pool owners and matches the replies to them. Correlation
-/// ids never repeat. Not thread-safe.
+/// ids rise and never repeat, also not in a later process of the VM. Not
+/// thread-safe.
 class Forwarder {
  public:
-  /// Both must outlive the forwarder.
-  Forwarder(const OwnerResolver& owners, PeerLink& peers);
+  /// Both references must outlive the forwarder. The first correlation id is
+  /// above `incarnation`. Replies are addressed to a VM, so those to an earlier
+  /// process of this VM must not match; with microseconds as incarnation a
+  /// process never uses up the ids before its successor's.
+  Forwarder(const OwnerResolver& owners, PeerLink& peers,
+            std::uint64_t incarnation);
 
   /// Sends to the first owner in rendezvous order that takes the message and is
   /// not in `skipped`. Returns nothing when there is none; then nothing was
@@ -69,7 +74,7 @@
  private:
   const OwnerResolver& owners_;
   PeerLink& peers_;
-  CorrelationId next_correlation_ = 1;
+  CorrelationId next_correlation_;
   std::unordered_map<CorrelationId, ForwardLeg> legs_;
   std::map<VmName, std::set<CorrelationId>> legs_of_owner_;
 };
--- a/test/route/front_fault_test.cc
+++ b/test/route/front_fault_test.cc
@@ -282,6 +282,25 @@
   EXPECT_EQ(outcome_->verdict, Verdict::kRan);
 }
 
+// Guards against a reply to the process before, which had the same VM's name,
+// that a restarted front takes for its own.
+TEST_F(FrontWithWrite, RestartsDropsRepliesToItsPredecessor) {
+  FakePeers peers;
+  FrontOptions options;
+  options.incarnation = 1'000'000;
+  Front successor(services_, groups_, owners_, peers, random_, options);
+  std::optional<Outcome> outcome;
+  successor.Submit(
+      Write("x"), [&](const Outcome& o) { outcome = o; }, now_);
+  successor.OnForwardReply(peers_.sent.at(0).vm,
+                           group_.Handle(peers_.sent.at(0).message), now_);
+  EXPECT_FALSE(outcome.has_value());
+  EXPECT_EQ(successor.stats().dropped_replies, 1U);
+  successor.OnForwardReply(peers.sent.at(0).vm,
+                           group_.Handle(peers.sent.at(0).message), now_);
+  EXPECT_EQ(outcome->verdict, Verdict::kRan);
+}
+
 // Guards against new work in a proxy that leaves, and against aborts in it.
 TEST_F(FrontWithWrite, DrainsTakesNoNewWorkAndFinishesTheOld) {
   front_.Drain(now_);
