Pass each forwarded request once

Cause: a step of a transaction has no request id, so a repeated Forward ran it twice; a repeated write could also run after its first copy was refused. Ruled out: the transport repeating messages (TCP, no resend); the owner does not depend on that any more.

--- a/src/proxy/pool_set.cc
+++ b/src/proxy/pool_set.cc
@@ -39,6 +39,7 @@
 
 void PoolSet::OnForward(const VmName& from, const ForwardMessage& message,
                         TimePoint now) {
+  if (!filter_.Accept(from, message.correlation)) return;
   Entry* entry = FindOrCreate(message.endpoint, now);
   const ServiceName service = message.request.service;
   if (entry == nullptr) {
--- a/src/proxy/pool_set.h
+++ b/src/proxy/pool_set.h
@@ -11,6 +11,7 @@
 #include "carawayhaven/time.h"
 #include "core/peer_message.h"
 #include "core/queue/endpoint_pool.h"
+#include "core/queue/forward_filter.h"
 
 namespace carawayhaven {
 
@@ -102,6 +103,7 @@
   PeerLink& peers_;
   const Tracing& tracing_;
   Duration drain_timeout_;
+  ForwardFilter filter_;
   std::map<EndpointName, Entry, std::less<>> pools_;
   /// Replaced pools that still have work in flight.
   std::vector<std::unique_ptr<EndpointPool>> retired_;
--- a/test/history/fake_proxies.cc
+++ b/test/history/fake_proxies.cc
@@ -124,6 +124,7 @@
 }
 
 void FakeProxy::OnForward(const VmName& from, const ForwardMessage& message) {
+  if (!filter_.Accept(from, message.correlation)) return;
   PoolOf(message.endpoint)
       .Submit(
           message.request, std::max(message.term, directory_.TermOf("s")),
@@ -621,7 +622,7 @@
 void FakeProxies::Restart(std::size_t index) {
   if (!vms_[index].empty() && !Vm(index).dead()) return;
   vms_[index].push_back(
-      std::make_unique<FakeProxy>(*this, index, incarnation_++));
+      std::make_unique<FakeProxy>(*this, index, ++incarnation_ * 1'000'000));
   Believe(index, false);
 }
 
--- a/test/history/fake_proxies.h
+++ b/test/history/fake_proxies.h
@@ -17,6 +17,7 @@
 #include "core/membership/owner_resolver.h"
 #include "core/peer_link.h"
 #include "core/queue/endpoint_pool.h"
+#include "core/queue/forward_filter.h"
 #include "core/route/front.h"
 #include "group/fake_endpoint_group.h"
 #include "history/history_checker.h"
@@ -75,6 +76,7 @@
   std::mt19937_64 random_;
   std::unique_ptr<GroupMonitor> monitor_;
   std::unique_ptr<Front> front_;
+  ForwardFilter filter_;
   std::map<EndpointName, std::unique_ptr<EndpointPool>> pools_;
   bool paused_ = false;
   bool dead_ = false;
