End the event loop's round after timers, also for Stop

LoopAdminClientWithServer.RequestsArriveWholeOneAfterTheOther took 30 s. A system call trace shows both calls of the client ended after 13 ms; the wait was one poll of 29.9 s in the server's loop, whose handler calls Stop from a timer. libwebsockets runs timers first and polls the sockets in the same lws_service call, so Stop took effect only after the next event or timer (its own timer after 30 s). The same order delayed OnRoundEnd after timers, so that a proxy armed its next tick only after the next event.

Stop now wakes the poll, and the round ends right after the timers.

Ruled out by the trace and by trials: the client, the timeouts of calls, the closing of sockets and the destruction of the context.

--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -109,8 +109,17 @@
   }
 }
 
+// libwebsockets runs timers before it polls the sockets in the same call. The
+// wake-up ends that poll, which lasts up to the next timer otherwise (30 s in
+// libwebsockets 4.1 when there is none).
+void EventLoop::Stop() {
+  stopped_ = true;
+  lws_cancel_service(context_);
+}
+
 // Runs the callbacks that are due now. Callbacks added meanwhile run in the
 // next round, so that a callback that posts itself cannot block the sockets.
+// The round ends here, because the poll of the sockets follows at once.
 void EventLoop::RunDueTimers() {
   const TimePoint now = Now();
   std::list<Callback> due;
@@ -119,6 +128,7 @@
     timers_.erase(timers_.begin());
   }
   for (Callback& callback : due) callback();
+  if (!due.empty() && on_round_end_) on_round_end_();
   ArmTimer();
 }
 
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -40,12 +40,13 @@
   /// Called once from the loop after SIGTERM or SIGINT. Installs the handlers.
   void OnTerminationSignal(Callback callback);
 
-  /// Sets what runs after each round of events; null removes it.
+  /// Sets what runs after each round of events and of timers; null removes it.
   void OnRoundEnd(Callback callback) { on_round_end_ = std::move(callback); }
 
   /// Serves events until Stop is called.
   void Run();
-  void Stop() { stopped_ = true; }
+  /// Ends Run, also when called from a timer's callback.
+  void Stop();
 
   lws_context* context() const { return context_; }
 
