Endpoint stand-in: a closed connection cancels its statements

A statement of a connection that had closed still took effect at its end, and held its slot until then. The age of a primary counted from the arrival of a replica's answer; it now counts from the start of the confirmed round, since another primary may have been elected while the answer was on its way.

--- a/test/standins/endpoint_server.cc
+++ b/test/standins/endpoint_server.cc
@@ -60,7 +60,13 @@
   HandleMessage(socket, message);
 }
 
-void EndpointServer::OnClose(const Socket& socket) { sessions_.erase(socket); }
+// A closed connection cancels its statements and rolls its transaction back.
+void EndpointServer::OnClose(const Socket& socket) {
+  const auto found = sessions_.find(socket);
+  if (found == sessions_.end()) return;
+  running_ -= found->second.running;
+  sessions_.erase(found);
+}
 
 void EndpointServer::HandleMessage(const Socket& socket,
                                    const std::string& text) {
@@ -149,6 +155,7 @@
     cost = milliseconds(parameters[1].get<std::uint64_t>());
   }
   ++running_;
+  ++sessions_[socket].running;
   ++executed_;
   max_running_ = std::max(max_running_, running_);
   RunStatement(socket, command, cost);
@@ -163,11 +170,11 @@
       RunStatement(socket, command, cost);
       return;
     }
-    --running_;
-    if (crashed_) return;
-    Session detached;
     const auto found = sessions_.find(socket);
-    Session& session = found == sessions_.end() ? detached : found->second;
+    if (found == sessions_.end()) return;
+    Session& session = found->second;
+    --running_;
+    --session.running;
     EndpointAnswer answer = command.access == AccessMode::kWrite
                                 ? RunWrite(command, session)
                                 : RunRead(command, session);
@@ -440,6 +447,7 @@
   replication_.set_frozen(true);
   for (auto& [socket, session] : sessions_) socket->Abort();
   sessions_.clear();
+  running_ = 0;
   loop_.RunAfter(downtime, [this] {
     crashed_ = false;
     replication_.set_frozen(frozen_);
--- a/test/standins/endpoint_server.h
+++ b/test/standins/endpoint_server.h
@@ -49,6 +49,8 @@
     bool in_transaction = false;
     bool silent = false;
     bool replication = false;
+    /// Statements of this connection that hold a slot.
+    std::uint32_t running = 0;
     std::vector<Change> changes;
     std::set<std::string> claimed;
   };
--- a/test/standins/replication.cc
+++ b/test/standins/replication.cc
@@ -10,6 +10,8 @@
 
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(50);
 constexpr std::uint64_t kMaxEntriesPerMessage = 200;
+// Bounds the memory of a primary that no replica confirms.
+constexpr std::size_t kMaxOpenRounds = 10'000;
 
 }  // namespace
 
@@ -49,7 +51,7 @@
     done(false);
     return;
   }
-  confirmations_.push_back({min_index, ++round_, std::move(done)});
+  confirmations_.push_back({min_index, StartRound(), std::move(done)});
   SendAppends();
 }
 
@@ -161,12 +163,20 @@
 
 void Replication::Heartbeat() {
   if (primary_role_ && !frozen_) {
-    ++round_;
+    StartRound();
     SendAppends();
   }
   loop_.RunAfter(kHeartbeatInterval, [this] { Heartbeat(); });
 }
 
+std::uint64_t Replication::StartRound() {
+  round_starts_.emplace(++round_, EventLoop::Now());
+  if (round_starts_.size() > kMaxOpenRounds) {
+    round_starts_.erase(round_starts_.begin());
+  }
+  return round_;
+}
+
 void Replication::SendAppends() {
   if (!primary_role_ || cut_ || frozen_) return;
   for (auto& [name, peer] : peers_) {
@@ -216,7 +226,13 @@
     peer.next_index = peer.match_index + 1;
     peer.acked_round =
         std::max(peer.acked_round, ack.at("round").get<std::uint64_t>());
-    fresh_as_of_ = EventLoop::Now();
+    // The answer may have been long on its way, and another primary may have
+    // been elected meanwhile.
+    const auto start = round_starts_.find(peer.acked_round);
+    if (start != round_starts_.end()) {
+      fresh_as_of_ = std::max(fresh_as_of_, start->second);
+      round_starts_.erase(round_starts_.begin(), start);
+    }
   } else {
     peer.next_index = match + 1;
   }
--- a/test/standins/replication.h
+++ b/test/standins/replication.h
@@ -32,8 +32,8 @@
   Term term() const { return term_; }
   bool is_primary() const { return primary_role_; }
   const std::string& primary() const { return primary_; }
-  /// Age of the data by this endpoint's own clock; zero on a primary that has
-  /// just been confirmed.
+  /// Age of the data by this endpoint's own clock. On a primary it counts from
+  /// the start of the last round that a replica has confirmed.
   Duration Age() const;
 
   void BecomeFirstPrimary();
@@ -88,6 +88,7 @@
   void HandleAck(Peer& peer, const nlohmann::json& ack);
   void ReleaseConfirmations();
   void StepDown();
+  std::uint64_t StartRound();
 
   EventLoop& loop_;
   EndpointState& state_;
@@ -100,6 +101,9 @@
   std::string granted_candidate_;
   std::vector<TimePoint> appended_at_;
   std::uint64_t round_ = 0;
+  /// Start of each round that no replica has confirmed yet, and of the last
+  /// one that was.
+  std::map<std::uint64_t, TimePoint> round_starts_;
   std::vector<Confirmation> confirmations_;
   TimePoint fresh_as_of_;
   Duration lag_{0};
