--- a/include/carawayhaven/error_messages.h
+++ b/include/carawayhaven/error_messages.h
@@ -8,6 +8,8 @@
 inline constexpr char kTooManyServices[] =
     "session token names more than 64 services";
 inline constexpr char kMalformedJson[] = "message is not valid JSON";
+inline constexpr char kNotUtf8[] = "text is not valid UTF-8";
+inline constexpr char kNestedTooDeep[] = "message is nested too deeply";
 inline constexpr char kMissingField[] = "missing or mistyped field: ";
 inline constexpr char kMessageTooLarge[] = "message exceeds the size limit";
 inline constexpr char kMalformedPeerMessage[] =
--- a/src/net/endpoint_connector.cc
+++ b/src/net/endpoint_connector.cc
@@ -27,7 +27,12 @@
                              const EndpointCommand& command) {
   const auto found = entries_.find(connection);
   if (found == entries_.end() || !found->second.open) return false;
-  found->second.socket->Send(EncodeEndpointCommand(command));
+  try {
+    found->second.socket->Send(EncodeEndpointCommand(command));
+  } catch (const Error&) {
+    // A faulty peer sent text that no endpoint can receive.
+    return false;
+  }
   return true;
 }
 
--- a/src/wire/caller_codec.cc
+++ b/src/wire/caller_codec.cc
@@ -72,6 +72,8 @@
   request.service = RequiredString(message, "service");
   request.team = OptionalString(message, "team");
   request.id.value = OptionalString(message, "request_id");
+  request.id.attempt = static_cast<std::uint32_t>(
+      OptionalNumberUpTo(message, "attempt", CallerLimits::kMaxAttempt));
   request.transaction = OptionalString(message, "transaction");
   request.traceparent = OptionalString(message, "traceparent");
   for (const std::string* name : {&request.service, &request.team,
@@ -83,7 +85,8 @@
   }
   request.idempotent = OptionalBool(message, "idempotent", false);
   if (message.contains("max_age_ms")) {
-    request.max_age = milliseconds(RequiredNumber(message, "max_age_ms"));
+    request.max_age = milliseconds(
+        OptionalNumberUpTo(message, "max_age_ms", CallerLimits::kMaxAgeMs));
   }
   CheckRequestId(request);
   const auto default_ms =
@@ -117,8 +120,10 @@
                            {"served_by", outcome.served_by},
                            {"from_replica", outcome.from_replica}};
   if (!outcome.payload.empty()) {
-    nlohmann::json result =
-        nlohmann::json::parse(outcome.payload, nullptr, false);
+    nlohmann::json result(nlohmann::json::value_t::discarded);
+    if (!IsNestedTooDeep(outcome.payload)) {
+      result = nlohmann::json::parse(outcome.payload, nullptr, false);
+    }
     answer["result"] = result.is_discarded() ? nlohmann::json(outcome.payload)
                                              : std::move(result);
   }
--- a/src/wire/caller_codec.h
+++ b/src/wire/caller_codec.h
@@ -24,6 +24,10 @@
 struct CallerLimits {
   static constexpr std::size_t kMaxStatementBytes = 16 * 1024;
   static constexpr std::size_t kMaxNameBytes = 256;
+  /// The front uses the lower 16 bits of an attempt for its own retries.
+  static constexpr std::uint64_t kMaxAttempt = 65'535;
+  /// One year; a larger number could overflow the clock's type.
+  static constexpr std::uint64_t kMaxAgeMs = 366ULL * 24 * 3600 * 1000;
   Duration default_timeout{2'000'000};
   Duration max_timeout{60'000'000};
 };
--- a/src/wire/endpoint_codec.cc
+++ b/src/wire/endpoint_codec.cc
@@ -1,6 +1,8 @@
 #include "wire/endpoint_codec.h"
 
 #include <array>
+#include <cstdint>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -35,6 +37,23 @@
      {EndpointStatus::kRefused, "refused"},
      {EndpointStatus::kError, "error"}}};
 
+constexpr std::uint64_t kMaxAttempt = std::numeric_limits<std::uint32_t>::max();
+// Sums of a few such durations and a time point stay within Duration.
+constexpr std::uint64_t kMaxMicroseconds = 1ULL << 60;
+
+// Throws Error when a text is not UTF-8.
+std::string Dump(const nlohmann::json& message) {
+  try {
+    return message.dump();
+  } catch (const nlohmann::json::type_error&) {
+    throw Error(error_messages::kNotUtf8);
+  }
+}
+
+Duration OptionalDuration(const nlohmann::json& object, const char* key) {
+  return Duration(OptionalNumberUpTo(object, key, kMaxMicroseconds));
+}
+
 template <typename Table, typename Value>
 const char* NameIn(const Table& table, Value value) {
   for (const auto& [candidate, name] : table) {
@@ -74,7 +93,7 @@
   }
   if (!command.candidate.empty()) message["candidate"] = command.candidate;
   if (!command.primary.empty()) message["primary"] = command.primary;
-  return message.dump();
+  return Dump(message);
 }
 
 EndpointCommand DecodeEndpointCommand(std::string_view text) {
@@ -89,11 +108,11 @@
   }
   command.access = OptionalBool(message, "write", false) ? AccessMode::kWrite
                                                          : AccessMode::kRead;
-  command.id = {
-      OptionalString(message, "request"),
-      static_cast<std::uint32_t>(OptionalNumber(message, "attempt", 0))};
+  command.id = {OptionalString(message, "request"),
+                static_cast<std::uint32_t>(
+                    OptionalNumberUpTo(message, "attempt", kMaxAttempt))};
   if (message.contains("max_age_us")) {
-    command.max_age = Duration(RequiredNumber(message, "max_age_us"));
+    command.max_age = OptionalDuration(message, "max_age_us");
   }
   command.min_position = {OptionalNumber(message, "min_term", 0),
                           OptionalNumber(message, "min_index", 0)};
@@ -116,7 +135,7 @@
       {"leaving", answer.leaving}};
   if (!answer.primary.empty()) message["primary"] = answer.primary;
   if (!answer.payload.empty()) message["payload"] = answer.payload;
-  return message.dump();
+  return Dump(message);
 }
 
 EndpointAnswer DecodeEndpointAnswer(std::string_view text) {
@@ -132,8 +151,8 @@
   answer.position = {OptionalNumber(message, "position_term", 0),
                      OptionalNumber(message, "position_index", 0)};
   answer.ran = OptionalBool(message, "ran", false);
-  answer.age = Duration(OptionalNumber(message, "age_us", 0));
-  answer.run_time = Duration(OptionalNumber(message, "run_time_us", 0));
+  answer.age = OptionalDuration(message, "age_us");
+  answer.run_time = OptionalDuration(message, "run_time_us");
   answer.leaving = OptionalBool(message, "leaving", false);
   answer.primary = OptionalString(message, "primary");
   answer.payload = OptionalString(message, "payload");
--- a/src/wire/endpoint_codec.h
+++ b/src/wire/endpoint_codec.h
@@ -10,8 +10,9 @@
 namespace carawayhaven {
 
 /// JSON forms of the messages between a proxy and an endpoint;
-/// docs/platform.md describes them. The decoders throw DecodeError when the
-/// text is malformed. All are thread-safe.
+/// docs/platform.md describes them. The encoders throw Error when a text is not
+/// UTF-8, the decoders throw DecodeError when the text is malformed. All are
+/// thread-safe.
 std::string EncodeEndpointCommand(const EndpointCommand& command);
 EndpointCommand DecodeEndpointCommand(std::string_view text);
 std::string EncodeEndpointAnswer(const EndpointAnswer& answer);
--- a/src/wire/json_fields.cc
+++ b/src/wire/json_fields.cc
@@ -12,7 +12,28 @@
 
 }  // namespace
 
+// Counts brackets outside of strings; the parser checks everything else.
+bool IsNestedTooDeep(std::string_view text) {
+  int depth = 0;
+  bool in_string = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char c = text[i];
+    if (in_string) {
+      if (c == '\\') ++i;
+      if (c == '"') in_string = false;
+    } else if (c == '"') {
+      in_string = true;
+    } else if (c == '[' || c == '{') {
+      if (++depth > kMaxJsonDepth) return true;
+    } else if (c == ']' || c == '}') {
+      --depth;
+    }
+  }
+  return false;
+}
+
 nlohmann::json ParseJsonObject(std::string_view text) {
+  if (IsNestedTooDeep(text)) throw DecodeError(error_messages::kNestedTooDeep);
   nlohmann::json parsed =
       nlohmann::json::parse(text, nullptr, /*allow_exceptions=*/false);
   if (!parsed.is_object()) throw DecodeError(error_messages::kMalformedJson);
@@ -40,6 +61,13 @@
   return object.contains(key) ? RequiredNumber(object, key) : fallback;
 }
 
+std::uint64_t OptionalNumberUpTo(const nlohmann::json& object, const char* key,
+                                 std::uint64_t most) {
+  const std::uint64_t value = OptionalNumber(object, key, 0);
+  if (value > most) ThrowBadField(key);
+  return value;
+}
+
 bool OptionalBool(const nlohmann::json& object, const char* key,
                   bool fallback) {
   const auto found = object.find(key);
--- a/src/wire/peer_codec.cc
+++ b/src/wire/peer_codec.cc
@@ -11,10 +11,19 @@
 namespace {
 
 constexpr std::int64_t kNoMaxAge = -1;
+// No request lives as long; larger values could overflow the clock's type.
+constexpr std::int64_t kMaxMicroseconds = 1LL << 60;
 
 using flatbuffers::FlatBufferBuilder;
 using flatbuffers::Offset;
 
+Duration DecodeDuration(std::int64_t microseconds) {
+  if (microseconds > kMaxMicroseconds || microseconds < -kMaxMicroseconds) {
+    throw DecodeError(error_messages::kMalformedPeerMessage);
+  }
+  return Duration(microseconds);
+}
+
 std::string Text(const flatbuffers::String* text) { return text->str(); }
 
 wire::Position Encode(const LogPosition& position) {
@@ -184,8 +193,9 @@
   request.access = DecodeEnum(from.access(), AccessMode::kWrite);
   request.idempotent = from.idempotent();
   request.id = {Text(from.request_id()), from.attempt()};
-  if (from.max_age_us() >= 0) request.max_age = Duration(from.max_age_us());
-  request.deadline = now + Duration(from.time_left_us());
+  if (from.max_age_us() >= 0)
+    request.max_age = DecodeDuration(from.max_age_us());
+  request.deadline = now + DecodeDuration(from.time_left_us());
   request.min_position = Decode(from.min_position());
   request.transaction = Text(from.transaction());
   request.traceparent = Text(from.traceparent());
@@ -205,7 +215,7 @@
   outcome.position = Decode(reply.position());
   outcome.served_by = Text(reply.served_by());
   outcome.from_replica = reply.from_replica();
-  outcome.retry_after = Duration(reply.retry_after_us());
+  outcome.retry_after = DecodeDuration(reply.retry_after_us());
   return {reply.correlation(), reply.term(), std::move(outcome)};
 }
 
--- /dev/null
+++ b/test/chart/chart_parser_mutation_test.cc
@@ -0,0 +1,30 @@
+#include <gtest/gtest.h>
+
+#include "carawayhaven/exceptions.h"
+#include "core/chart/chart_parser.h"
+#include "mutation_loop.h"
+
+namespace carawayhaven {
+namespace {
+
+constexpr int kIterations = 20'000;
+constexpr std::mt19937_64::result_type kRandomSeed = 20'267;
+
+// Guards against a chart that crashes the parser or makes it throw something
+// else than ParseError.
+TEST(ChartParserMutations, AnyTextIsAChartOrAParseError) {
+  int accepted = 0;
+  RunMutationLoop("test/chart/corpus", kIterations, kRandomSeed,
+                  [&accepted](const std::string& text) {
+                    try {
+                      ChartParser::Parse(text);
+                      ++accepted;
+                    } catch (const ParseError&) {
+                    }
+                  });
+  EXPECT_GT(accepted, 0);
+  EXPECT_LT(accepted, kIterations);
+}
+
+}  // namespace
+}  // namespace carawayhaven
