Tests of the network adapters with real sockets; close what does not read

Faults found by the tests, which failed before: - A WebSocket connection over its backlog limit waited to become writable before it closed. A peer that does not read thus kept it open for ever. It is now closed at once, and CloseAfterSend waits 5 s at most. - Messages that arrived after CloseAfterSend were still delivered: requests after a malformed message of a caller ran, and answers after a malformed answer of an endpoint were believed.

--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -107,6 +107,7 @@
     }
     if (on_round_end_) on_round_end_();
   }
+  stopped_ = false;
 }
 
 // libwebsockets runs timers before it polls the sockets in the same call. The
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -43,7 +43,7 @@
   /// Sets what runs after each round of events and of timers; null removes it.
   void OnRoundEnd(Callback callback) { on_round_end_ = std::move(callback); }
 
-  /// Serves events until Stop is called.
+  /// Serves events until Stop is called. May be called again.
   void Run();
   /// Ends Run, also when called from a timer's callback.
   void Stop();
--- a/src/net/websocket_connection.cc
+++ b/src/net/websocket_connection.cc
@@ -6,16 +6,27 @@
 #include <vector>
 
 namespace carawayhaven {
+namespace {
+
+// Time for the last messages of a connection that closes.
+constexpr int kCloseTimeoutSeconds = 5;
+
+}  // namespace
 
 WebSocketConnection::WebSocketConnection(WebSocketHandler& handler)
     : handler_(handler) {}
 
 void WebSocketConnection::Send(std::string_view message) {
-  if (closed_ || aborted_) return;
+  if (closed_ || aborted_ || close_after_send_) return;
   backlog_bytes_ += message.size();
   if (backlog_bytes_ > kMaxBacklogBytes) {
-    CloseAfterSend();
+    // The socket of a peer that does not read never becomes writable, so the
+    // close cannot wait for that.
+    close_after_send_ = true;
     outgoing_.clear();
+    if (wsi_ != nullptr) {
+      lws_set_timeout(wsi_, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+    }
     return;
   }
   outgoing_.emplace_back(message);
@@ -25,7 +36,9 @@
 void WebSocketConnection::CloseAfterSend() {
   if (closed_) return;
   close_after_send_ = true;
-  if (wsi_ != nullptr) lws_callback_on_writable(wsi_);
+  if (wsi_ == nullptr) return;
+  lws_set_timeout(wsi_, PENDING_TIMEOUT_USER_OK, kCloseTimeoutSeconds);
+  lws_callback_on_writable(wsi_);
 }
 
 void WebSocketConnection::Abort() {
@@ -49,6 +62,7 @@
 
 bool WebSocketConnection::HandleReceive(std::string_view part, bool final) {
   if (aborted_) return false;
+  if (close_after_send_) return true;
   if (incoming_.size() + part.size() > kMaxMessageBytes) return false;
   incoming_.append(part);
   if (!final) return true;
--- a/src/net/websocket_connection.h
+++ b/src/net/websocket_connection.h
@@ -42,10 +42,12 @@
 
   explicit WebSocketConnection(WebSocketHandler& handler);
 
-  /// Queues a text message. Ignored after the connection has closed.
+  /// Queues a text message. Ignored after the connection has closed, or after
+  /// CloseAfterSend.
   void Send(std::string_view message);
 
-  /// Closes after the queued messages are sent. OnClose follows.
+  /// Closes after the queued messages are sent, at the latest after 5 s. No
+  /// further message is delivered; OnClose follows.
   void CloseAfterSend();
 
   /// Closes at once; no event follows.
--- /dev/null
+++ b/test/net/caller_server_test.cc
@@ -0,0 +1,196 @@
+#include "net/caller_server.h"
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+#include "loop_fixture.h"
+#include "net/websocket_client.h"
+
+namespace carawayhaven {
+namespace {
+
+using nlohmann::json;
+
+constexpr char kAddress[] = "127.0.0.1:7830";
+constexpr std::size_t kMaxSessions = 3;
+
+// The callers' side: what arrived on each connection.
+class Callers : public WebSocketHandler {
+ public:
+  void OnOpen(const std::shared_ptr<WebSocketConnection>&) override { ++open; }
+  void OnMessage(const std::shared_ptr<WebSocketConnection>& socket,
+                 std::string_view message) override {
+    answers[socket].push_back(json::parse(message));
+  }
+  void OnClose(const std::shared_ptr<WebSocketConnection>& socket) override {
+    closed.push_back(socket);
+  }
+
+  int open = 0;
+  std::map<std::shared_ptr<WebSocketConnection>, std::vector<json>> answers;
+  std::vector<std::shared_ptr<WebSocketConnection>> closed;
+};
+
+class CallerServerWithCallers : public LoopFixture, public CallerHandler {
+ protected:
+  void OnCallerRequest(Request request, CallerResponder respond) override {
+    requests_.push_back(std::move(request));
+    held_.push_back(std::move(respond));
+  }
+  void OnTransactionAbandoned(const ServiceName& service,
+                              const TransactionId& id) override {
+    abandoned_.push_back(service + "/" + id);
+  }
+
+  std::shared_ptr<WebSocketConnection> Open() {
+    const int open = callers_.open;
+    auto socket = client_.Connect(kAddress, callers_);
+    EXPECT_TRUE(RunUntil([&] { return callers_.open > open; }));
+    return socket;
+  }
+  void Send(const std::shared_ptr<WebSocketConnection>& socket,
+            const char* type, std::uint64_t id, json more = json::object()) {
+    json message = {
+        {"type", type}, {"id", id}, {"service", "s"}, {"statement", "get"}};
+    message.update(more);
+    socket->Send(message.dump());
+  }
+  bool WaitForRequests(std::size_t count) {
+    return RunUntil([&] { return held_.size() >= count; });
+  }
+  bool WaitForAnswers(const std::shared_ptr<WebSocketConnection>& socket,
+                      std::size_t count) {
+    return RunUntil([&] { return callers_.answers[socket].size() >= count; });
+  }
+  static Outcome Ran() {
+    Outcome outcome;
+    outcome.verdict = Verdict::kRan;
+    outcome.position = {2, 5};
+    return outcome;
+  }
+
+  std::vector<Request> requests_;
+  std::vector<CallerResponder> held_;
+  std::vector<std::string> abandoned_;
+  Callers callers_;
+  CallerServer server_{*loop_, kAddress, kMaxSessions, {}, *this};
+  WebSocketClient client_{*loop_};
+};
+
+// Guards against a proxy that takes more sessions than it has memory for.
+TEST_F(CallerServerWithCallers, SessionBeyondTheLimitIsSentAway) {
+  for (std::size_t i = 0; i < kMaxSessions; ++i) Open();
+  const auto refused = Open();
+  EXPECT_TRUE(RunUntil([&] { return callers_.closed.size() == 1; }));
+  EXPECT_EQ(callers_.closed.front(), refused);
+  EXPECT_EQ(callers_.answers[refused].at(0)["type"], "leaving");
+  EXPECT_EQ(server_.stats().sessions_refused, 1U);
+  EXPECT_EQ(server_.sessions(), kMaxSessions);
+}
+
+TEST_F(CallerServerWithCallers, RequestBeyondTheInFlightLimitIsRefused) {
+  const auto socket = Open();
+  const std::size_t limit = CallerServer::kMaxInFlightPerSession;
+  for (std::size_t id = 1; id <= limit + 1; ++id) Send(socket, "request", id);
+  ASSERT_TRUE(WaitForAnswers(socket, 1));
+  const json refusal = callers_.answers[socket].at(0);
+  EXPECT_EQ(refusal["id"], limit + 1);
+  EXPECT_EQ(refusal["verdict"], "not_run");
+  EXPECT_EQ(refusal["reason"], "overloaded");
+  EXPECT_EQ(held_.size(), limit);
+  held_.front()(Ran(), "");
+  Send(socket, "request", 500);
+  EXPECT_TRUE(WaitForRequests(limit + 1));
+}
+
+// Guards against one caller's nonsense that ends other sessions, and against
+// requests taken from a stream that cannot be trusted.
+TEST_F(CallerServerWithCallers, MalformedMessageClosesOnlyItsSession) {
+  const auto faulty = Open();
+  const auto other = Open();
+  Send(faulty, "request", 0, {{"id", "x"}});
+  Send(faulty, "request", 2);
+  EXPECT_TRUE(RunUntil([&] { return callers_.closed.size() == 1; }));
+  EXPECT_EQ(callers_.answers[faulty].size(), 1U);
+  EXPECT_EQ(callers_.answers[faulty].at(0)["reason"], "invalid_request");
+  EXPECT_TRUE(requests_.empty());
+  Send(other, "select", 3);
+  ASSERT_TRUE(WaitForAnswers(other, 1));
+  EXPECT_EQ(callers_.answers[other].at(0)["id"], 3);
+  EXPECT_EQ(server_.stats().invalid_messages, 2U);
+  Send(other, "request", 4);
+  EXPECT_TRUE(WaitForRequests(1));
+}
+
+// Guards against answers that reach another session, or a freed one.
+TEST_F(CallerServerWithCallers, AnswerToACallerThatHasGoneIsDropped) {
+  const auto gone = Open();
+  const auto other = Open();
+  Send(gone, "request", 1);
+  ASSERT_TRUE(WaitForRequests(1));
+  Send(other, "request", 1);
+  ASSERT_TRUE(WaitForRequests(2));
+  gone->Abort();
+  ASSERT_TRUE(RunUntil([&] { return server_.sessions() == 1; }));
+  EXPECT_EQ(server_.in_flight(), 2U);
+  held_[0](Ran(), "");
+  held_[1](Ran(), "");
+  EXPECT_TRUE(WaitForAnswers(other, 1));
+  EXPECT_EQ(server_.in_flight(), 0U);
+  EXPECT_TRUE(callers_.answers[gone].empty());
+}
+
+// Guards against transactions that hold a connection after their caller left.
+TEST_F(CallerServerWithCallers, OpenTransactionsOfACallerThatGoesAreAbandoned) {
+  const auto socket = Open();
+  Send(socket, "begin", 1);
+  Send(socket, "begin", 2);
+  Send(socket, "begin", 3);
+  ASSERT_TRUE(WaitForRequests(3));
+  held_[0](Ran(), "t1");
+  held_[1](Ran(), "t2");
+  ASSERT_TRUE(WaitForAnswers(socket, 2));
+  Send(socket, "commit", 4, {{"transaction", "t1"}, {"request_id", "r"}});
+  ASSERT_TRUE(WaitForRequests(4));
+  held_[3](Ran(), "");
+  ASSERT_TRUE(WaitForAnswers(socket, 3));
+  socket->Abort();
+  ASSERT_TRUE(RunUntil([&] { return server_.sessions() == 0; }));
+  EXPECT_EQ(abandoned_, std::vector<std::string>{"s/t2"});
+  held_[2](Ran(), "t3");
+  EXPECT_EQ(abandoned_, (std::vector<std::string>{"s/t2", "s/t3"}));
+}
+
+// Guards against a session that loses its own writes, or one that is sent to
+// the primary by reads.
+TEST_F(CallerServerWithCallers, OnlyAcknowledgedWritesAdvanceTheToken) {
+  const auto socket = Open();
+  const json write = {{"access", "write"}, {"request_id", "r"}};
+  Send(socket, "request", 1, {{"token", "s:2.4"}});
+  Send(socket, "request", 2, write);
+  Send(socket, "request", 3, write);
+  ASSERT_TRUE(WaitForRequests(3));
+  held_[0](Ran(), "");
+  held_[1](Ran(), "");
+  Outcome unknown = Ran();
+  unknown.verdict = Verdict::kMayHaveRun;
+  held_[2](unknown, "");
+  ASSERT_TRUE(WaitForAnswers(socket, 3));
+  EXPECT_EQ(callers_.answers[socket][0]["token"], "s:2.4");
+  EXPECT_EQ(callers_.answers[socket][1]["token"], "s:2.5");
+  EXPECT_EQ(callers_.answers[socket][2]["token"], "");
+}
+
+TEST_F(CallerServerWithCallers, LeavingIsAnnouncedAndNewSessionsSentAway) {
+  const auto socket = Open();
+  server_.AnnounceLeaving();
+  ASSERT_TRUE(WaitForAnswers(socket, 1));
+  EXPECT_EQ(callers_.answers[socket][0]["type"], "leaving");
+  const auto late = Open();
+  EXPECT_TRUE(RunUntil([&] { return callers_.closed.size() == 1; }));
+  EXPECT_EQ(callers_.closed.front(), late);
+}
+
+}  // namespace
+}  // namespace carawayhaven
--- /dev/null
+++ b/test/net/http_test.cc
@@ -0,0 +1,106 @@
+#include <vector>
+
+#include "loop_fixture.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+
+namespace carawayhaven {
+namespace {
+
+constexpr std::uint16_t kPort = 7800;
+constexpr char kAddress[] = "127.0.0.1:7800";
+constexpr Duration kTimeout = std::chrono::seconds(15);
+
+class HttpServerAndClient : public LoopFixture, public HttpHandler {
+ protected:
+  void OnRequest(const HttpRequest& request, HttpResponder respond) override {
+    requests_.push_back(request);
+    if (request.path == "/late") {
+      held_.push_back(std::move(respond));
+    } else {
+      respond({200, "text/plain", request.if_match, request.body});
+    }
+  }
+
+  HttpResponse Call(HttpRequest request, Duration timeout = kTimeout) {
+    HttpResponse result;
+    int answers = 0;
+    client_.Send(kAddress, std::move(request), timeout,
+                 [&](const HttpResponse& response) {
+                   result = response;
+                   ++answers;
+                 });
+    EXPECT_TRUE(RunUntil([&answers] { return answers > 0; }));
+    RunTicks(2);
+    EXPECT_EQ(answers, 1);
+    return result;
+  }
+
+  std::vector<HttpRequest> requests_;
+  std::vector<HttpResponder> held_;
+  HttpServer server_{*loop_, "127.0.0.1", kPort, *this};
+  HttpClient client_{*loop_};
+};
+
+// Guards against a header or a part of a body that is lost on the way.
+TEST_F(HttpServerAndClient, HeadersAndBodiesArriveWholeBothWays) {
+  const struct {
+    const char* method;
+    std::size_t body_bytes;
+    const char* if_match;
+    const char* token;
+  } cases[] = {{"GET", 0, "", ""},        {"DELETE", 0, "", "secret"},
+               {"PUT", 0, "0", ""},       {"PUT", 1, "17", "secret"},
+               {"POST", 0, "", ""},       {"POST", 1, "", ""},
+               {"PUT", 300'000, "4", ""}, {"PUT", 1024 * 1024, "", ""}};
+  for (const auto& entry : cases) {
+    const std::string body(entry.body_bytes, 'b');
+    const HttpResponse response = Call(
+        {entry.method, "/x/y", "watch=1", entry.if_match, entry.token, body});
+    SCOPED_TRACE(entry.method + std::to_string(entry.body_bytes));
+    EXPECT_EQ(response.status, 200);
+    EXPECT_EQ(response.etag, entry.if_match);
+    EXPECT_EQ(response.body, body);
+    ASSERT_FALSE(requests_.empty());
+    EXPECT_EQ(requests_.back().method, entry.method);
+    EXPECT_EQ(requests_.back().path, "/x/y");
+    EXPECT_EQ(requests_.back().query, "watch=1");
+    EXPECT_EQ(requests_.back().if_match, entry.if_match);
+    EXPECT_EQ(requests_.back().bearer_token, entry.token);
+    EXPECT_EQ(requests_.back().body, body);
+  }
+  EXPECT_EQ(requests_.size(), std::size(cases));
+}
+
+// Guards against a handler that sees part of a body, and a server that is of no
+// use after it.
+TEST_F(HttpServerAndClient, BodyOverTheLimitIsRefusedAndTheServerGoesOn) {
+  const std::string body(HttpServer::kMaxBodyBytes + 1, 'b');
+  EXPECT_EQ(Call({"PUT", "/x", "", "", "", body}).status, 413);
+  EXPECT_TRUE(requests_.empty());
+  EXPECT_EQ(Call({"GET", "/x", "", "", "", ""}).status, 200);
+  EXPECT_EQ(requests_.size(), 1U);
+}
+
+// Guards against a responder that uses the socket of a client that has gone.
+TEST_F(HttpServerAndClient, ClientGoesBeforeLateResponseIsIgnored) {
+  const Duration short_timeout = std::chrono::milliseconds(50);
+  EXPECT_EQ(Call({"GET", "/late", "", "", "", ""}, short_timeout).status, 0);
+  RunTicks(4);
+  for (const HttpResponder& respond : held_) {
+    respond({200, "text/plain", "", "late"});
+  }
+  EXPECT_EQ(Call({"GET", "/x", "", "", "", ""}).status, 200);
+}
+
+TEST_F(HttpServerAndClient, LateResponseArrivesWhenTheClientWaits) {
+  std::string body;
+  client_.Send(kAddress, {"GET", "/late", "", "", "", ""}, kTimeout,
+               [&body](const HttpResponse& response) { body = response.body; });
+  ASSERT_TRUE(RunUntil([this] { return !held_.empty(); }));
+  held_.front()({200, "text/plain", "", "late"});
+  EXPECT_TRUE(RunUntil([&body] { return body == "late"; }));
+}
+
+}  // namespace
+}  // namespace carawayhaven
--- /dev/null
+++ b/test/net/loop_fixture.h
@@ -0,0 +1,124 @@
+#ifndef CARAWAYHAVEN_TEST_NET_LOOP_FIXTURE_H_
+#define CARAWAYHAVEN_TEST_NET_LOOP_FIXTURE_H_
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "net/event_loop.h"
+
+namespace carawayhaven {
+
+/// Runs a loop until a condition holds, bounded by a number of ticks.
+class LoopFixture : public testing::Test {
+ protected:
+  static constexpr int kMaxTicks = 4'000;
+  static constexpr Duration kTick = std::chrono::milliseconds(5);
+
+  /// Returns false when the condition did not hold after kMaxTicks.
+  bool RunUntil(const std::function<bool()>& condition) {
+    ticks_left_ = kMaxTicks;
+    Tick(condition);
+    loop_->Run();
+    return condition();
+  }
+
+  void RunTicks(int ticks) {
+    int left = ticks;
+    RunUntil([&left] { return --left < 0; });
+  }
+
+  // The objects of a test have to outlive the loop.
+  void TearDown() override { loop_.reset(); }
+
+  std::unique_ptr<EventLoop> loop_ = std::make_unique<EventLoop>();
+
+ private:
+  void Tick(const std::function<bool()>& condition) {
+    if (condition() || --ticks_left_ == 0) {
+      loop_->Stop();
+      return;
+    }
+    loop_->RunAfter(kTick, [this, condition] { Tick(condition); });
+  }
+
+  int ticks_left_ = 0;
+};
+
+/// A blocking socket that sends and reads only when a test says so.
+class RawSocket {
+ public:
+  explicit RawSocket(std::uint16_t port)
+      : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+    const sockaddr_in address = LoopbackAddress(port);
+    connected_ = connect(fd_, reinterpret_cast<const sockaddr*>(&address),
+                         sizeof(address)) == 0;
+  }
+  ~RawSocket() { close(fd_); }
+  RawSocket(const RawSocket&) = delete;
+  RawSocket& operator=(const RawSocket&) = delete;
+
+  bool connected() const { return connected_; }
+  void Write(std::string_view bytes) {
+    EXPECT_EQ(send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+              static_cast<ssize_t>(bytes.size()));
+  }
+  /// True when the other side has closed; takes what it sent.
+  bool IsClosed() {
+    char buffer[4096];
+    const ssize_t got = recv(fd_, buffer, sizeof(buffer), MSG_DONTWAIT);
+    return got == 0 || (got < 0 && errno != EAGAIN);
+  }
+
+  static sockaddr_in LoopbackAddress(std::uint16_t port) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return address;
+  }
+
+ private:
+  int fd_;
+  bool connected_ = false;
+};
+
+/// Listens on a port chosen by the system and reads nothing.
+class RawListener {
+ public:
+  RawListener() : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address = RawSocket::LoopbackAddress(0);
+    socklen_t length = sizeof(address);
+    EXPECT_EQ(bind(fd_, reinterpret_cast<sockaddr*>(&address), length), 0);
+    EXPECT_EQ(listen(fd_, 16), 0);
+    getsockname(fd_, reinterpret_cast<sockaddr*>(&address), &length);
+    address_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+  }
+  ~RawListener() { Close(); }
+  RawListener(const RawListener&) = delete;
+  RawListener& operator=(const RawListener&) = delete;
+
+  const std::string& address() const { return address_; }
+  /// Accepts a connection that waits and closes it.
+  void AcceptAndClose() { close(accept(fd_, nullptr, nullptr)); }
+  void Close() {
+    if (fd_ >= 0) close(fd_);
+    fd_ = -1;
+  }
+
+ private:
+  int fd_;
+  std::string address_;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_TEST_NET_LOOP_FIXTURE_H_
--- /dev/null
+++ b/test/net/websocket_test.cc
@@ -0,0 +1,130 @@
+#include <map>
+#include <vector>
+
+#include "loop_fixture.h"
+#include "net/websocket_client.h"
+#include "net/websocket_server.h"
+
+namespace carawayhaven {
+namespace {
+
+constexpr std::uint16_t kPort = 7801;
+constexpr char kAddress[] = "127.0.0.1:7801";
+
+class Recorder : public WebSocketHandler {
+ public:
+  explicit Recorder(bool echoes) : echoes_(echoes) {}
+
+  void OnOpen(const std::shared_ptr<WebSocketConnection>& socket) override {
+    sockets.push_back(socket);
+  }
+  void OnMessage(const std::shared_ptr<WebSocketConnection>& socket,
+                 std::string_view message) override {
+    messages.emplace_back(message);
+    if (echoes_) socket->Send(message);
+    if (message == "close") socket->CloseAfterSend();
+  }
+  void OnClose(const std::shared_ptr<WebSocketConnection>&) override {
+    ++closed;
+  }
+
+  std::vector<std::shared_ptr<WebSocketConnection>> sockets;
+  std::vector<std::string> messages;
+  int closed = 0;
+
+ private:
+  bool echoes_;
+};
+
+class WebSocketServerAndClient : public LoopFixture {
+ protected:
+  std::shared_ptr<WebSocketConnection> Open() {
+    const std::size_t open = local_.sockets.size();
+    auto socket = client_.Connect(kAddress, local_);
+    EXPECT_TRUE(RunUntil([&] { return local_.sockets.size() > open; }));
+    return socket;
+  }
+
+  Recorder remote_{true};
+  Recorder local_{false};
+  WebSocketServer server_{*loop_, "127.0.0.1", kPort, remote_};
+  WebSocketClient client_{*loop_};
+};
+
+// Guards against messages that are cut at the size of a buffer, joined or
+// reordered.
+TEST_F(WebSocketServerAndClient, MessagesOfAllSizesArriveWholeAndInOrder) {
+  const auto socket = Open();
+  std::vector<std::string> sent;
+  for (const std::size_t size :
+       {std::size_t{1}, std::size_t{16 * 1024}, std::size_t{16 * 1024 + 1},
+        WebSocketConnection::kMaxMessageBytes, std::size_t{2}}) {
+    sent.emplace_back(size, static_cast<char>('a' + sent.size()));
+    socket->Send(sent.back());
+  }
+  EXPECT_TRUE(RunUntil([&] { return local_.messages.size() >= sent.size(); }));
+  EXPECT_EQ(remote_.messages, sent);
+  EXPECT_EQ(local_.messages, sent);
+}
+
+TEST_F(WebSocketServerAndClient, MessageOverTheLimitClosesOnlyItsConnection) {
+  const auto socket = Open();
+  const auto other = Open();
+  socket->Send(std::string(WebSocketConnection::kMaxMessageBytes + 1, 'x'));
+  EXPECT_TRUE(
+      RunUntil([&] { return local_.closed == 1 && remote_.closed == 1; }));
+  other->Send("still here");
+  EXPECT_TRUE(RunUntil([&] { return !local_.messages.empty(); }));
+  EXPECT_EQ(remote_.messages, std::vector<std::string>{"still here"});
+}
+
+// Guards against messages that are handled after their connection was given up.
+TEST_F(WebSocketServerAndClient, NothingIsDeliveredAfterCloseAfterSend) {
+  const auto socket = Open();
+  socket->Send("close");
+  socket->Send("after");
+  EXPECT_TRUE(
+      RunUntil([&] { return local_.closed == 1 && remote_.closed == 1; }));
+  EXPECT_EQ(remote_.messages, std::vector<std::string>{"close"});
+  EXPECT_EQ(local_.messages, std::vector<std::string>{"close"});
+}
+
+TEST_F(WebSocketServerAndClient, FailedOpenIsReportedOnceAndNotFromTheCall) {
+  RawListener listener;
+  listener.Close();
+  client_.Connect(listener.address(), local_);
+  EXPECT_EQ(local_.closed, 0);
+  EXPECT_TRUE(RunUntil([&] { return local_.closed > 0; }));
+  RunTicks(4);
+  EXPECT_EQ(local_.closed, 1);
+  EXPECT_TRUE(local_.sockets.empty());
+}
+
+TEST_F(WebSocketServerAndClient, AbortEndsTheConnectionWithoutAnOwnEvent) {
+  Open()->Abort();
+  EXPECT_TRUE(RunUntil([&] { return remote_.closed == 1; }));
+  EXPECT_EQ(local_.closed, 0);
+}
+
+// Guards against a connection that stays open for ever, because its socket
+// never becomes writable again.
+TEST_F(WebSocketServerAndClient, PeerThatDoesNotReadIsCutOffAtTheLimit) {
+  RawSocket silent(kPort);
+  ASSERT_TRUE(silent.connected());
+  silent.Write(
+      "GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\n"
+      "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+      "Sec-WebSocket-Protocol: carawayhaven\r\n"
+      "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n");
+  ASSERT_TRUE(RunUntil([&] { return !remote_.sockets.empty(); }));
+  const std::string part(256 * 1024, 'x');
+  // Fills the buffers of the system first, then the backlog.
+  for (int i = 0; i < 30; ++i) remote_.sockets.front()->Send(part);
+  RunTicks(20);
+  EXPECT_EQ(remote_.closed, 0);
+  for (int i = 0; i < 40; ++i) remote_.sockets.front()->Send(part);
+  EXPECT_TRUE(RunUntil([&] { return remote_.closed == 1; }));
+}
+
+}  // namespace
+}  // namespace carawayhaven
