Send to a peer on the link that it opened

Each pair of proxies held two TCP connections, one for each direction. A proxy now answers on the link of the peer's Hello. Both sides still report a loss once; a peer that connects again has given its earlier link up, which is closed and reported, and the reply goes to the new one.

--- a/src/net/peer_connection.cc
+++ b/src/net/peer_connection.cc
@@ -39,6 +39,7 @@
 }
 
 void PeerConnection::Attach(lws* wsi) {
+  if (self_ == nullptr) ++transport_.connections_;
   wsi_ = wsi;
   self_ = shared_from_this();
   if (wsi_ != nullptr && !frames_.empty()) lws_callback_on_writable(wsi_);
@@ -84,6 +85,7 @@
   closed_ = true;
   wsi_ = nullptr;
   const std::shared_ptr<PeerConnection> self = std::move(self_);
+  --transport_.connections_;
   transport_.OnClosed(*this);
 }
 
--- a/src/net/peer_transport.cc
+++ b/src/net/peer_transport.cc
@@ -55,11 +55,11 @@
     });
     return true;
   }
-  std::shared_ptr<PeerConnection>& connection = outgoing_[vm];
+  std::shared_ptr<PeerConnection>& connection = links_[vm];
   if (connection == nullptr) {
     const auto address = addresses_.find(vm);
     if (address == addresses_.end()) {
-      outgoing_.erase(vm);
+      links_.erase(vm);
       return false;
     }
     connection = Connect(address->second);
@@ -142,19 +142,34 @@
 void PeerTransport::OnMessage(PeerConnection& connection,
                               const PeerMessage& message) {
   if (const auto* hello = std::get_if<HelloMessage>(&message)) {
-    connection.set_peer(hello->vm);
-    SetAddress(hello->vm, hello->address);
+    OnHello(connection, *hello);
   }
   if (connection.peer().empty()) return;
   events_.OnPeerMessage(connection.peer(), message, EventLoop::Now());
 }
 
+// Replies go back on the link on which the peer sent its requests. A peer that
+// opens another link has given the earlier one up: what was sent on that may be
+// lost, and is reported before the new link is used.
+void PeerTransport::OnHello(PeerConnection& connection,
+                            const HelloMessage& hello) {
+  if (!connection.peer().empty()) return;
+  connection.set_peer(hello.vm);
+  SetAddress(hello.vm, hello.address);
+  std::shared_ptr<PeerConnection>& link = links_[hello.vm];
+  const std::shared_ptr<PeerConnection> earlier = link;
+  if (earlier != nullptr && earlier->outgoing()) return;
+  link = connection.shared_from_this();
+  if (earlier == nullptr) return;
+  earlier->Abort();
+  events_.OnPeerLost(hello.vm, EventLoop::Now());
+}
+
 void PeerTransport::OnClosed(PeerConnection& connection) {
-  if (!connection.outgoing()) return;
-  const auto found = outgoing_.find(connection.peer());
-  if (found == outgoing_.end() || found->second.get() != &connection) return;
+  const auto found = links_.find(connection.peer());
+  if (found == links_.end() || found->second.get() != &connection) return;
   const VmName vm = found->first;
-  outgoing_.erase(found);
+  links_.erase(found);
   events_.OnPeerLost(vm, EventLoop::Now());
 }
 
--- a/src/net/peer_transport.h
+++ b/src/net/peer_transport.h
@@ -26,9 +26,11 @@
   std::uint64_t malformed_frames = 0;
 };
 
-/// Links to other proxies over TCP: frames with FlatBuffers. One link for each
-/// direction a message was first sent in; an idle link stays open. A message
-/// to this VM itself is delivered through the loop. Not thread-safe.
+/// Links to other proxies over TCP: frames with FlatBuffers. Messages go over
+/// the link that either side opened first, so that one link usually serves a
+/// pair; two remain when both sides open one at the same time. An idle link
+/// stays open. A message to this VM itself is delivered through the loop. Not
+/// thread-safe.
 class PeerTransport : public PeerLink {
  public:
   /// Listens on the address of `self`. `events` must outlive the transport's
@@ -42,6 +44,8 @@
   void SetAddress(const VmName& vm, std::string_view address) override;
 
   const PeerTransportStats& stats() const { return stats_; }
+  /// Open connections, in either direction.
+  std::size_t connections() const { return connections_; }
 
  private:
   friend class PeerConnection;
@@ -51,6 +55,7 @@
 
   std::shared_ptr<PeerConnection> Connect(const std::string& address);
   void OnMessage(PeerConnection& connection, const PeerMessage& message);
+  void OnHello(PeerConnection& connection, const HelloMessage& hello);
   void OnClosed(PeerConnection& connection);
 
   EventLoop& loop_;
@@ -59,7 +64,9 @@
   std::array<lws_protocols, 2> protocols_;
   lws_vhost* vhost_ = nullptr;
   std::map<VmName, std::string, std::less<>> addresses_;
-  std::map<VmName, std::shared_ptr<PeerConnection>, std::less<>> outgoing_;
+  /// The link of each VM that messages are sent on.
+  std::map<VmName, std::shared_ptr<PeerConnection>, std::less<>> links_;
+  std::size_t connections_ = 0;
   PeerTransportStats stats_;
 };
 
