--- a/src/core/route/forwarder.cc
+++ b/src/core/route/forwarder.cc
@@ -4,6 +4,7 @@
 
 #include "core/config/team_config.h"
 #include "core/membership/owner_resolver.h"
+#include "core/mutation.h"
 #include "core/peer_link.h"
 #include "core/peer_message.h"
 
@@ -16,8 +17,13 @@
 
 }  // namespace
 
-Forwarder::Forwarder(const OwnerResolver& owners, PeerLink& peers)
-    : owners_(owners), peers_(peers) {}
+Forwarder::Forwarder(const OwnerResolver& owners, PeerLink& peers,
+                     std::uint64_t incarnation)
+    : owners_(owners),
+      peers_(peers),
+      next_correlation_(MutationEnabled(Mutation::kCorrelationStartsAnew)
+                            ? 1
+                            : incarnation + 1) {}
 
 std::optional<ForwardLeg> Forwarder::Forward(RequestKey key,
                                              const EndpointConfig& endpoint,
@@ -55,6 +61,12 @@
 std::optional<ForwardLeg> Forwarder::Take(CorrelationId correlation,
                                           const VmName& from) {
   const auto found = legs_.find(correlation);
+  if (MutationEnabled(Mutation::kAcceptForeignReply) && found == legs_.end()) {
+    const auto of_owner = legs_of_owner_.find(from);
+    if (of_owner != legs_of_owner_.end()) {
+      return Forget(*of_owner->second.begin());
+    }
+  }
   if (found == legs_.end() || found->second.owner != from) return std::nullopt;
   return Forget(correlation);
 }
