--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -2,6 +2,7 @@
 
 #include <ev.h>
 #include <libwebsockets.h>
+#include <sys/resource.h>
 
 #include <algorithm>
 #include <atomic>
@@ -17,6 +18,17 @@
 // Each session of a proxy needs a descriptor; lws sizes its table from this.
 constexpr unsigned kMaxDescriptors = 20'000;
 
+// Raises the soft limit as far as the hard one allows: 1,024 is common, and at
+// the limit the loop spins on the connections that it cannot accept.
+void RaiseDescriptorLimit() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
+  const rlim_t wanted = std::min<rlim_t>(limit.rlim_max, kMaxDescriptors);
+  if (limit.rlim_cur >= wanted) return;
+  limit.rlim_cur = wanted;
+  setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 std::atomic<lws_context*> signalled_context{nullptr};
 volatile std::sig_atomic_t termination_requested = 0;
 
@@ -71,6 +83,7 @@
 };
 
 EventLoop::EventLoop() {
+  RaiseDescriptorLimit();
   lws_set_log_level(LLL_ERR, nullptr);
   lws_context_creation_info info{};
   info.port = CONTEXT_PORT_NO_LISTEN;
@@ -125,17 +138,11 @@
   stopped_ = false;
 }
 
-// libwebsockets runs timers before it polls the sockets in the same call. The
-// wake-up ends that poll, which lasts up to the next timer otherwise (30 s in
-// libwebsockets 4.1 when there is none).
-void EventLoop::Stop() {
-  stopped_ = true;
-  lws_cancel_service(context_);
-}
+// A round ends after the events that were waiting, so Run sees the flag.
+void EventLoop::Stop() { stopped_ = true; }
 
 // Runs the callbacks that are due now. Callbacks added meanwhile run in the
 // next round, so that a callback that posts itself cannot block the sockets.
-// The round ends here, because the poll of the sockets follows at once.
 void EventLoop::RunDueTimers() {
   const TimePoint now = Now();
   std::list<Callback> due;
@@ -144,7 +151,6 @@
     timers_.erase(timers_.begin());
   }
   for (Callback& callback : due) callback();
-  if (!due.empty() && on_round_end_) on_round_end_();
   ArmTimer();
 }
 
