Event loop: wake libwebsockets for its own timers after a round of timers

Under libev, libwebsockets 4.1 serves its timers only after a socket's event, so an abort from a timer waited for one (CallerServerWithCallers.AnswerToACaller- ThatHasGoneIsDropped failed). The round's end after timers, which poll() needed within RunDueTimers, is the end of the libev round.

--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -152,6 +152,9 @@
   }
   for (Callback& callback : due) callback();
   ArmTimer();
+  // libwebsockets 4.1 looks at its own timers only after an event of a socket
+  // when libev serves it; the wake-up is one.
+  lws_cancel_service(context_);
 }
 
 void EventLoop::ArmTimer() {
