--- a/test/standins/replication.cc
+++ b/test/standins/replication.cc
@@ -17,10 +17,10 @@
 
 Replication::Replication(EventLoop& loop, EndpointState& state,
                          std::string name,
-                         std::map<std::string, std::string> peer_addresses)
+                         const std::map<std::string, std::string>& peers)
     : loop_(loop), state_(state), name_(std::move(name)), client_(loop) {
-  for (auto& [peer, address] : peer_addresses) {
-    peers_[peer].address = std::move(address);
+  for (const auto& [peer, address] : peers) {
+    peers_[peer].address = address;
   }
   Heartbeat();
 }
--- a/test/standins/replication.h
+++ b/test/standins/replication.h
@@ -27,7 +27,7 @@
 class Replication : private WebSocketHandler {
  public:
   Replication(EventLoop& loop, EndpointState& state, std::string name,
-              std::map<std::string, std::string> peer_addresses);
+              const std::map<std::string, std::string>& peers);
 
   Term term() const { return term_; }
   bool is_primary() const { return primary_role_; }
