--- a/src/wire/peer_codec.cc
+++ b/src/wire/peer_codec.cc
@@ -1,5 +1,6 @@
 #include "wire/peer_codec.h"
 
+#include <cstring>
 #include <string>
 #include <utility>
 
@@ -32,7 +33,10 @@
 
 LogPosition Decode(const wire::Position* position) {
   if (position == nullptr) return {};
-  return {position->term(), position->index()};
+  // The verifier does not check the alignment of a vector's elements.
+  wire::Position copy;
+  std::memcpy(&copy, position, sizeof(copy));
+  return {copy.term(), copy.index()};
 }
 
 // Converts an enum value from the wire. Throws DecodeError above `last`.
