--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -79,8 +79,8 @@
   info.port = port;
   info.iface = ip.c_str();
   info.protocols = protocols_.data();
-  const std::string vhost_name = "http-" + std::to_string(port);
-  info.vhost_name = vhost_name.c_str();
+  vhost_name_ = "http-" + std::to_string(port);
+  info.vhost_name = vhost_name_.c_str();
   info.options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND;
   if (lws_create_vhost(loop.context(), &info) == nullptr) {
     throw NetworkError(error_messages::kListenFailed + std::to_string(port));
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -73,6 +73,8 @@
 
   HttpHandler& handler_;
   std::array<lws_protocols, 2> protocols_;
+  /// libwebsockets keeps a pointer to the name.
+  std::string vhost_name_;
 };
 
 }  // namespace carawayhaven
--- a/src/net/websocket_server.h
+++ b/src/net/websocket_server.h
@@ -29,6 +29,8 @@
 
   WebSocketHandler& handler_;
   std::array<lws_protocols, 2> protocols_;
+  /// libwebsockets keeps a pointer to the name.
+  std::string vhost_name_;
 };
 
 }  // namespace carawayhaven
