--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -1,6 +1,8 @@
 #include "net/event_loop.h"
 
+#include <ev.h>
 #include <libwebsockets.h>
+#include <sys/resource.h>
 
 #include <algorithm>
 #include <atomic>
@@ -16,6 +18,17 @@
 // Each session of a proxy needs a descriptor; lws sizes its table from this.
 constexpr unsigned kMaxDescriptors = 20'000;
 
+// Raises the soft limit as far as the hard one allows: 1,024 is common, and at
+// the limit the loop spins on the connections that it cannot accept.
+void RaiseDescriptorLimit() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
+  const rlim_t wanted = std::min<rlim_t>(limit.rlim_max, kMaxDescriptors);
+  if (limit.rlim_cur >= wanted) return;
+  limit.rlim_cur = wanted;
+  setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 std::atomic<lws_context*> signalled_context{nullptr};
 volatile std::sig_atomic_t termination_requested = 0;
 
@@ -28,51 +41,66 @@
 
 }  // namespace
 
-// Ties one libwebsockets timer to the loop's earliest deadline.
-class EventLoop::LwsTimer {
+// The libev loop that serves libwebsockets and the timers of this class. Its
+// epoll costs nothing for an idle socket; the poll() that libwebsockets uses by
+// itself looks at each open one in each round.
+class EventLoop::Driver {
  public:
-  explicit LwsTimer(EventLoop& loop) : timer_{{}, &loop} {}
-  ~LwsTimer() { lws_sul_cancel(&timer_.sul); }
-  LwsTimer(const LwsTimer&) = delete;
-  LwsTimer& operator=(const LwsTimer&) = delete;
+  explicit Driver(EventLoop& loop) : loop_(ev_loop_new(EVBACKEND_EPOLL)) {
+    if (loop_ == nullptr) throw NetworkError(error_messages::kContextFailed);
+    ev_timer_init(&timer_, &Driver::OnExpired, 0.0, 0.0);
+    timer_.data = &loop;
+  }
+  ~Driver() {
+    ev_timer_stop(loop_, &timer_);
+    ev_loop_destroy(loop_);
+  }
+  Driver(const Driver&) = delete;
+  Driver& operator=(const Driver&) = delete;
+
+  struct ev_loop* loop() const {
+    return loop_;
+  }
 
   void Arm(Duration delay) {
-    lws_sul_schedule(timer_.loop->context_, 0, &timer_.sul,
-                     &LwsTimer::OnExpired,
-                     std::max<lws_usec_t>(delay.count(), 1));
+    ev_timer_stop(loop_, &timer_);
+    // A timer counts from the loop's time, which is that of its last round.
+    ev_now_update(loop_);
+    ev_timer_set(&timer_, std::chrono::duration<double>(delay).count(), 0.0);
+    ev_timer_start(loop_, &timer_);
   }
 
+  void RunRound() { ev_run(loop_, EVRUN_ONCE); }
+
  private:
-  // Standard layout, so that the timer can be found from its first member.
-  struct Timer {
-    lws_sorted_usec_list_t sul;
-    EventLoop* loop;
-  };
-
-  static void OnExpired(lws_sorted_usec_list_t* sul) {
-    lws_container_of(sul, Timer, sul)->loop->RunDueTimers();
+  static void OnExpired(struct ev_loop* /*loop*/, ev_timer* timer,
+                        int /*events*/) {
+    static_cast<EventLoop*>(timer->data)->RunDueTimers();
   }
 
-  Timer timer_;
+  struct ev_loop* loop_;
+  ev_timer timer_{};
 };
 
 EventLoop::EventLoop() {
+  RaiseDescriptorLimit();
   lws_set_log_level(LLL_ERR, nullptr);
   lws_context_creation_info info{};
   info.port = CONTEXT_PORT_NO_LISTEN;
   info.user = this;
-  info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
+  info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_LIBEV;
   info.fd_limit_per_thread = kMaxDescriptors;
+  driver_ = std::make_unique<Driver>(*this);
+  void* foreign_loops[] = {driver_->loop()};
+  info.foreign_loops = foreign_loops;
   context_ = lws_create_context(&info);
   if (context_ == nullptr) throw NetworkError(error_messages::kContextFailed);
-  lws_timer_ = std::make_unique<LwsTimer>(*this);
 }
 
 EventLoop::~EventLoop() {
   signalled_context.store(nullptr);
   closing_ = true;
   timers_.clear();
-  lws_timer_.reset();
   lws_context_destroy(context_);
 }
 
@@ -100,7 +128,7 @@
 
 void EventLoop::Run() {
   while (!stopped_) {
-    if (lws_service(context_, 0) < 0) break;
+    driver_->RunRound();
     if (termination_requested != 0 && on_termination_) {
       termination_requested = 0;
       std::exchange(on_termination_, nullptr)();
@@ -110,17 +138,11 @@
   stopped_ = false;
 }
 
-// libwebsockets runs timers before it polls the sockets in the same call. The
-// wake-up ends that poll, which lasts up to the next timer otherwise (30 s in
-// libwebsockets 4.1 when there is none).
-void EventLoop::Stop() {
-  stopped_ = true;
-  lws_cancel_service(context_);
-}
+// A round ends after the events that were waiting, so Run sees the flag.
+void EventLoop::Stop() { stopped_ = true; }
 
 // Runs the callbacks that are due now. Callbacks added meanwhile run in the
 // next round, so that a callback that posts itself cannot block the sockets.
-// The round ends here, because the poll of the sockets follows at once.
 void EventLoop::RunDueTimers() {
   const TimePoint now = Now();
   std::list<Callback> due;
@@ -129,13 +151,12 @@
     timers_.erase(timers_.begin());
   }
   for (Callback& callback : due) callback();
-  if (!due.empty() && on_round_end_) on_round_end_();
   ArmTimer();
 }
 
 void EventLoop::ArmTimer() {
   if (timers_.empty()) return;
-  lws_timer_->Arm(timers_.begin()->first - Now());
+  driver_->Arm(std::max(timers_.begin()->first - Now(), Duration::zero()));
 }
 
 }  // namespace carawayhaven
