--- a/test/history/fake_proxies.cc
+++ b/test/history/fake_proxies.cc
@@ -247,8 +247,8 @@
   });
 }
 
-void FakeSession::Write(std::string id, std::uint32_t attempt,
-                        std::string key) {
+void FakeSession::Write(const std::string& id, std::uint32_t attempt,
+                        const std::string& key) {
   Request request;
   request.access = AccessMode::kWrite;
   request.idempotent = id.empty();
--- a/test/history/fake_proxies.h
+++ b/test/history/fake_proxies.h
@@ -92,7 +92,8 @@
  private:
   using Then = std::function<void(const std::optional<Outcome>&)>;
   void Next();
-  void Write(std::string id, std::uint32_t attempt, std::string key);
+  void Write(const std::string& id, std::uint32_t attempt,
+             const std::string& key);
   void Resolve(const RequestId& id, const std::string& key, unsigned tries);
   void Read();
   void Begin();
--- a/test/history/history_checker.cc
+++ b/test/history/history_checker.cc
@@ -200,8 +200,9 @@
     }
     for (const std::string& value : steps.possible) {
       if (values_.contains(value) && !committed.contains(value)) {
-        violations_.push_back("write " + value + " of transaction " + id +
-                              " ran outside of its commit");
+        violations_.push_back("write " + value);
+        violations_.back() += " of transaction " + id;
+        violations_.back() += " ran outside of its commit";
       }
     }
   }
--- a/test/history/history_test.cc
+++ b/test/history/history_test.cc
@@ -15,7 +15,7 @@
 /// The fixed seeds, or "A-B" from the environment for scripts/soak.
 std::vector<std::uint64_t> Seeds() {
   const char* text = std::getenv("CARAWAYHAVEN_SEEDS");
-  if (text == nullptr) text = "1-48";
+  if (text == nullptr) text = "1-96";
   char* rest = nullptr;
   std::vector<std::uint64_t> seeds(1, std::strtoull(text, &rest, 10));
   const std::uint64_t last =
