--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -15,6 +15,8 @@
 
 constexpr char kProtocolName[] = "http-client";
 constexpr size_t kReadBufferBytes = 4096;
+// The request has been sent by then, or the network is lost anyway.
+constexpr Duration kConnectTime = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -123,6 +125,14 @@
       exchange->End();
     }
   });
+  // libwebsockets ends a request without a response by a timeout of its own,
+  // which cut watches after some seconds; the one below takes its place.
+  loop_.RunAfter(kConnectTime, [weak = std::weak_ptr<Exchange>(exchange)] {
+    const std::shared_ptr<Exchange> alive = weak.lock();
+    if (alive != nullptr && alive->wsi != nullptr) {
+      lws_set_timeout(alive->wsi, NO_PENDING_TIMEOUT, 0);
+    }
+  });
   loop_.RunAfter(timeout, [weak = std::weak_ptr<Exchange>(exchange)] {
     const std::shared_ptr<Exchange> alive = weak.lock();
     if (alive == nullptr || alive->done == nullptr) return;
