--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -4,7 +4,9 @@
 """
 
 import json
+import os
 import pathlib
+import re
 import signal
 import subprocess
 import tempfile
@@ -15,12 +17,16 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 IP = "127.0.0.1"
-PLATFORM_PORT = 7000
+# All ports move with this one, so that several deployments fit on one machine.
+DEFAULT_PORT_BASE = 7000
+PORT_BASE = int(os.environ.get("CARAWAYHAVEN_PORT_BASE", DEFAULT_PORT_BASE))
+PLATFORM_PORT = PORT_BASE
 # The admin port of an endpoint is its port plus this offset.
 ENDPOINT_ADMIN_OFFSET = 1000
-CALLER_PORT = 7500
-PEER_PORT = 7600
-ADMIN_PORT = 7700
+CALLER_PORT = PORT_BASE + 500
+PEER_PORT = PORT_BASE + 600
+ADMIN_PORT = PORT_BASE + 700
+LOAD_CONTROL_PORT = PORT_BASE + 800
 # One-way delay of the replication stream between data centres, microseconds.
 LINK_DELAY_US = {"registro": 1500, "hire-core": 1000}
 OPERATORS_TOKEN = "operators-token"
@@ -42,6 +48,24 @@
         return 0, ""
 
 
+def environment(**more):
+    """The variables for a process of the project.
+
+    The proxy refuses unknown variables that start with CARAWAYHAVEN_.
+    """
+    own = {name: value for name, value in os.environ.items()
+           if name != "CARAWAYHAVEN_PORT_BASE"}
+    return {**own, **more}
+
+
+def shift_ports(text):
+    """Moves the endpoints' ports of a team's text to PORT_BASE."""
+    return re.sub(
+        re.escape(IP) + r":(\d+)",
+        lambda match: f"{IP}:{int(match[1]) - DEFAULT_PORT_BASE + PORT_BASE}",
+        text)
+
+
 class Deployment:
     """One platform, the endpoints of a team's text, and some proxies."""
 
@@ -49,7 +73,8 @@
         self.users = users
         self.build = ROOT / build
         self.verbose = verbose
-        self.text = (ROOT / "examples" / f"{users}.toml").read_text()
+        self.text = shift_ports(
+            (ROOT / "examples" / f"{users}.toml").read_text())
         self.team = tomllib.loads(self.text)
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="carawayhaven-"))
         self.processes = {}
@@ -87,6 +112,7 @@
 
     def stop(self):
         for process in self.processes.values():
+            # A stopped process takes SIGKILL all the same.
             process.kill()
         for process in self.processes.values():
             process.wait()
@@ -171,6 +197,16 @@
                 best = (state["term"], name)
         return best[1] if best else None
 
+    @property
+    def load_control(self):
+        return f"{IP}:{LOAD_CONTROL_PORT}"
+
+    def mark_failure(self, service):
+        """Starts the measurement of the service's failover gap."""
+        status, text = http("POST", self.load_control, f"/mark/{service}", "{}")
+        if status != 200:
+            raise RuntimeError(f"cannot mark the failure: {status} {text}")
+
     def load_command(self, seconds, callers, seed=1, fault=None, service=None,
                      endpoint=None, think_ms=20):
         command = [str(self.build / "util/carawayhaven_load"),
@@ -178,7 +214,8 @@
                    "--proxies", ",".join(self.caller_addresses),
                    "--services", ",".join(self.services),
                    "--seconds", str(seconds), "--callers", str(callers),
-                   "--seed", str(seed), "--think-ms", str(think_ms)]
+                   "--seed", str(seed), "--think-ms", str(think_ms),
+                   "--control-address", self.load_control]
         if fault is not None:
             command += ["--fault-address", self.endpoint_admin(endpoint),
                         "--fault-service", service, "--fault", fault]
@@ -216,7 +253,8 @@
     def _spawn(self, name, program, arguments):
         log = open(self.directory / f"{name}.log", "ab")
         self.processes[name] = subprocess.Popen(
-            [str(self.build / program), *arguments], stdout=log, stderr=log)
+            [str(self.build / program), *arguments], stdout=log, stderr=log,
+            env=environment())
 
     def _wait(self, condition, limit=20):
         end = time.monotonic() + limit
--- a/src/core/group/group_monitor.cc
+++ b/src/core/group/group_monitor.cc
@@ -136,6 +136,7 @@
 }
 
 void GroupMonitor::OnPromoted(const GroupUpdateMessage& update, TimePoint now) {
+  handler_.OnPromotionCompleted(update);
   Raise(update, now);
   announcer_.Announce(update, Duration(0), now);
   // Peers that own an endpoint learn it directly, the others through them.
--- a/src/core/group/group_monitor.h
+++ b/src/core/group/group_monitor.h
@@ -33,6 +33,9 @@
   virtual void OnGroupChanged(const GroupUpdateMessage& update,
                               TimePoint now) = 0;
 
+  /// This VM's candidate was promoted. Comes before OnGroupChanged.
+  virtual void OnPromotionCompleted(const GroupUpdateMessage& /*update*/) {}
+
   /// The owner of the primary queues new writes of the service from now on.
   virtual void HoldWrites(const ServiceName& service, TimePoint now) = 0;
   virtual void ReleaseWrites(const ServiceName& service, TimePoint now) = 0;
--- a/src/core/queue/endpoint_pool.cc
+++ b/src/core/queue/endpoint_pool.cc
@@ -413,6 +413,7 @@
   running.correlation = command.correlation;
   running.term = command.term;
   running.started = now;
+  running.trace = handler_.TraceStatement(options_.endpoint, request);
   running.counts_as_long = work.work_class != WorkClass::kShort;
   if (running.counts_as_long) ++running_long_;
   const Duration limit = costs_.LongLimit();
--- a/src/core/queue/endpoint_pool.h
+++ b/src/core/queue/endpoint_pool.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -33,6 +34,13 @@
   virtual void OnEndpointAnswer(const EndpointName& endpoint,
                                 const EndpointAnswer& answer,
                                 TimePoint now) = 0;
+
+  /// Called when a request is sent to the endpoint. The result is kept for the
+  /// time that the request has there.
+  virtual std::shared_ptr<void> TraceStatement(const EndpointName& /*endpoint*/,
+                                               const Request& /*request*/) {
+    return nullptr;
+  }
 };
 
 /// Settings of a pool, from the service's configuration.
@@ -121,6 +129,8 @@
     bool counts_as_long = false;
     /// When it starts to count as long.
     TimePoint long_at = TimePoint::max();
+    /// What EndpointPoolHandler::TraceStatement returned.
+    std::shared_ptr<void> trace;
   };
   struct Transaction {
     ConnectionId connection = 0;
--- a/src/core/route/forwarder.cc
+++ b/src/core/route/forwarder.cc
@@ -16,8 +16,9 @@
 
 }  // namespace
 
-Forwarder::Forwarder(const OwnerResolver& owners, PeerLink& peers)
-    : owners_(owners), peers_(peers) {}
+Forwarder::Forwarder(const OwnerResolver& owners, PeerLink& peers,
+                     ForwardTracer tracer)
+    : owners_(owners), peers_(peers), tracer_(std::move(tracer)) {}
 
 std::optional<ForwardLeg> Forwarder::Forward(RequestKey key,
                                              const EndpointConfig& endpoint,
@@ -43,10 +44,12 @@
   leg.term = term;
   leg.resolves = request.kind == RequestKind::kResolve;
   leg.sent_at = now;
-  if (!peers_.Send(owner,
-                   ForwardMessage{leg.correlation, endpoint, term, request})) {
-    return std::nullopt;
+  ForwardMessage message{leg.correlation, endpoint, term, request};
+  // Only a request of a sampled trace has a traceparent.
+  if (tracer_ && !request.traceparent.empty()) {
+    leg.trace = tracer_(owner, message.request);
   }
+  if (!peers_.Send(owner, message)) return std::nullopt;
   legs_.emplace(leg.correlation, leg);
   legs_of_owner_[owner].insert(leg.correlation);
   return leg;
--- a/src/core/route/forwarder.h
+++ b/src/core/route/forwarder.h
@@ -2,7 +2,9 @@
 #define CARAWAYHAVEN_CORE_ROUTE_FORWARDER_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -30,14 +32,22 @@
   Term term = 0;
   bool resolves = false;
   TimePoint sent_at;
+  /// What the ForwardTracer returned.
+  std::shared_ptr<void> trace;
 };
 
+/// Called before a request is sent to an owner; may replace its traceparent.
+/// The result is kept until the answer or until the request is given up.
+using ForwardTracer =
+    std::function<std::shared_ptr<void>(const VmName& owner, Request& request)>;
+
 /// Sends requests to pool owners and matches the replies to them. Correlation
 /// ids never repeat. Not thread-safe.
 class Forwarder {
  public:
-  /// Both must outlive the forwarder.
-  Forwarder(const OwnerResolver& owners, PeerLink& peers);
+  /// `owners` and `peers` must outlive the forwarder.
+  Forwarder(const OwnerResolver& owners, PeerLink& peers,
+            ForwardTracer tracer = {});
 
   /// Sends to the first owner in rendezvous order that takes the message and is
   /// not in `skipped`. Returns nothing when there is none; then nothing was
@@ -69,6 +79,7 @@
  private:
   const OwnerResolver& owners_;
   PeerLink& peers_;
+  ForwardTracer tracer_;
   CorrelationId next_correlation_ = 1;
   std::unordered_map<CorrelationId, ForwardLeg> legs_;
   std::map<VmName, std::set<CorrelationId>> legs_of_owner_;
--- a/src/core/route/front.cc
+++ b/src/core/route/front.cc
@@ -28,7 +28,7 @@
       owners_(owners),
       random_(random),
       terms_(groups),
-      forwarder_(owners, peers),
+      forwarder_(owners, peers, options_.forward_tracer),
       selector_(groups, options_, random),
       request_ids_(owners.self(), options_.incarnation),
       transaction_ids_("t/" + owners.self(), options_.incarnation) {}
--- a/src/core/route/front_options.h
+++ b/src/core/route/front_options.h
@@ -6,6 +6,7 @@
 
 #include "carawayhaven/names.h"
 #include "core/limits/retry_budget.h"
+#include "core/route/forwarder.h"
 #include "core/route/position_check.h"
 #include "core/route/resolve_reserve.h"
 
@@ -22,6 +23,8 @@
   PositionCheck position_check = SameTermPositionCheck;
   RetryBudgetOptions retry_budget;
   ResolveReserveOptions resolve_reserve;
+  /// Empty: sends are not traced.
+  ForwardTracer forward_tracer;
 };
 
 }  // namespace carawayhaven
--- a/src/proxy/pool_set.cc
+++ b/src/proxy/pool_set.cc
@@ -9,6 +9,7 @@
 #include "core/group/group_directory.h"
 #include "core/membership/owner_resolver.h"
 #include "core/peer_link.h"
+#include "proxy/logging.h"
 #include "proxy/tracing.h"
 
 namespace carawayhaven {
@@ -65,8 +66,10 @@
   std::shared_ptr<opentracing::Span> span =
       tracing_.StartHop(kQueueSpan, message.request.traceparent);
   span->SetTag("endpoint", message.endpoint);
+  Request request = message.request;
+  request.traceparent = Tracing::TraceparentOf(*span);
   entry->pool->Submit(
-      message.request, std::max(message.term, groups_.TermOf(service)),
+      std::move(request), std::max(message.term, groups_.TermOf(service)),
       [this, from, service, span = std::move(span),
        correlation = message.correlation](const Outcome& outcome) {
         span->SetTag("verdict", std::string(VerdictName(outcome.verdict)));
@@ -193,6 +196,15 @@
   NoteLeaving(found->second, answer.leaving || declared_leaving, now);
 }
 
+std::shared_ptr<void> PoolSet::TraceStatement(const EndpointName& endpoint,
+                                              const Request& request) {
+  if (request.traceparent.empty()) return nullptr;
+  std::shared_ptr<opentracing::Span> span =
+      tracing_.StartHop(kEndpointSpan, request.traceparent);
+  span->SetTag("endpoint", endpoint);
+  return span;
+}
+
 bool PoolSet::RefusesNewWork(const EndpointName& name, const Entry& entry,
                              TimePoint now) const {
   if (!entry.leaving_since) return false;
@@ -203,10 +215,14 @@
 }
 
 void PoolSet::NoteLeaving(Entry& entry, bool leaving, TimePoint now) const {
-  if (!leaving) {
-    entry.leaving_since.reset();
-  } else if (!entry.leaving_since) {
+  if (leaving == entry.leaving_since.has_value()) return;
+  Log(LogLevel::kInfo,
+      leaving ? "endpoint_leaving" : "endpoint_no_longer_leaving",
+      {{"endpoint", entry.options.endpoint}});
+  if (leaving) {
     entry.leaving_since = now;
+  } else {
+    entry.leaving_since.reset();
   }
 }
 
--- a/src/proxy/pool_set.h
+++ b/src/proxy/pool_set.h
@@ -89,6 +89,8 @@
 
   void OnEndpointAnswer(const EndpointName& endpoint,
                         const EndpointAnswer& answer, TimePoint now) override;
+  std::shared_ptr<void> TraceStatement(const EndpointName& endpoint,
+                                       const Request& request) override;
   Entry* FindOrCreate(std::string_view endpoint, TimePoint now);
   bool RefusesNewWork(const EndpointName& name, const Entry& entry,
                       TimePoint now) const;
--- a/src/proxy/proxy_process.cc
+++ b/src/proxy/proxy_process.cc
@@ -37,8 +37,8 @@
 }
 
 FrontOptions MakeFrontOptions(const Settings& settings,
-                              std::uint64_t incarnation,
-                              GroupDirectory& groups) {
+                              std::uint64_t incarnation, GroupDirectory& groups,
+                              const Tracing& tracing) {
   FrontOptions options;
   options.incarnation = incarnation;
   options.distance = [own = settings.data_centre](const DataCentreName& name) {
@@ -48,6 +48,13 @@
                                      LogPosition replica, LogPosition token) {
     return groups.Satisfies(service, replica, token);
   };
+  options.forward_tracer = [&tracing](const VmName& owner, Request& request) {
+    std::shared_ptr<opentracing::Span> span =
+        tracing.StartHop(kForwardSpan, request.traceparent);
+    span->SetTag("owner", owner);
+    request.traceparent = Tracing::TraceparentOf(*span);
+    return span;
+  };
   return options;
 }
 
@@ -84,7 +91,7 @@
           platform_, kGroupPrefix, [this] { return IsWatcher(); },
           [this](const auto& objects) { OnGroupList(objects); }),
       front_(configs_, groups_, membership_, peers_, random_,
-             MakeFrontOptions(settings, incarnation_, groups_)),
+             MakeFrontOptions(settings, incarnation_, groups_, tracing_)),
       pools_(configs_, groups_, membership_, endpoints_, peers_, tracing_,
              settings.drain_timeout),
       group_set_(configs_, groups_, membership_, endpoints_, peers_, platform_,
@@ -169,10 +176,15 @@
 // Passes the news on to some peers, each of which does the same once.
 void ProxyProcess::OnGroupChanged(const GroupUpdateMessage& update,
                                   TimePoint now) {
-  Log(LogLevel::kInfo, "primary_changed",
-      {{"service", update.service},
-       {"term", update.term},
-       {"primary", update.primary}});
+  // The starts of a known term may come later; they are no change of primary.
+  Term& logged = logged_terms_[update.service];
+  if (logged < update.term) {
+    logged = update.term;
+    Log(LogLevel::kInfo, "primary_changed",
+        {{"service", update.service},
+         {"term", update.term},
+         {"primary", update.primary}});
+  }
   pools_.OnGroupChanged(update.service, update.term);
   front_.OnGroupChanged(update.service, now);
   std::vector<VmName> targets;
@@ -182,6 +194,10 @@
   for (const VmName& vm : targets) peers_.Send(vm, update);
 }
 
+void ProxyProcess::OnPromotionCompleted(const GroupUpdateMessage& /*update*/) {
+  admin_.metrics().promotions.Increment();
+}
+
 void ProxyProcess::HoldWrites(const ServiceName& service, TimePoint now) {
   pools_.HoldWrites(service, now);
 }
@@ -247,6 +263,8 @@
   pools_.Tick(now);
   if (now >= next_leaving_check_) {
     next_leaving_check_ = now + kLeavingCheckInterval;
+    LogPeerStates();
+    LogStoreState();
     group_set_.MoveLeavingPrimaries(
         [this](const EndpointName& endpoint) {
           return pools_.IsLeaving(endpoint);
@@ -270,6 +288,8 @@
   }
   seen_revision_ = membership_.revision();
   seen_digest_ = configs_.digest();
+  LogPeerStates();
+  LogConfigurations();
   GiveUpLostVms(now);
   admin_.NoteVersions(now);
   pools_.OnOwnershipChanged(now);
@@ -286,12 +306,54 @@
     if (!lost) {
       lost_vms_.erase(vm);
     } else if (lost_vms_.insert(vm).second) {
-      Log(LogLevel::kWarning, "peer_lost", {{"vm", vm}});
       front_.OnPeerLost(vm, now);
     }
   }
 }
 
+// A peer that is seen for the first time and lives is no change of state.
+void ProxyProcess::LogPeerStates() {
+  for (const auto& [vm, member] : membership_.table().members()) {
+    const VmState state = member.record.state;
+    const auto [logged, is_new] =
+        logged_peers_.try_emplace(vm, VmState::kAlive);
+    if (std::exchange(logged->second, state) == state) continue;
+    const bool lost = state == VmState::kSuspected || state == VmState::kDead;
+    Log(lost ? LogLevel::kWarning : LogLevel::kInfo, "peer_state_changed",
+        {{"vm", vm}, {"state", VmStateName(state)}});
+  }
+  std::erase_if(logged_peers_, [this](const auto& entry) {
+    return membership_.table().Find(entry.first) == nullptr;
+  });
+}
+
+void ProxyProcess::LogConfigurations() {
+  for (const auto& [name, team] : configs_.teams()) {
+    LoggedConfig& logged = logged_configs_[name];
+    if (team.version > logged.version) {
+      logged.version = team.version;
+      Log(LogLevel::kInfo, "configuration_applied",
+          {{"team", name}, {"version", team.version}});
+    }
+    if (team.seen > logged.seen && team.seen > team.version) {
+      Log(LogLevel::kWarning, "configuration_rejected",
+          {{"team", name},
+           {"version", team.seen},
+           {"error", team.errors.empty() ? "" : team.errors.front().message}});
+    }
+    logged.seen = team.seen;
+  }
+}
+
+void ProxyProcess::LogStoreState() {
+  const std::optional<bool> reachable = platform_.reachable();
+  if (!reachable || reachable == logged_store_state_) return;
+  logged_store_state_ = reachable;
+  Log(*reachable ? LogLevel::kInfo : LogLevel::kWarning,
+      *reachable ? "store_reachable" : "store_unreachable",
+      {{"address", settings_.platform_address}});
+}
+
 // Exits once nothing is in flight, or when the time of the drain is over.
 void ProxyProcess::StopWhenIdle() {
   const bool idle = callers_->in_flight() == 0 && front_.in_flight() == 0 &&
--- a/src/proxy/proxy_process.h
+++ b/src/proxy/proxy_process.h
@@ -1,7 +1,9 @@
 #ifndef CARAWAYHAVEN_PROXY_PROXY_PROCESS_H_
 #define CARAWAYHAVEN_PROXY_PROXY_PROCESS_H_
 
+#include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <vector>
@@ -57,6 +59,7 @@
                               const TransactionId& transaction) override;
 
   void OnGroupChanged(const GroupUpdateMessage& update, TimePoint now) override;
+  void OnPromotionCompleted(const GroupUpdateMessage& update) override;
   void HoldWrites(const ServiceName& service, TimePoint now) override;
   void ReleaseWrites(const ServiceName& service, TimePoint now) override;
   bool WritesInFlight(const ServiceName& service) override;
@@ -69,6 +72,9 @@
   void OnRound();
   void NoteChanges(TimePoint now);
   void GiveUpLostVms(TimePoint now);
+  void LogPeerStates();
+  void LogConfigurations();
+  void LogStoreState();
   bool IsWatcher() const;
   void StopWhenIdle();
 
@@ -99,6 +105,14 @@
   TimePoint armed_for_ = TimePoint::max();
   std::uint64_t seen_revision_ = 0;
   ConfigDigest seen_digest_;
+  std::map<VmName, VmState> logged_peers_;
+  struct LoggedConfig {
+    std::uint64_t version = 0;
+    std::uint64_t seen = 0;
+  };
+  std::map<TeamName, LoggedConfig> logged_configs_;
+  std::map<ServiceName, Term> logged_terms_;
+  std::optional<bool> logged_store_state_;
   /// VMs whose requests in flight were given up.
   std::set<VmName> lost_vms_;
   bool draining_ = false;
--- a/src/proxy/proxy_status.h
+++ b/src/proxy/proxy_status.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "carawayhaven/log_position.h"
@@ -65,6 +66,9 @@
   std::vector<VmRecord> members;
 };
 
+/// Returns the name of the state in the admin API and in log lines.
+std::string_view VmStateName(VmState state);
+
 }  // namespace carawayhaven
 
 #endif  // CARAWAYHAVEN_PROXY_PROXY_STATUS_H_
--- a/src/proxy/status_json.cc
+++ b/src/proxy/status_json.cc
@@ -14,20 +14,6 @@
   return std::chrono::duration<double, std::milli>(duration).count();
 }
 
-std::string_view VmStateName(VmState state) {
-  switch (state) {
-    case VmState::kAlive:
-      return "alive";
-    case VmState::kLeaving:
-      return "leaving";
-    case VmState::kSuspected:
-      return "suspected";
-    case VmState::kDead:
-      return "dead";
-  }
-  return "dead";
-}
-
 Json PoolToJson(const PoolStatus& pool) {
   return {{"slots", pool.slots},
           {"running", pool.running},
@@ -76,6 +62,20 @@
 
 }  // namespace
 
+std::string_view VmStateName(VmState state) {
+  switch (state) {
+    case VmState::kAlive:
+      return "alive";
+    case VmState::kLeaving:
+      return "leaving";
+    case VmState::kSuspected:
+      return "suspected";
+    case VmState::kDead:
+      return "dead";
+  }
+  return "dead";
+}
+
 std::string FormatStatusJson(const ProxyStatus& status) {
   Json json = {{"vm", status.vm},
                {"data_centre", status.data_centre},
--- a/test/group/fake_endpoint_group.h
+++ b/test/group/fake_endpoint_group.h
@@ -206,9 +206,13 @@
   std::vector<std::function<void(FakeVm&)>> observers;
   bool holding = false;
   bool writes_in_flight = false;
+  int promotions = 0;
 
  private:
   void OnGroupChanged(const GroupUpdateMessage& update, TimePoint now) override;
+  void OnPromotionCompleted(const GroupUpdateMessage&) override {
+    ++promotions;
+  }
   void HoldWrites(const ServiceName&, TimePoint) override { holding = true; }
   void ReleaseWrites(const ServiceName&, TimePoint) override {
     holding = false;
--- a/test/group/group_monitor_test.cc
+++ b/test/group/group_monitor_test.cc
@@ -219,6 +219,16 @@
   EXPECT_GT(world_.writer->acknowledged.size(), before);
 }
 
+// Guards against a promotion that no proxy counts, or that several count.
+TEST_F(GroupOfThree, PrimaryIsReplacedIsReportedByOneProxy) {
+  world_.group.Crash(0);
+  world_.RunFor(seconds(5));
+  ASSERT_EQ(CurrentTerm(), 2U);
+  int promotions = 0;
+  for (const auto& vm : world_.vms) promotions += vm->promotions;
+  EXPECT_EQ(promotions, 1);
+}
+
 // Guards against a promotion that no majority carries.
 TEST_F(GroupOfThree, PrimaryAndReplicaAreDownRecoversOnReturn) {
   world_.group.Crash(0);
--- a/util/load/caller.cc
+++ b/util/load/caller.cc
@@ -47,6 +47,7 @@
 void Caller::OnOpen(const std::shared_ptr<WebSocketConnection>& socket) {
   if (socket != socket_) return;
   connected_ = true;
+  proxy_leaves_ = false;
   if (resolving_) {
     Resolve();
   } else {
@@ -73,6 +74,7 @@
   const nlohmann::json message = nlohmann::json::parse(text, nullptr, false);
   if (!message.is_object()) return;
   if (message.value("type", "") == "leaving") {
+    proxy_leaves_ = true;
     if (waiting_for_ == 0) socket->CloseAfterSend();
     return;
   }
@@ -103,7 +105,7 @@
 
 void Caller::StartOperation() {
   if (!connected_ || waiting_for_ != 0) return;
-  if (random_() % kRoamingInterval == 0) {
+  if (proxy_leaves_ || random_() % kRoamingInterval == 0) {
     socket_->CloseAfterSend();
     return;
   }
--- a/util/load/caller.h
+++ b/util/load/caller.h
@@ -78,6 +78,8 @@
   std::shared_ptr<WebSocketConnection> socket_;
   bool connected_ = false;
   bool finished_ = false;
+  /// The proxy said that it leaves; the next operation goes to another one.
+  bool proxy_leaves_ = false;
 
   std::uint64_t next_id_ = 1;
   std::uint64_t waiting_for_ = 0;
--- a/util/load/main.cc
+++ b/util/load/main.cc
@@ -17,8 +17,10 @@
 #include "load/ledger.h"
 #include "load/statistics.h"
 #include "load/workload.h"
+#include "net/address.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
+#include "net/http_server.h"
 #include "net/websocket_client.h"
 
 namespace carawayhaven::load {
@@ -50,6 +52,9 @@
   std::string fault_address;
   std::string fault_service;
   std::string fault;
+  /// Where POST /mark/SERVICE says that a failure begins now; may be empty.
+  std::string control_address;
+  std::uint32_t transactions = 0;
 };
 
 Options ParseOptions(int argc, char** argv) {
@@ -75,16 +80,22 @@
       "", "fault-service", "service of that endpoint", false, "", "NAME", line);
   TCLAP::ValueArg<std::string> fault("", "fault", "fault to set", false,
                                      R"({"crash_ms":600000})", "JSON", line);
+  TCLAP::ValueArg<std::string> control(
+      "", "control-address", "where POST /mark/SERVICE marks a failure", false,
+      "", "IP:PORT", line);
+  TCLAP::ValueArg<unsigned> transactions(
+      "", "transactions", "percent of the operations, taken from aged reads",
+      false, 0, "N", line);
   line.parse(argc, argv);
-  return {users.getValue(),           Split(proxies.getValue()),
-          Split(services.getValue()), callers.getValue(),
-          seconds.getValue(),         seed.getValue(),
-          think.getValue(),           address.getValue(),
-          service.getValue(),         fault.getValue()};
+  return {
+      users.getValue(),   Split(proxies.getValue()), Split(services.getValue()),
+      callers.getValue(), seconds.getValue(),        seed.getValue(),
+      think.getValue(),   address.getValue(),        service.getValue(),
+      fault.getValue(),   control.getValue(),        transactions.getValue()};
 }
 
 // One run from the first caller to the printed result.
-class Run {
+class Run : private HttpHandler {
  public:
   explicit Run(Options options)
       : options_(std::move(options)),
@@ -103,6 +114,15 @@
         check_(context_, [this](bool complete) { Finish(complete); }) {}
 
   int Execute() {
+    if (!options_.control_address.empty()) {
+      const Address address = ParseAddress(options_.control_address);
+      HttpHandler& handler = *this;
+      control_ = std::make_unique<HttpServer>(loop_, address.ip, address.port,
+                                              handler);
+    }
+    const std::uint32_t moved =
+        std::min(options_.transactions, context_.workload.aged_read);
+    context_.workload.aged_read -= moved;
     context_.ends_at =
         EventLoop::Now() + std::chrono::seconds(options_.seconds);
     for (std::uint32_t i = 0; i < options_.callers; ++i) {
@@ -122,6 +142,17 @@
   }
 
  private:
+  void OnRequest(const HttpRequest& request, HttpResponder respond) override {
+    const std::string prefix = "/mark/";
+    if (!request.path.starts_with(prefix)) {
+      respond({404, "text/plain", "", "unknown path"});
+      return;
+    }
+    statistics_.MarkFailure(request.path.substr(prefix.size()),
+                            EventLoop::Now());
+    respond({200, "text/plain", "", ""});
+  }
+
   void SetFault() {
     statistics_.MarkFailure(options_.fault_service, EventLoop::Now());
     HttpRequest request;
@@ -160,7 +191,6 @@
 
   void Finish(bool complete) {
     const LedgerResult ledger = ledger_.Check();
-    const bool failed_primary = !options_.fault_address.empty();
     const Duration gap = statistics_.FailoverGap();
     const nlohmann::json result = {
         {"answers", statistics_.answers()},
@@ -174,7 +204,7 @@
         {"unresolved", ledger.unresolved},
         {"stale_own_reads", statistics_.stale_reads()},
         {"replica_share_of_aged_reads", statistics_.ReplicaShare()},
-        {"failover_gap_ms", failed_primary ? Milliseconds(gap) : 0.0},
+        {"failover_gap_ms", Milliseconds(gap)},
         {"short_p50_ms", Milliseconds(statistics_.ShortLatency(0.50))},
         {"short_p99_ms", Milliseconds(statistics_.ShortLatency(0.99))},
         {"data_checked", complete}};
@@ -186,7 +216,7 @@
     const bool broken =
         ledger.lost != 0 || ledger.doubled != 0 || ledger.untrue_not_run != 0 ||
         ledger.torn_transactions != 0 || statistics_.stale_reads() != 0 ||
-        !complete || (failed_primary && gap < Duration::zero());
+        !complete || gap < Duration::zero();
     exit_code_ = broken ? 1 : 0;
     loop_.Stop();
   }
@@ -200,6 +230,7 @@
   RunContext context_;
   std::vector<std::unique_ptr<Caller>> callers_;
   FinalCheck check_;
+  std::unique_ptr<HttpServer> control_;
   int exit_code_ = 1;
 };
 
--- a/util/load/statistics.cc
+++ b/util/load/statistics.cc
@@ -19,20 +19,26 @@
 
 void Statistics::AddAcknowledgement(const std::string& service,
                                     TimePoint sent_at, TimePoint now) {
-  const bool waits_for_recovery = failed_at_ != TimePoint{} &&
-                                  recovered_at_ == TimePoint{} &&
-                                  service == failed_service_;
-  if (waits_for_recovery && sent_at >= failed_at_) recovered_at_ = now;
+  for (Failure& failure : failures_) {
+    const bool waits_for_recovery =
+        failure.recovered_at == TimePoint{} && service == failure.service;
+    if (waits_for_recovery && sent_at >= failure.failed_at) {
+      failure.recovered_at = now;
+    }
+  }
 }
 
 void Statistics::MarkFailure(const std::string& service, TimePoint now) {
-  failed_service_ = service;
-  failed_at_ = now;
+  failures_.push_back({service, now, TimePoint{}});
 }
 
 Duration Statistics::FailoverGap() const {
-  if (recovered_at_ == TimePoint{}) return Duration(-1);
-  return recovered_at_ - failed_at_;
+  Duration longest = Duration::zero();
+  for (const Failure& failure : failures_) {
+    if (failure.recovered_at == TimePoint{}) return Duration(-1);
+    longest = std::max(longest, failure.recovered_at - failure.failed_at);
+  }
+  return longest;
 }
 
 Duration Statistics::ShortLatency(double quantile) const {
--- a/util/load/statistics.h
+++ b/util/load/statistics.h
@@ -21,10 +21,12 @@
   /// A write of a service was acknowledged; `sent_at` is when it was sent.
   void AddAcknowledgement(const std::string& service, TimePoint sent_at,
                           TimePoint now);
+  /// Starts the measurement of a failover gap. May be called again.
   void MarkFailure(const std::string& service, TimePoint now);
 
-  /// Time from the failure to the first acknowledgement of a write that was
-  /// sent after it; negative when there was none.
+  /// Time from a failure to the first acknowledgement of a write that was sent
+  /// after it, the longest of all failures; negative when a failure had none,
+  /// zero without a failure.
   Duration FailoverGap() const;
   Duration ShortLatency(double quantile) const;
 
@@ -40,6 +42,12 @@
   std::uint64_t answers() const { return answers_; }
 
  private:
+  struct Failure {
+    std::string service;
+    TimePoint failed_at;
+    TimePoint recovered_at;
+  };
+
   std::map<std::string, std::uint64_t> verdicts_;
   std::map<std::string, std::uint64_t> reasons_;
   std::uint64_t answers_ = 0;
@@ -47,9 +55,7 @@
   std::uint64_t replica_reads_ = 0;
   std::uint64_t stale_reads_ = 0;
   std::vector<Duration> short_latency_;
-  std::string failed_service_;
-  TimePoint failed_at_;
-  TimePoint recovered_at_;
+  std::vector<Failure> failures_;
 };
 
 }  // namespace carawayhaven::load
