Front: settle what an old primary holds as soon as there is a new one

Cause: a write on its way to a frozen primary waited for its own deadline (4 s), since neither the owner nor the front looked at it when the term rose. All callers of the service were in such a wait. Ruled out: slow promotion (one term, primary_changed after about 1.3 s) and lost announcements (kill and crash recover in 1.3 s with the same messages). Change: 100 ms after a change of primary, writes, commits and reads of current data sent under an older term are settled on the new primary.

--- a/src/core/route/front.cc
+++ b/src/core/route/front.cc
@@ -1,6 +1,7 @@
 #include "core/route/front.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 #include <vector>
 
@@ -12,6 +13,10 @@
 namespace carawayhaven {
 namespace {
 
+// After a change of primary the owner of the old one refuses what it holds in a
+// round trip, 40 ms between regions. That is cheaper than a resolve.
+constexpr Duration kOldTermGrace = std::chrono::milliseconds(100);
+
 Outcome NotRun(Reason reason) {
   Outcome outcome;
   outcome.reason = reason;
@@ -155,7 +160,24 @@
   }
 }
 
+// What was sent under an older term can no longer be acknowledged without the
+// new primary. The callers of a frozen primary would otherwise wait for their
+// deadlines.
+void Front::LimitOlderLegs(const ServiceName& service, TimePoint now) {
+  for (const auto& [key, state] : requests_) {
+    if (state->phase != RequestPhase::kForwarded || state->legs.empty() ||
+        state->request.service != service || state->accepts_replica()) {
+      continue;
+    }
+    const ForwardLeg* leg = forwarder_.Find(state->legs.front());
+    if (leg != nullptr && IsOfOlderTerm(service, leg->term)) {
+      timers_.SetNoLaterThan(key, now + kOldTermGrace);
+    }
+  }
+}
+
 void Front::OnGroupChanged(const ServiceName& service, TimePoint now) {
+  LimitOlderLegs(service, now);
   const auto waiting = awaiting_primary_.find(service);
   if (waiting == awaiting_primary_.end()) return;
   const std::set<RequestKey> keys = waiting->second;
@@ -220,6 +242,14 @@
 void Front::OnForwardedTimer(RequestState& state, TimePoint now) {
   if (state.is_read()) {
     if (now < state.request.deadline) {
+      const ForwardLeg* leg =
+          state.legs.empty() ? nullptr : forwarder_.Find(state.legs.front());
+      if (leg != nullptr && !state.accepts_replica() &&
+          IsOfOlderTerm(state.request.service, leg->term)) {
+        DropLegs(state);
+        RetryElsewhere(state, now);
+        return;
+      }
       SendSecondLeg(state, now);
       return;
     }
@@ -231,7 +261,9 @@
   const ForwardLeg* found = forwarder_.Find(state.legs.front());
   if (found == nullptr) return;
   const ForwardLeg leg = *found;
-  OnNoAnswer(state, leg, Reason::kDeadline, now);
+  const bool is_late = now >= state.request.deadline ||
+                       !IsOfOlderTerm(state.request.service, leg.term);
+  OnNoAnswer(state, leg, is_late ? Reason::kDeadline : Reason::kStaleTerm, now);
 }
 
 void Front::DropLegs(RequestState& state) {
--- a/src/core/route/front.h
+++ b/src/core/route/front.h
@@ -68,7 +68,8 @@
   void OnPeerLost(const VmName& vm, TimePoint now);
 
   /// To be called after the GroupDirectory was raised; sends what waits for the
-  /// service's new primary. Without the call it is sent after its back-off.
+  /// service's new primary, and settles what the old one does not answer soon.
+  /// Without the call both happen later, at the latest at the deadline.
   void OnGroupChanged(const ServiceName& service, TimePoint now);
 
   /// Takes no new work from now on; steps of open transactions are taken, and
@@ -91,6 +92,7 @@
   bool Prepare(Request& request, Outcome& refusal);
   void OnTimer(RequestState& state, TimePoint now);
   void OnForwardedTimer(RequestState& state, TimePoint now);
+  void LimitOlderLegs(const ServiceName& service, TimePoint now);
   void End(RequestState& state, Outcome outcome);
   void End(RequestState& state, Verdict verdict, Reason reason);
   void DropLegs(RequestState& state);
--- a/src/core/route/timer_queue.h
+++ b/src/core/route/timer_queue.h
@@ -22,6 +22,13 @@
     times_.emplace(key, at);
   }
 
+  /// Moves the request's timer to the time unless it is due earlier; does
+  /// nothing without a timer.
+  void SetNoLaterThan(RequestKey key, TimePoint at) {
+    const auto found = times_.find(key);
+    if (found != times_.end() && found->second > at) Set(key, at);
+  }
+
   void Cancel(RequestKey key) {
     const auto found = times_.find(key);
     if (found == times_.end()) return;
