--- a/src/net/platform_client.cc
+++ b/src/net/platform_client.cc
@@ -11,9 +11,9 @@
 namespace carawayhaven {
 namespace {
 
-// The store answers in milliseconds; a call without an answer for this long is
-// taken for lost.
-constexpr Duration kCallTimeout = std::chrono::milliseconds(1000);
+// The store answers in milliseconds, at times in 2 s. A call without an answer
+// for this long is taken for lost. Not shorter than kSubmitCallTimeout.
+constexpr Duration kCallTimeout = std::chrono::milliseconds(2500);
 // The store ends a watch without changes after 30 s.
 constexpr Duration kWatchTimeout = std::chrono::seconds(40);
 
@@ -106,10 +106,10 @@
   request.method = "GET";
   request.path = ObjectPath(prefix);
   request.query = "watch=" + std::to_string(after);
-  client_.Send(address_, std::move(request), kWatchTimeout,
-               [callback = std::move(callback)](const HttpResponse& response) {
-                 callback(WatchReply(response));
-               });
+  Send(std::move(request), kWatchTimeout,
+       [callback = std::move(callback)](const HttpResponse& response) {
+         callback(WatchReply(response));
+       });
 }
 
 void PlatformClient::Send(HttpRequest request, Duration timeout,
--- a/src/net/platform_client.h
+++ b/src/net/platform_client.h
@@ -27,7 +27,7 @@
   /// Calls made so far; a watch counts as one.
   std::uint64_t calls() const { return calls_; }
 
-  /// True when the store answered the last call that ended.
+  /// False when the last call that ended got no answer.
   bool reachable() const { return reachable_; }
 
  private:
@@ -37,7 +37,7 @@
   std::string address_;
   HttpClient client_;
   std::uint64_t calls_ = 0;
-  bool reachable_ = false;
+  bool reachable_ = true;
 };
 
 }  // namespace carawayhaven
