--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -259,6 +259,11 @@
     def _wait(self, condition, limit=20):
         end = time.monotonic() + limit
         while not condition():
+            for name, process in self.processes.items():
+                if process.poll() not in (None, 0):
+                    raise RuntimeError(f"{name} ended with exit code "
+                                       f"{process.returncode}; logs in "
+                                       f"{self.directory}")
             if time.monotonic() > end:
                 raise RuntimeError(
                     f"not ready after {limit} s; logs in {self.directory}")
--- a/scripts/run_faults.py
+++ b/scripts/run_faults.py
@@ -169,6 +169,7 @@
         return None
 
     def mark(self):
+        """Marks the failure; after it took effect, or an earlier write counts."""
         self.deployment.mark_failure(self.service)
 
     def later(self, delay, action):
@@ -230,24 +231,24 @@
 def kill_primary(run):
     """SIGKILL of a primary endpoint."""
     run.expected_promotions = 1
-    run.mark()
     run.deployment.kill(run.primary)
+    run.mark()
 
 
 @case("crash-restart", seconds=8)
 def crash_restart(run):
     """The primary crashes and is back after 2 s."""
     run.expected_promotions = 1
-    run.mark()
     run.fault(run.primary, crash_ms=2000)
+    run.mark()
 
 
 @case("stop-primary", seconds=8)
 def stop_primary(run):
     """SIGSTOP of the primary, SIGCONT after 4 s."""
     run.expected_promotions = 1
-    run.mark()
     run.deployment.signal(run.primary, signal.SIGSTOP)
+    run.mark()
     time.sleep(4)
     run.deployment.signal(run.primary, signal.SIGCONT)
 
@@ -256,8 +257,8 @@
 def freeze_primary(run):
     """The primary freezes and thaws after 4 s."""
     run.expected_promotions = 1
-    run.mark()
     run.fault(run.primary, frozen=True)
+    run.mark()
     time.sleep(4)
     run.fault(run.primary, frozen=False)
 
@@ -266,8 +267,8 @@
 def cut_primary(run):
     """The primary is cut from its peers and joined again after 4 s."""
     run.expected_promotions = 1
-    run.mark()
     run.fault(run.primary, cut=True)
+    run.mark()
     time.sleep(4)
     run.fault(run.primary, cut=False)
 
@@ -275,24 +276,24 @@
 @case("silent-connections")
 def silent_connections(run):
     """All open connections to the primary go silent; new ones work."""
-    run.mark()
     run.fault(run.primary, silent=True)
+    run.mark()
 
 
 @case("kill-owner")
 def kill_owner(run):
     """SIGKILL of the proxy that owns the primary's pool."""
     owner = run.owner_of(run.primary)
-    run.mark()
     run.deployment.kill(run.deployment.vm(owner))
+    run.mark()
 
 
 @case("kill-proxy-in-transactions", seconds=8, transactions=30, think_ms=5)
 def kill_proxy_in_transactions(run):
     """SIGKILL of a proxy in the middle of transactions, and its restart."""
     owner = run.owner_of(run.primary)
-    run.mark()
     run.deployment.kill(run.deployment.vm(owner))
+    run.mark()
     time.sleep(2)
     run.deployment.start_proxy(owner)
     run.deployment._wait(lambda: run.deployment.is_ready(owner))
@@ -304,8 +305,8 @@
     run.expected_promotions = 1
     owner = run.deployment.vm(run.owner_of(run.primary))
     run.deployment.signal(owner, signal.SIGSTOP)
-    run.mark()
     run.deployment.kill(run.primary)
+    run.mark()
     time.sleep(3)
     run.deployment.signal(owner, signal.SIGCONT)
 
@@ -376,13 +377,18 @@
     run.expected_promotions = 1
     run.store_fault(down=True)
     time.sleep(0.5)
-    run.mark()
     run.deployment.kill(run.primary)
+    run.mark()
     primary = run.await_primary_change(run.primary)
-    result = run.submit(run.deployment.text + "# store down\n")
-    run.check(result.returncode == 3,
-              f"submit with the store down: exit {result.returncode}, "
-              f"{result.stderr.strip()}")
+    # Over HTTP: the command gets no answer that comes as late as this one.
+    status, text = http(
+        "PUT", run.deployment.admin(0),
+        f"/teams/{run.deployment.team['team']}",
+        run.deployment.text + "# store down\n",
+        {"If-Match": f'"{run.version()}"',
+         "Authorization": f"Bearer {TEAM_TOKEN}"}, timeout=12)
+    run.check(status in (503, 504) and "error" in text,
+              f"submit with the store down: {status} {text}")
     run.store_fault(down=False)
     end = time.monotonic() + 8
     found = ""
@@ -404,8 +410,8 @@
     version = run.submitted_version(result)
     if version is not None:
         run.await_version(version, range(run.deployment.proxy_count))
-    run.mark()
     run.deployment.kill(run.primary)
+    run.mark()
 
 
 @case("store-answer-lost", seconds=12)
@@ -511,9 +517,9 @@
     """The primary and the proxy that owns its pool fail at the same time."""
     run.expected_promotions = 1
     owner = run.owner_of(run.primary)
-    run.mark()
     run.deployment.kill(run.primary)
     run.deployment.kill(run.deployment.vm(owner))
+    run.mark()
 
 
 @case("primary-twice", seconds=14)
@@ -522,14 +528,14 @@
     run.expected_promotions = 2
     # The threshold of detection is doubled for 10 s after a promotion.
     run.gap_limit_ms = 3000
-    run.mark()
     run.fault(run.primary, crash_ms=2500)
+    run.mark()
     second = run.await_primary_change(run.primary)
     time.sleep(4)
     if second is None:
         return
-    run.mark()
     run.fault(second, crash_ms=2500)
+    run.mark()
 
 
 @case("commands")
--- a/src/proxy/proxy_process.cc
+++ b/src/proxy/proxy_process.cc
@@ -346,11 +346,10 @@
 }
 
 void ProxyProcess::LogStoreState() {
-  const std::optional<bool> reachable = platform_.reachable();
-  if (!reachable || reachable == logged_store_state_) return;
-  logged_store_state_ = reachable;
-  Log(*reachable ? LogLevel::kInfo : LogLevel::kWarning,
-      *reachable ? "store_reachable" : "store_unreachable",
+  const bool reachable = platform_.reachable();
+  if (std::exchange(logged_store_reachable_, reachable) == reachable) return;
+  Log(reachable ? LogLevel::kInfo : LogLevel::kWarning,
+      reachable ? "store_reachable" : "store_unreachable",
       {{"address", settings_.platform_address}});
 }
 
--- a/src/proxy/proxy_process.h
+++ b/src/proxy/proxy_process.h
@@ -3,7 +3,6 @@
 
 #include <map>
 #include <memory>
-#include <optional>
 #include <random>
 #include <set>
 #include <vector>
@@ -112,7 +111,7 @@
   };
   std::map<TeamName, LoggedConfig> logged_configs_;
   std::map<ServiceName, Term> logged_terms_;
-  std::optional<bool> logged_store_state_;
+  bool logged_store_reachable_ = true;
   /// VMs whose requests in flight were given up.
   std::set<VmName> lost_vms_;
   bool draining_ = false;
--- a/src/proxy/span_sink.h
+++ b/src/proxy/span_sink.h
@@ -16,13 +16,15 @@
   virtual void Write(std::string_view line) = 0;
 };
 
-/// Writes spans to a stream, one a line.
+/// Writes spans to a stream, one a line. Each line is flushed: a buffer that is
+/// written when it is full ends in the middle of a line, where a log line
+/// follows when both streams go to one file.
 class StreamSpanSink : public SpanSink {
  public:
   /// `out` must outlive the sink.
   explicit StreamSpanSink(std::ostream& out) : out_(out) {}
 
-  void Write(std::string_view line) override { out_ << line << '\n'; }
+  void Write(std::string_view line) override { out_ << line << '\n' << std::flush; }
 
  private:
   std::ostream& out_;
--- a/test/proxy/tracing_test.cc
+++ b/test/proxy/tracing_test.cc
@@ -47,6 +47,24 @@
       kSampledParent);
 }
 
+// Guards against lines that are cut by log lines in a file that both go to.
+TEST(StreamSpanSinkTest, EachLineIsFlushed) {
+  class CountFlushes : public std::stringbuf {
+   public:
+    int sync() override {
+      EXPECT_EQ(str().back(), '\n');
+      ++flushes_;
+      return 0;
+    }
+    int flushes_ = 0;
+  } buffer;
+  std::ostream out(&buffer);
+  StreamSpanSink sink(out);
+  sink.Write("{}");
+  sink.Write("{}");
+  EXPECT_EQ(buffer.flushes_, 2);
+}
+
 class VectorSink : public SpanSink {
  public:
   void Write(std::string_view line) override {
