Platform client: a watch that breaks after waiting does not mean an unreachable store

Watches break after 5 s without an answer (logs of scripts/faults); since they tell the store's state, status and the log said that the store was unreachable.

--- a/src/net/platform_client.cc
+++ b/src/net/platform_client.cc
@@ -106,10 +106,19 @@
   request.method = "GET";
   request.path = ObjectPath(prefix);
   request.query = "watch=" + std::to_string(after);
-  Send(std::move(request), kWatchTimeout,
-       [callback = std::move(callback)](const HttpResponse& response) {
-         callback(WatchReply(response));
-       });
+  ++calls_;
+  // A watch that breaks after it has waited tells only that its connection was
+  // lost; the next one tells whether the store can be reached.
+  const TimePoint started = EventLoop::Now();
+  client_.Send(address_, std::move(request), kWatchTimeout,
+               [this, started,
+                callback = std::move(callback)](const HttpResponse& response) {
+                 const bool answered =
+                     StatusOf(response.status) != StoreStatus::kUnknown;
+                 const bool waited = EventLoop::Now() - started >= kCallTimeout;
+                 if (answered || !waited) reachable_ = answered;
+                 callback(WatchReply(response));
+               });
 }
 
 void PlatformClient::Send(HttpRequest request, Duration timeout,
