--- a/src/proxy/span_sink.h
+++ b/src/proxy/span_sink.h
@@ -24,7 +24,9 @@
   /// `out` must outlive the sink.
   explicit StreamSpanSink(std::ostream& out) : out_(out) {}
 
-  void Write(std::string_view line) override { out_ << line << '\n' << std::flush; }
+  void Write(std::string_view line) override {
+    out_ << line << '\n' << std::flush;
+  }
 
  private:
   std::ostream& out_;
