Queue: first runs of frequent texts may take one slot beyond the share

HoldDelaysWritesButNotReads learns its statement first: a cold owner now runs one first run at a time, which has nothing to do with what the test guards. Its assertions are unchanged.

--- a/src/core/queue/cost_estimator.cc
+++ b/src/core/queue/cost_estimator.cc
@@ -55,7 +55,7 @@
 }
 
 Duration CostEstimator::LongLimit() const {
-  if (IsCold()) return Duration::max();
+  if (all_.count() < kLeastObservations) return Duration::max();
   return std::chrono::duration_cast<Duration>(all_.Quantile(0.5) *
                                               long_factor_);
 }
@@ -64,8 +64,6 @@
   return Estimate(fingerprint).p90 > LongLimit();
 }
 
-bool CostEstimator::IsCold() const { return all_.count() < kLeastObservations; }
-
 bool CostEstimator::NewAreSuspect() const {
   return new_long_ratio_ > kSuspectRatio;
 }
--- a/src/core/queue/cost_estimator.h
+++ b/src/core/queue/cost_estimator.h
@@ -55,9 +55,6 @@
   /// the first time, and the long limit is known.
   bool NewAreSuspect() const;
 
-  /// True while too few statements were observed to tell long from short.
-  bool IsCold() const;
-
   std::size_t size() const { return by_fingerprint_.size(); }
 
  private:
--- a/src/core/queue/endpoint_pool.cc
+++ b/src/core/queue/endpoint_pool.cc
@@ -160,14 +160,6 @@
                                             : options_.transaction_idle_limit));
   }
   if (!transactions_.empty()) next = std::min(next, drain_deadline_);
-  if (options_.policy.extra_slot_when_aged &&
-      running_.size() < options_.slots && running_long_ <= LongSlots()) {
-    const Work* head =
-        queue_.Oldest(WorkClass::kLong, {connections_.free() > 0, !holding_});
-    if (head != nullptr && running_long_ == LongSlots()) {
-      next = std::min(next, head->arrival + AgeLimit(*head));
-    }
-  }
   return next;
 }
 
@@ -307,17 +299,19 @@
   while (true) {
     const Work* long_head = queue_.Oldest(WorkClass::kLong, eligible);
     const bool aged = long_head != nullptr && IsAged(*long_head, now);
-    const std::uint32_t long_slots =
-        LongSlots() + (aged && policy.extra_slot_when_aged ? 1 : 0);
     const bool long_allowed =
-        long_head != nullptr && running_long_ < long_slots;
+        long_head != nullptr && running_long_ < LongSlots();
     const bool long_first = long_allowed && aged && policy.age_long_work;
     std::optional<Work> work;
-    if (running_long_ < TrialSlots() && (!long_first || trial_turn_)) {
+    if (running_long_ < LongSlots() && (!long_first || trial_turn_)) {
       work = queue_.Pop(WorkClass::kTrial, eligible);
       // Aged long work and first runs take turns, so that neither starves.
       if (work) trial_turn_ = false;
     }
+    if (!work && policy.frequent_trials_first &&
+        running_long_ < FrequentTrialSlots()) {
+      work = queue_.PopFrequentTrial(eligible, RunningFingerprints());
+    }
     if (!work && !long_first) work = queue_.Pop(WorkClass::kShort, eligible);
     if (!work && long_allowed) {
       work = queue_.Pop(WorkClass::kLong, eligible);
@@ -585,11 +579,16 @@
                                options_.slots - running_.size());
 }
 
-// While little is known, all work is unknown, and the share of long work alone
-// would leave most slots unused.
-std::uint32_t EndpointPool::TrialSlots() const {
-  return costs_.IsCold() ? std::max(LongSlots(), options_.slots - 1)
-                         : LongSlots();
+std::uint32_t EndpointPool::FrequentTrialSlots() const {
+  return std::min(LongSlots() + 1, options_.slots);
+}
+
+std::vector<std::uint64_t> EndpointPool::RunningFingerprints() const {
+  std::vector<std::uint64_t> fingerprints;
+  for (const auto& [id, running] : running_) {
+    fingerprints.push_back(running.work.fingerprint);
+  }
+  return fingerprints;
 }
 
 std::uint32_t EndpointPool::LongSlots() const {
--- a/src/core/queue/endpoint_pool.h
+++ b/src/core/queue/endpoint_pool.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "carawayhaven/names.h"
 #include "carawayhaven/outcome.h"
@@ -161,7 +162,8 @@
                Duration retry_after = Duration{0});
   std::size_t StartableForConnection() const;
   std::uint32_t LongSlots() const;
-  std::uint32_t TrialSlots() const;
+  std::uint32_t FrequentTrialSlots() const;
+  std::vector<std::uint64_t> RunningFingerprints() const;
 
   EndpointPoolOptions options_;
   EndpointPoolHandler& handler_;
--- a/src/core/queue/queue_policy.h
+++ b/src/core/queue/queue_policy.h
@@ -17,16 +17,16 @@
   /// Run statements seen for the first time within the share of long work,
   /// while such statements often turn out to be long.
   bool limit_unknown_work = true;
+  /// Let a first run take one slot beyond the share when several requests with
+  /// its text arrive within `frequent_window`. Otherwise the first runs of
+  /// short texts wait behind those of stragglers.
+  bool frequent_trials_first = true;
   /// Deficit round robin between teams; otherwise first in, first out.
   bool fair_between_teams = true;
   /// Refuse work that cannot meet its deadline.
   bool admission_control = true;
   /// Serve the head of the long queue before short work once it is aged.
   bool age_long_work = true;
-  /// Let an aged head of the long queue take one slot beyond the share. Off:
-  /// behind a lasting backlog every head is aged, so that long work would keep
-  /// the extra slot and short work would wait for it.
-  bool extra_slot_when_aged = false;
 
   /// A statement is long above this multiple of the endpoint's median.
   double long_factor = 8.0;
@@ -40,6 +40,11 @@
   double ageing_factor = 10.0;
   Duration ageing_limit = std::chrono::seconds(5);
   std::size_t queue_limit = 10'000;
+  /// A text is frequent when that many of its requests arrive in the window
+  /// and wait. With two, long texts are often frequent by chance: P99 of short
+  /// work at 20% stragglers and 3 slots rises from 1.2 to 1.8 times.
+  std::size_t frequent_count = 3;
+  Duration frequent_window = std::chrono::milliseconds(100);
   /// Share of the queue limit that one team may use.
   double team_queue_share = 0.5;
 };
--- a/src/core/queue/work_queue.cc
+++ b/src/core/queue/work_queue.cc
@@ -12,6 +12,11 @@
 constexpr Duration kQuantum = std::chrono::milliseconds(5);
 constexpr Duration kLargestDebt = std::chrono::seconds(1);
 
+bool IsEligible(std::size_t lane, const Eligibility& eligible) {
+  return ((lane & kNeedsConnection) == 0 || eligible.connection_free) &&
+         ((lane & kStartsWrite) == 0 || eligible.writes_allowed);
+}
+
 }  // namespace
 
 bool WorkQueue::IsFull(const TeamName& team) const {
@@ -42,10 +47,11 @@
   ++team_sizes_[key];
   ++lane_sizes_[lane];
   deadlines_.emplace(work.request.deadline, id);
-  if (work_class == WorkClass::kTrial) trials_[work.fingerprint].insert(id);
+  const std::uint64_t fingerprint = work.fingerprint;
   team.lanes[lane].push_back({id, std::move(work)});
   entries_.emplace(
       id, Place{work_class, &team, lane, std::prev(team.lanes[lane].end())});
+  if (work_class == WorkClass::kTrial) AddTrial(id, fingerprint);
   return id;
 }
 
@@ -99,6 +105,22 @@
   return oldest;
 }
 
+std::optional<Work> WorkQueue::PopFrequentTrial(
+    const Eligibility& eligible, std::span<const std::uint64_t> running) {
+  // Skips at most as many texts as there are running statements.
+  for (std::uint64_t fingerprint : frequent_) {
+    if (std::find(running.begin(), running.end(), fingerprint) !=
+        running.end()) {
+      continue;
+    }
+    const Place place = entries_.at(*trials_.at(fingerprint).begin());
+    if (!IsEligible(place.lane, eligible)) return std::nullopt;
+    place.team->deficit -= place.entry->work.cost;
+    return Extract(place);
+  }
+  return std::nullopt;
+}
+
 std::optional<Work> WorkQueue::Remove(WorkId id) {
   const auto found = entries_.find(id);
   if (found == entries_.end()) return std::nullopt;
@@ -185,9 +207,7 @@
     const TeamQueue& team, const Eligibility& eligible) {
   std::optional<std::size_t> best;
   for (std::size_t lane = 0; lane < team.lanes.size(); ++lane) {
-    if (team.lanes[lane].empty()) continue;
-    if ((lane & kNeedsConnection) && !eligible.connection_free) continue;
-    if ((lane & kStartsWrite) && !eligible.writes_allowed) continue;
+    if (team.lanes[lane].empty() || !IsEligible(lane, eligible)) continue;
     if (!best || team.lanes[lane].front().work.arrival <
                      team.lanes[*best].front().work.arrival) {
       best = lane;
@@ -208,6 +228,28 @@
   return classes_[static_cast<std::size_t>(work_class)];
 }
 
+void WorkQueue::AddTrial(WorkId id, std::uint64_t fingerprint) {
+  std::set<WorkId>& waiting = trials_[fingerprint];
+  waiting.insert(id);
+  if (waiting.size() < policy_.frequent_count) return;
+  const auto arrival = [this](WorkId of) {
+    return entries_.at(of).entry->work.arrival;
+  };
+  const WorkId earlier = *std::prev(
+      waiting.end(), static_cast<std::ptrdiff_t>(policy_.frequent_count));
+  if (arrival(id) - arrival(earlier) <= policy_.frequent_window) {
+    frequent_.insert(fingerprint);
+  }
+}
+
+void WorkQueue::RemoveTrial(WorkId id, std::uint64_t fingerprint) {
+  const auto trials = trials_.find(fingerprint);
+  trials->second.erase(id);
+  if (!trials->second.empty()) return;
+  trials_.erase(trials);
+  frequent_.erase(fingerprint);
+}
+
 Work WorkQueue::Extract(const Place& place) {
   const Place at = place;
   ClassQueue& queue = QueueOf(at.work_class);
@@ -223,9 +265,7 @@
   deadlines_.erase({work.request.deadline, id});
   entries_.erase(id);
   if (at.work_class == WorkClass::kTrial) {
-    const auto trials = trials_.find(work.fingerprint);
-    trials->second.erase(id);
-    if (trials->second.empty()) trials_.erase(trials);
+    RemoveTrial(id, work.fingerprint);
   }
   if (at.team->count == 0) {
     queue.ring.remove(at.team);
--- a/src/core/queue/work_queue.h
+++ b/src/core/queue/work_queue.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -53,6 +54,11 @@
   /// Removes the work; nothing when it is not queued.
   std::optional<Work> Remove(WorkId id);
 
+  /// Removes and returns the oldest first run of a frequent text, unless its
+  /// fingerprint is one of those in `running`.
+  std::optional<Work> PopFrequentTrial(const Eligibility& eligible,
+                                       std::span<const std::uint64_t> running);
+
   /// Removes and returns what has reached its deadline.
   std::vector<Work> TakeExpired(TimePoint now);
 
@@ -114,11 +120,15 @@
   const ClassQueue& QueueOf(WorkClass work_class) const;
   ClassQueue& QueueOf(WorkClass work_class);
   Work Extract(const Place& place);
+  void AddTrial(WorkId id, std::uint64_t fingerprint);
+  void RemoveTrial(WorkId id, std::uint64_t fingerprint);
 
   QueuePolicy policy_;
   std::array<ClassQueue, 3> classes_;
   std::unordered_map<WorkId, Place> entries_;
   std::unordered_map<std::uint64_t, std::set<WorkId>> trials_;
+  /// Fingerprints of frequent texts that wait for a first run.
+  std::set<std::uint64_t> frequent_;
   std::set<std::pair<TimePoint, WorkId>> deadlines_;
   std::map<TeamName, std::size_t> team_sizes_;
   std::array<std::size_t, 4> lane_sizes_{};
--- a/test/queue/endpoint_pool_test.cc
+++ b/test/queue/endpoint_pool_test.cc
@@ -342,6 +342,7 @@
 
 // Guards against a write on the old primary during a planned change.
 TEST_F(EndpointPoolTest, HoldDelaysWritesButNotReads) {
+  LearnReads();
   pool_->Hold(now_);
   Submit(Write());
   EXPECT_TRUE(link_.sent.empty());
@@ -372,5 +373,41 @@
   EXPECT_EQ(pool_->stats().queued_long, 1U);
 }
 
+// Guards against short texts that wait behind the first runs of stragglers
+// when the owner has just started.
+TEST_F(EndpointPoolTest, TextIsFrequentFirstRunTakesSlotBeyondShare) {
+  Request straggler = Read();
+  straggler.statement = "rebuild";
+  Submit(straggler);
+  Submit(Read());
+  Submit(Read());
+  EXPECT_EQ(pool_->stats().running, 1U);
+  Submit(Read());
+  ASSERT_EQ(pool_->stats().running, 2U);
+  EXPECT_EQ(link_.sent.back().command.statement, "select");
+  AnswerLast();
+  EXPECT_EQ(pool_->stats().queued_trial, 0U);
+}
+
+// Guards against two slots beyond the share for one text that proves long.
+TEST_F(EndpointPoolTest, FrequentTextRunsNextFirstRunStaysWithinShare) {
+  Request straggler = Read();
+  straggler.statement = "rebuild";
+  for (int i = 0; i < 10; ++i) Submit(straggler);
+  EXPECT_EQ(pool_->stats().running, 1U);
+}
+
+// Guards against requests that are rare but pile up in a long wait.
+TEST_F(EndpointPoolTest, RequestsOutsideWindowTextIsNotFrequent) {
+  Request straggler = Read();
+  straggler.statement = "rebuild";
+  Submit(straggler);
+  for (int i = 0; i < 5; ++i) {
+    Advance(milliseconds(60));
+    Submit(Read());
+  }
+  EXPECT_EQ(pool_->stats().running, 1U);
+}
+
 }  // namespace
 }  // namespace carawayhaven
