--- a/bench/pool_benchmark.cc
+++ b/bench/pool_benchmark.cc
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstdlib>
+#include <ctime>
 #include <new>
 
 #include "core/queue/endpoint_pool.h"
@@ -73,7 +74,7 @@
   const std::uint32_t slots = EndpointPoolOptions().slots;
   for (std::int64_t i = 0; i < state.range(0) + slots - 1; ++i) submit();
   const std::int64_t before = allocations;
-  const auto start = std::chrono::steady_clock::now();
+  const std::clock_t start = std::clock();
   for (auto _ : state) {
     submit();
     // Keeps the run times at about 1 ms, so that no text becomes long.
@@ -82,17 +83,16 @@
     benchmark::DoNotOptimize(pool.NextTick());
     answer_first();
   }
-  const std::chrono::duration<double, std::nano> passed =
-      std::chrono::steady_clock::now() - start;
+  const auto passed = static_cast<double>(std::clock() - start);
   const auto iterations = static_cast<double>(state.iterations());
-  const double ns = passed.count() / iterations;
+  const double ns = passed * 1e9 / CLOCKS_PER_SEC / iterations;
   if (state.range(0) == 0) empty_queue_ns = ns;
   state.counters["allocations"] =
       static_cast<double>(allocations - before) / iterations;
   state.counters["queued"] = static_cast<double>(pool.stats().queued_short);
   state.counters["ratio"] = ns / empty_queue_ns;
 }
-BENCHMARK(PoolRequest)->Arg(0)->Arg(1000)->Arg(9990)->Iterations(20000);
+BENCHMARK(PoolRequest)->Arg(0)->Arg(1000)->Arg(9990)->Iterations(100000);
 
 }  // namespace
 }  // namespace carawayhaven
--- a/bench/queue_mix_experiment.cc
+++ b/bench/queue_mix_experiment.cc
@@ -308,11 +308,10 @@
 
 /// Callers begin a transaction 3 times a second, run one statement and commit
 /// after a pause of 50 ms, one in ten after 20 s. Short reads beside them.
-void IdleHolders(const char* name, Duration grace, Duration idle_limit,
-                 std::uint64_t seed) {
+/// 5 of the connections are reserved.
+void IdleHolders(const char* name, std::uint32_t connections, Duration grace,
+                 Duration idle_limit, std::uint64_t seed) {
   constexpr std::uint32_t kSlots = 3;
-  // 6 for statements beside the reserved ones.
-  constexpr std::uint32_t kConnections = 11;
   class IgnoreAnswers : public EndpointPoolHandler {
     void OnEndpointAnswer(const EndpointName&, const EndpointAnswer&,
                           TimePoint) override {}
@@ -322,7 +321,7 @@
   IgnoreAnswers handler;
   EndpointPoolOptions options;
   options.slots = kSlots;
-  options.connections = kConnections;
+  options.connections = connections;
   // The simulated endpoint answers no confirmations.
   options.acknowledge = AcknowledgeMode::kPrimary;
   options.transaction_grace = grace;
@@ -382,9 +381,9 @@
       std::count_if(reads.begin(), reads.end(),
                     [](Duration value) { return value < seconds(999); }));
   std::printf(
-      "idle holders, %-30s reads ran %.3f, P50 %6.1f, P99 %7.1f ms, "
+      "%u connections, %-28s reads ran %.3f, P50 %6.1f, P99 %7.1f ms, "
       "committed %zu of %zu, reclaimed %llu\n",
-      name, ran / static_cast<double>(reads.size()),
+      connections, name, ran / static_cast<double>(reads.size()),
       Milliseconds(Quantile(reads, 0.5)), Milliseconds(Quantile(reads, 0.99)),
       committed, transactions,
       static_cast<unsigned long long>(pool.stats().reclaimed_transactions));
@@ -401,9 +400,9 @@
     costs.Observe(2, kLong);
     ++until_new;
   }
-  for (int history : {1, 10, 100, 1000}) {
-    const auto text = static_cast<std::uint64_t>(1000 + history);
-    for (int i = 0; i < history; ++i) costs.Observe(text, kShort);
+  for (std::uint64_t history : {1U, 10U, 100U, 1000U}) {
+    const std::uint64_t text = 1000 + history;
+    for (std::uint64_t i = 0; i < history; ++i) costs.Observe(text, kShort);
     int until_long = 0;
     while (!costs.IsLong(text)) {
       costs.Observe(text, kLong);
@@ -416,9 +415,10 @@
       ++until_short;
     }
     std::printf(
-        "learning: new long after %d runs; after %d short runs, long "
+        "learning: new long after %d runs; after %llu short runs, long "
         "after %d, short again after %d\n",
-        until_new, history, until_long, until_short);
+        until_new, static_cast<unsigned long long>(history), until_long,
+        until_short);
   }
 }
 
@@ -436,12 +436,13 @@
                  "10 ms, new deadline", seed);
   }
   constexpr Duration kNever = std::chrono::hours(1);
-  IdleHolders("no reclaim", kNever, kNever, seed);
-  IdleHolders("idle limit 30 s", kNever, seconds(30), seed);
-  IdleHolders("idle limit 2 s", kNever, seconds(2), seed);
-  IdleHolders("demand 2 s, idle limit 30 s", seconds(2), seconds(30), seed);
-  IdleHolders("demand 0.5 s, idle limit 30 s", milliseconds(500), seconds(30),
-              seed);
+  for (std::uint32_t connections : {11U, 41U}) {
+    IdleHolders("no reclaim", connections, kNever, kNever, seed);
+    IdleHolders("idle limit 30 s", connections, kNever, seconds(30), seed);
+    IdleHolders("idle limit 2 s", connections, kNever, seconds(2), seed);
+    IdleHolders("demand 2 s, idle limit 30 s", connections, seconds(2),
+                seconds(30), seed);
+  }
   Learning();
 }
 
@@ -449,18 +450,22 @@
 }  // namespace carawayhaven::bench
 
 int main(int argc, char** argv) {
-  using namespace carawayhaven;
-  using namespace carawayhaven::bench;
+  using carawayhaven::bench::Report;
   try {
     TCLAP::CmdLine command_line("Adversarial mixes on the queue", ' ');
     TCLAP::ValueArg<std::string> bounds("", "bounds", "file with the targets",
                                         false, "", "file", command_line);
     TCLAP::ValueArg<std::uint64_t> seed("", "seed", "random seed", false,
-                                        kDefaultSeed, "number", command_line);
+                                        carawayhaven::bench::kDefaultSeed,
+                                        "number", command_line);
     command_line.parse(argc, argv);
     Report report(bounds.getValue(), seed.getValue());
-    for (std::uint32_t slots : {3U, 5U}) Mixes(report, slots);
-    if (!report.checks()) Unbounded(report.seed());
+    for (std::uint32_t slots : {3U, 5U}) {
+      carawayhaven::bench::Mixes(report, slots);
+    }
+    if (!report.checks()) {
+      carawayhaven::bench::Unbounded(report.seed());
+    }
     return report.passed() ? 0 : 1;
   } catch (const std::exception& error) {
     std::fprintf(stderr, "%s\n", error.what());
