--- a/include/carawayhaven/error_messages.h
+++ b/include/carawayhaven/error_messages.h
@@ -8,6 +8,8 @@
 inline constexpr char kTooManyServices[] =
     "session token names more than 64 services";
 inline constexpr char kMalformedJson[] = "message is not valid JSON";
+inline constexpr char kNotUtf8[] = "text is not valid UTF-8";
+inline constexpr char kNestedTooDeep[] = "message is nested too deeply";
 inline constexpr char kMissingField[] = "missing or mistyped field: ";
 inline constexpr char kMessageTooLarge[] = "message exceeds the size limit";
 inline constexpr char kMalformedPeerMessage[] =
@@ -36,7 +38,8 @@
 inline constexpr char kTooManyDeclaredServices[] =
     "more than 512 services in one text";
 inline constexpr char kTooManyEndpoints[] =
-    "more than 9 endpoints in one service";
+    "more than 4 endpoints in one service: a write is confirmed by one "
+    "replica, which a majority of five endpoints could miss";
 inline constexpr char kOtherTeam[] =
     "the text declares another team than the one it is submitted for: ";
 inline constexpr char kServiceTaken[] = "name belongs to another team: ";
--- a/src/core/queue/endpoint_pool.cc
+++ b/src/core/queue/endpoint_pool.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/endpoint_command.h"
+#include "core/mutation.h"
 #include "core/queue/admission_control.h"
 #include "core/queue/answer_outcome.h"
 
@@ -194,7 +195,8 @@
   }
   const auto found = running_.find(connection);
   if (found != running_.end() &&
-      found->second.correlation == answer.correlation) {
+      (found->second.correlation == answer.correlation ||
+       MutationEnabled(Mutation::kAcceptForeignAnswer))) {
     Running running = std::move(found->second);
     running_.erase(found);
     if (running.counts_as_long) --running_long_;
@@ -431,6 +433,18 @@
   if (work.done == nullptr) return;
   Outcome outcome = OutcomeOf(answer, work.request);
   outcome.served_by = options_.endpoint;
+  // A primary of an older term than the command's has been replaced without
+  // its knowledge, so the age that it states is wrong.
+  const bool is_replaced = answer.role == EndpointRole::kPrimary &&
+                           answer.term < running.term &&
+                           !MutationEnabled(Mutation::kReadFromReplacedPrimary);
+  if (is_replaced && !IsWrite(work.request) && work.request.max_age) {
+    outcome = Outcome{};
+    outcome.reason = Reason::kBehind;
+    outcome.served_by = options_.endpoint;
+    completions_.Add(work, std::move(outcome));
+    return;
+  }
   if (NeedsConfirmation(work.request, answer, options_.acknowledge)) {
     confirmations_.Add(std::move(work), std::move(outcome), running.term, now);
   } else {
@@ -445,7 +459,8 @@
     connections_.Return(id, now);
     return;
   }
-  const bool ok = status == EndpointStatus::kOk;
+  const bool ok = status == EndpointStatus::kOk ||
+                  MutationEnabled(Mutation::kReuseUnknownConnection);
   switch (request.kind) {
     case RequestKind::kCommit:
       if (ok || status == EndpointStatus::kConflict) break;
@@ -546,9 +561,11 @@
 void EndpointPool::EndRunning(Running& running, Reason reason) {
   const Request& request = running.work.request;
   // An uncommitted transaction ends with its connection.
-  const bool uncommitted = !request.transaction.empty() &&
-                           request.kind != RequestKind::kCommit &&
-                           request.kind != RequestKind::kResolve;
+  bool uncommitted = !request.transaction.empty() &&
+                     request.kind != RequestKind::kCommit &&
+                     request.kind != RequestKind::kResolve;
+  uncommitted =
+      uncommitted || MutationEnabled(Mutation::kReportNotRunAfterSend);
   EndWork(running.work, uncommitted ? Verdict::kNotRun : Verdict::kMayHaveRun,
           reason);
 }
