--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -20,7 +20,7 @@
 import deployment
 from deployment import Deployment, http
 
-FLEET_PORT = 22000 - 20000 + 7000 + deployment.PORT_SHIFT
+FLEET_PORT = deployment.PORT_BASE + 2000
 MAX_PROCESSES = 150
 
 
