--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -17,15 +17,16 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 IP = "127.0.0.1"
-# CARAWAYHAVEN_PORT_BASE moves all ports, those in the team's text too, so that
-# two deployments fit on one machine.
-PORT_SHIFT = int(os.environ.get("CARAWAYHAVEN_PORT_BASE", "7000")) - 7000
-PLATFORM_PORT = 7000 + PORT_SHIFT
+# All ports move with this one, so that several deployments fit on one machine.
+DEFAULT_PORT_BASE = 7000
+PORT_BASE = int(os.environ.get("CARAWAYHAVEN_PORT_BASE", DEFAULT_PORT_BASE))
+PLATFORM_PORT = PORT_BASE
 # The admin port of an endpoint is its port plus this offset.
 ENDPOINT_ADMIN_OFFSET = 1000
-CALLER_PORT = 7500 + PORT_SHIFT
-PEER_PORT = 7600 + PORT_SHIFT
-ADMIN_PORT = 7700 + PORT_SHIFT
+CALLER_PORT = PORT_BASE + 500
+PEER_PORT = PORT_BASE + 600
+ADMIN_PORT = PORT_BASE + 700
+LOAD_CONTROL_PORT = PORT_BASE + 800
 # One-way delay of the replication stream between data centres, microseconds.
 LINK_DELAY_US = {"registro": 1500, "hire-core": 1000}
 OPERATORS_TOKEN = "operators-token"
@@ -47,10 +48,22 @@
         return 0, ""
 
 
+def environment(**more):
+    """The variables for a process of the project.
+
+    The proxy refuses unknown variables that start with CARAWAYHAVEN_.
+    """
+    own = {name: value for name, value in os.environ.items()
+           if name != "CARAWAYHAVEN_PORT_BASE"}
+    return {**own, **more}
+
+
 def shift_ports(text):
-    """Moves the ports of all addresses in a team's text by PORT_SHIFT."""
-    return re.sub(rf'"{re.escape(IP)}:(\d+)"',
-                  lambda match: f'"{IP}:{int(match[1]) + PORT_SHIFT}"', text)
+    """Moves the endpoints' ports of a team's text to PORT_BASE."""
+    return re.sub(
+        re.escape(IP) + r":(\d+)",
+        lambda match: f"{IP}:{int(match[1]) - DEFAULT_PORT_BASE + PORT_BASE}",
+        text)
 
 
 class Deployment:
@@ -99,6 +112,7 @@
 
     def stop(self):
         for process in self.processes.values():
+            # A stopped process takes SIGKILL all the same.
             process.kill()
         for process in self.processes.values():
             process.wait()
@@ -183,6 +197,16 @@
                 best = (state["term"], name)
         return best[1] if best else None
 
+    @property
+    def load_control(self):
+        return f"{IP}:{LOAD_CONTROL_PORT}"
+
+    def mark_failure(self, service):
+        """Starts the measurement of the service's failover gap."""
+        status, text = http("POST", self.load_control, f"/mark/{service}", "{}")
+        if status != 200:
+            raise RuntimeError(f"cannot mark the failure: {status} {text}")
+
     def load_command(self, seconds, callers, seed=1, fault=None, service=None,
                      endpoint=None, think_ms=20):
         command = [str(self.build / "util/carawayhaven_load"),
@@ -190,7 +214,8 @@
                    "--proxies", ",".join(self.caller_addresses),
                    "--services", ",".join(self.services),
                    "--seconds", str(seconds), "--callers", str(callers),
-                   "--seed", str(seed), "--think-ms", str(think_ms)]
+                   "--seed", str(seed), "--think-ms", str(think_ms),
+                   "--control-address", self.load_control]
         if fault is not None:
             command += ["--fault-address", self.endpoint_admin(endpoint),
                         "--fault-service", service, "--fault", fault]
@@ -227,16 +252,18 @@
 
     def _spawn(self, name, program, arguments):
         log = open(self.directory / f"{name}.log", "ab")
-        # A proxy refuses variables with this prefix that it does not know.
-        environment = {key: value for key, value in os.environ.items()
-                       if key != "CARAWAYHAVEN_PORT_BASE"}
         self.processes[name] = subprocess.Popen(
             [str(self.build / program), *arguments], stdout=log, stderr=log,
-            env=environment)
+            env=environment())
 
     def _wait(self, condition, limit=20):
         end = time.monotonic() + limit
         while not condition():
+            for name, process in self.processes.items():
+                if process.poll() not in (None, 0):
+                    raise RuntimeError(f"{name} ended with exit code "
+                                       f"{process.returncode}; logs in "
+                                       f"{self.directory}")
             if time.monotonic() > end:
                 raise RuntimeError(
                     f"not ready after {limit} s; logs in {self.directory}")
--- a/src/core/queue/endpoint_pool.h
+++ b/src/core/queue/endpoint_pool.h
@@ -3,8 +3,10 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "carawayhaven/names.h"
 #include "carawayhaven/outcome.h"
@@ -33,6 +35,13 @@
   virtual void OnEndpointAnswer(const EndpointName& endpoint,
                                 const EndpointAnswer& answer,
                                 TimePoint now) = 0;
+
+  /// Called when a request is sent to the endpoint. The result is kept for the
+  /// time that the request has there.
+  virtual std::shared_ptr<void> TraceStatement(const EndpointName& /*endpoint*/,
+                                               const Request& /*request*/) {
+    return nullptr;
+  }
 };
 
 /// Settings of a pool, from the service's configuration.
@@ -121,6 +130,8 @@
     bool counts_as_long = false;
     /// When it starts to count as long.
     TimePoint long_at = TimePoint::max();
+    /// What EndpointPoolHandler::TraceStatement returned.
+    std::shared_ptr<void> trace;
   };
   struct Transaction {
     ConnectionId connection = 0;
@@ -161,7 +172,8 @@
                Duration retry_after = Duration{0});
   std::size_t StartableForConnection() const;
   std::uint32_t LongSlots() const;
-  std::uint32_t TrialSlots() const;
+  std::uint32_t FrequentTrialSlots() const;
+  std::vector<std::uint64_t> RunningFingerprints() const;
 
   EndpointPoolOptions options_;
   EndpointPoolHandler& handler_;
--- a/src/core/route/forwarder.h
+++ b/src/core/route/forwarder.h
@@ -2,7 +2,9 @@
 #define CARAWAYHAVEN_CORE_ROUTE_FORWARDER_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -30,8 +32,15 @@
   Term term = 0;
   bool resolves = false;
   TimePoint sent_at;
+  /// What the ForwardTracer returned.
+  std::shared_ptr<void> trace;
 };
 
+/// Called before a request is sent to an owner; may replace its traceparent.
+/// The result is kept until the answer or until the request is given up.
+using ForwardTracer =
+    std::function<std::shared_ptr<void>(const VmName& owner, Request& request)>;
+
 /// Sends requests to pool owners and matches the replies to them. Correlation
 /// ids rise and never repeat, also not in a later process of the VM. Not
 /// thread-safe.
@@ -42,7 +51,7 @@
   /// process of this VM must not match; with microseconds as incarnation a
   /// process never uses up the ids before its successor's.
   Forwarder(const OwnerResolver& owners, PeerLink& peers,
-            std::uint64_t incarnation);
+            std::uint64_t incarnation, ForwardTracer tracer = {});
 
   /// Sends to the first owner in rendezvous order that takes the message and is
   /// not in `skipped`. Returns nothing when there is none; then nothing was
@@ -74,6 +83,7 @@
  private:
   const OwnerResolver& owners_;
   PeerLink& peers_;
+  ForwardTracer tracer_;
   CorrelationId next_correlation_;
   std::unordered_map<CorrelationId, ForwardLeg> legs_;
   std::map<VmName, std::set<CorrelationId>> legs_of_owner_;
