Pool: give up statements on connections that are known to be silent

Cause: only the deadline told that a connection with a statement in flight had gone silent, although the failure detector knew after about 500 ms that its own old connection was silent while a fresh one worked. The detector now reports it, and the owner's pool probes its free connections at once and gives up a statement after four times its usual run time; the front settles it by its request id. Ruled out: closing all connections at once, which would cut off long statements on connections that work.

--- a/src/core/group/failure_detector.cc
+++ b/src/core/group/failure_detector.cc
@@ -101,9 +101,11 @@
     probes_.pop_front();
   }
   if (connection == fresh_) {
+    const bool main_is_silent = main_ != 0 && main_open_;
     CloseConnection(main_);
     main_ = std::exchange(fresh_, 0);
     main_open_ = true;
+    if (main_is_silent) handler_.OnConnectionSilent(now);
   }
   misses_ = 0;
   SetSuspected(false, now);
--- a/src/core/group/failure_detector.h
+++ b/src/core/group/failure_detector.h
@@ -18,6 +18,9 @@
 
   virtual void OnSuspicionChanged(bool suspected, TimePoint now) = 0;
 
+  /// An open connection to the primary did not answer, but a fresh one does.
+  virtual void OnConnectionSilent(TimePoint now) = 0;
+
   /// The primary's address answered with a term higher than the watched one.
   virtual void OnHigherTermSeen(const EndpointAnswer& answer,
                                 TimePoint now) = 0;
--- a/src/core/group/group_monitor.cc
+++ b/src/core/group/group_monitor.cc
@@ -133,6 +133,10 @@
   if (!suspected) promoter_.Withdraw(now);
 }
 
+void GroupMonitor::OnConnectionSilent(TimePoint now) {
+  handler_.OnConnectionsSilent(directory_.ViewOf(service_).primary, now);
+}
+
 void GroupMonitor::OnHigherTermSeen(const EndpointAnswer& answer,
                                     TimePoint now) {
   promoter_.NoteTerm(answer.term);
--- a/src/core/group/group_monitor.h
+++ b/src/core/group/group_monitor.h
@@ -42,6 +42,10 @@
 
   /// True while a write of the service is sent and has no final outcome.
   virtual bool WritesInFlight(const ServiceName& service) = 0;
+
+  /// Open connections to the primary may have gone silent while new ones work.
+  virtual void OnConnectionsSilent(const EndpointName& /*endpoint*/,
+                                   TimePoint /*now*/) {}
 };
 
 /// Watches the group of one service on one VM and replaces its primary when
@@ -121,6 +125,7 @@
   };
 
   void OnSuspicionChanged(bool suspected, TimePoint now) override;
+  void OnConnectionSilent(TimePoint now) override;
   void OnHigherTermSeen(const EndpointAnswer& answer, TimePoint now) override;
   void OnPromoted(const GroupUpdateMessage& update, TimePoint now) override;
   void OnHoldWrites(TimePoint now) override;
--- a/src/core/queue/connection_pool.cc
+++ b/src/core/queue/connection_pool.cc
@@ -60,6 +60,13 @@
   link_.Close(id);
 }
 
+void ConnectionPool::ProbeFree(TimePoint now) {
+  const std::vector<ConnectionId> free = free_;
+  for (ConnectionId id : free) {
+    SetState(id, connections_.at(id), State::kFree, now);
+  }
+}
+
 void ConnectionPool::Drain() {
   draining_ = true;
   std::vector<ConnectionId> unused;
--- a/src/core/queue/connection_pool.h
+++ b/src/core/queue/connection_pool.h
@@ -56,6 +56,9 @@
   /// Closes the connection for good.
   void Close(ConnectionId id);
 
+  /// Makes the heartbeats of all free connections due now.
+  void ProbeFree(TimePoint now);
+
   /// Closes all free connections and opens no more.
   void Drain();
 
--- a/src/core/queue/endpoint_pool.cc
+++ b/src/core/queue/endpoint_pool.cc
@@ -93,6 +93,23 @@
          });
 }
 
+void EndpointPool::SuspectConnections(TimePoint now) {
+  for (auto& [id, running] : running_) {
+    suspects_.insert(id);
+    running.give_up_at = GiveUpAt(running, now);
+  }
+  for (const auto& [id, transaction] : transaction_of_) suspects_.insert(id);
+  connections_.ProbeFree(now);
+  Tick(now);
+}
+
+TimePoint EndpointPool::GiveUpAt(const Running& running, TimePoint now) const {
+  const Duration usual = costs_.Estimate(running.work.fingerprint).p90;
+  const Duration limit =
+      std::max(kSilentCostFactor * usual, ConnectionPool::kHeartbeatTimeout);
+  return std::max(running.started + limit, now);
+}
+
 void EndpointPool::Drain(TimePoint now) {
   if (draining_) return;
   draining_ = true;
@@ -151,7 +168,7 @@
   for (const auto& [id, running] : running_) {
     const TimePoint deadline = running.work.request.deadline;
     next =
-        std::min({next, running.long_at,
+        std::min({next, running.long_at, running.give_up_at,
                   running.work.done ? deadline : deadline + kLateAnswerGrace});
   }
   if (connections_.FirstHeldAt() != TimePoint::max()) {
@@ -199,6 +216,7 @@
        MutationEnabled(Mutation::kAcceptForeignAnswer))) {
     Running running = std::move(found->second);
     running_.erase(found);
+    suspects_.erase(connection);
     if (running.counts_as_long) --running_long_;
     Finish(connection, std::move(running), answer, now);
   } else if (!connections_.Contains(connection) ||
@@ -418,6 +436,7 @@
     running.long_at = now + limit;
   }
   running.work = std::move(work);
+  if (suspects_.contains(id)) running.give_up_at = GiveUpAt(running, now);
   running_.emplace(id, std::move(running));
 }
 
@@ -487,6 +506,7 @@
 
 void EndpointPool::TickRunning(TimePoint now) {
   std::vector<ConnectionId> silent;
+  std::vector<ConnectionId> lost;
   for (auto& [id, running] : running_) {
     if (running.long_at <= now) {
       running.long_at = TimePoint::max();
@@ -497,6 +517,10 @@
         costs_.ObserveRunning(running.work.fingerprint, now - running.started);
       }
     }
+    if (running.give_up_at <= now) {
+      lost.push_back(id);
+      continue;
+    }
     const TimePoint deadline = running.work.request.deadline;
     if (deadline > now) continue;
     const bool uncommitted = transaction_of_.contains(id) &&
@@ -511,6 +535,10 @@
     ++totals_.silent_connections;
     CloseConnection(id, Reason::kDeadline);
   }
+  for (ConnectionId id : lost) {
+    ++totals_.silent_connections;
+    CloseConnection(id, Reason::kConnectionLost);
+  }
 }
 
 void EndpointPool::TickTransactions(TimePoint now) {
@@ -549,6 +577,7 @@
 
 void EndpointPool::CloseConnection(ConnectionId id, Reason reason) {
   connections_.Close(id);
+  suspects_.erase(id);
   const auto found = running_.find(id);
   if (found != running_.end()) {
     Running running = std::move(found->second);
--- a/src/core/queue/endpoint_pool.h
+++ b/src/core/queue/endpoint_pool.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -72,6 +73,10 @@
   // An answer that is just late leaves the connection usable; after that the
   // connection counts as silent.
   static constexpr Duration kLateAnswerGrace = std::chrono::milliseconds(250);
+  // On a suspected connection a statement is given up after this many times
+  // the P90 of its run time: a slow run is rarely beyond it, and a statement
+  // that was cut off in error is only settled by its request id.
+  static constexpr int kSilentCostFactor = 4;
 
   /// `link` and `handler` must outlive the pool.
   EndpointPool(EndpointPoolOptions options, EndpointLink& link,
@@ -99,6 +104,11 @@
   /// is open.
   bool HasWritesInFlight() const;
 
+  /// Open connections of another user of the endpoint have gone silent while
+  /// new ones work. Probes the free connections at once, and gives up a
+  /// statement on an older connection well before its deadline.
+  void SuspectConnections(TimePoint now);
+
   /// Ends with kNotRun all that waits and takes no new work; what is in flight
   /// goes on. Open transactions go on until their caller ends them, at most
   /// for `drain_timeout`.
@@ -130,6 +140,8 @@
     bool counts_as_long = false;
     /// When it starts to count as long.
     TimePoint long_at = TimePoint::max();
+    /// When its connection counts as silent, if connections are suspected.
+    TimePoint give_up_at = TimePoint::max();
     /// What EndpointPoolHandler::TraceStatement returned.
     std::shared_ptr<void> trace;
   };
@@ -161,6 +173,7 @@
   void SettleConnection(ConnectionId id, const Request& request,
                         EndpointStatus status, TimePoint now);
   void TickRunning(TimePoint now);
+  TimePoint GiveUpAt(const Running& running, TimePoint now) const;
   void TickTransactions(TimePoint now);
   void ReclaimTransactions(std::size_t wanted, TimePoint now);
   /// Closes the connection and ends its statement and its transaction.
@@ -193,6 +206,8 @@
   /// At most one for each slot.
   std::map<ConnectionId, Running> running_;
   std::uint32_t running_long_ = 0;
+  /// Connections in use that may be silent; an answer clears one.
+  std::set<ConnectionId> suspects_;
   /// First runs go before aged long work the next time.
   bool trial_turn_ = true;
   Transactions transactions_;
--- a/src/proxy/pool_set.cc
+++ b/src/proxy/pool_set.cc
@@ -129,6 +129,11 @@
   });
 }
 
+void PoolSet::OnConnectionsSilent(std::string_view endpoint, TimePoint now) {
+  const auto found = pools_.find(endpoint);
+  if (found != pools_.end()) found->second.pool->SuspectConnections(now);
+}
+
 bool PoolSet::IsLeaving(std::string_view endpoint) const {
   const auto found = pools_.find(endpoint);
   return found != pools_.end() && found->second.leaving_since.has_value();
--- a/src/proxy/pool_set.h
+++ b/src/proxy/pool_set.h
@@ -59,6 +59,9 @@
   void ReleaseWrites(std::string_view service, TimePoint now);
   bool WritesInFlight(std::string_view service) const;
 
+  /// Open connections to the endpoint may have gone silent.
+  void OnConnectionsSilent(std::string_view endpoint, TimePoint now);
+
   /// True when the endpoint's configuration or one of its answers says that it
   /// leaves.
   bool IsLeaving(std::string_view endpoint) const;
--- a/src/proxy/proxy_process.cc
+++ b/src/proxy/proxy_process.cc
@@ -206,6 +206,11 @@
   pools_.ReleaseWrites(service, now);
 }
 
+void ProxyProcess::OnConnectionsSilent(const EndpointName& endpoint,
+                                       TimePoint now) {
+  pools_.OnConnectionsSilent(endpoint, now);
+}
+
 bool ProxyProcess::WritesInFlight(const ServiceName& service) {
   return pools_.WritesInFlight(service);
 }
--- a/src/proxy/proxy_process.h
+++ b/src/proxy/proxy_process.h
@@ -62,6 +62,8 @@
   void HoldWrites(const ServiceName& service, TimePoint now) override;
   void ReleaseWrites(const ServiceName& service, TimePoint now) override;
   bool WritesInFlight(const ServiceName& service) override;
+  void OnConnectionsSilent(const EndpointName& endpoint,
+                           TimePoint now) override;
 
   void OnVmList(const std::vector<StoredObject>& objects);
   void OnGroupList(const std::vector<StoredObject>& objects);
--- a/test/group/fake_endpoint_group.h
+++ b/test/group/fake_endpoint_group.h
@@ -235,6 +235,8 @@
   bool holding = false;
   bool writes_in_flight = false;
   int promotions = 0;
+  /// Endpoints whose connections were reported as silent.
+  std::vector<EndpointName> silent_reports;
 
  private:
   void OnGroupChanged(const GroupUpdateMessage& update, TimePoint now) override;
@@ -246,6 +248,9 @@
     holding = false;
   }
   bool WritesInFlight(const ServiceName&) override { return writes_in_flight; }
+  void OnConnectionsSilent(const EndpointName& endpoint, TimePoint) override {
+    silent_reports.push_back(endpoint);
+  }
   void Arm();
 
   VirtualTime& time_;
--- a/test/group/group_monitor_test.cc
+++ b/test/group/group_monitor_test.cc
@@ -229,6 +229,26 @@
   EXPECT_EQ(promotions, 1);
 }
 
+// Guards against a pool that goes on with connections that its VM knows to be
+// silent, and against a report for a primary that is merely slow or down.
+TEST_F(GroupOfThree, ConnectionsGoSilentIsReportedWithinOneSecond) {
+  const EndpointName primary = world_.group[world_.group.CurrentPrimary()].name;
+  for (const auto& vm : world_.vms) EXPECT_TRUE(vm->silent_reports.empty());
+  world_.group.Silence(world_.group.CurrentPrimary());
+  world_.RunFor(seconds(1));
+  // The VMs that own an endpoint probe the primary; the last one owns none.
+  for (std::size_t i = 0; i < 3; ++i) {
+    EXPECT_EQ(world_.vms[i]->silent_reports,
+              std::vector<EndpointName>{primary});
+  }
+}
+
+TEST_F(GroupOfThree, PrimaryIsDownReportsNoSilentConnections) {
+  world_.group.Crash(0);
+  world_.RunFor(seconds(5));
+  for (const auto& vm : world_.vms) EXPECT_TRUE(vm->silent_reports.empty());
+}
+
 // Guards against a promotion that no majority carries.
 TEST_F(GroupOfThree, PrimaryAndReplicaAreDownRecoversOnReturn) {
   world_.group.Crash(0);
--- a/test/history/fake_proxies.cc
+++ b/test/history/fake_proxies.cc
@@ -169,6 +169,12 @@
   for (auto& [endpoint, pool] : pools_) pool->Release(now);
 }
 
+void FakeProxy::OnConnectionsSilent(const EndpointName& endpoint,
+                                    TimePoint now) {
+  const auto found = pools_.find(endpoint);
+  if (found != pools_.end()) found->second->SuspectConnections(now);
+}
+
 bool FakeProxy::WritesInFlight(const ServiceName& /*service*/) {
   return std::any_of(pools_.begin(), pools_.end(), [](const auto& entry) {
     return entry.second->HasWritesInFlight();
--- a/test/history/fake_proxies.h
+++ b/test/history/fake_proxies.h
@@ -62,6 +62,8 @@
   void HoldWrites(const ServiceName&, TimePoint now) override;
   void ReleaseWrites(const ServiceName&, TimePoint now) override;
   bool WritesInFlight(const ServiceName&) override;
+  void OnConnectionsSilent(const EndpointName& endpoint,
+                           TimePoint now) override;
   void OnEndpointAnswer(const EndpointName& endpoint,
                         const EndpointAnswer& answer, TimePoint now) override;
   void OnForward(const VmName& from, const ForwardMessage& message);
--- a/test/queue/endpoint_pool_test.cc
+++ b/test/queue/endpoint_pool_test.cc
@@ -327,6 +327,43 @@
   EXPECT_TRUE(link_.closed.empty());
 }
 
+// Guards against a statement on a silent connection that waits for its
+// deadline although it is known that connections went silent.
+TEST_F(EndpointPoolTest, ConnectionsAreSuspectedSilentStatementIsGivenUp) {
+  LearnReads();
+  const auto read = Submit(Read());
+  const ConnectionId silent = link_.sent.back().connection;
+  Advance(milliseconds(100), true);
+  pool_->SuspectConnections(now_);
+  Advance(milliseconds(300), true);
+  ExpectOutcome(read, Verdict::kMayHaveRun, Reason::kConnectionLost);
+  EXPECT_TRUE(link_.closed.contains(silent));
+}
+
+// Guards against long work that is cut off by the loss of other connections.
+TEST_F(EndpointPoolTest, ConnectionsAreSuspectedKnownLongStatementGoesOn) {
+  for (int i = 0; i < 30; ++i) {
+    Submit(Read());
+    const FakeEndpoint::Sent sent = link_.sent.back();
+    Advance(milliseconds(400));
+    FakeEndpoint::Answer(*pool_, sent, now_);
+  }
+  const auto read = Submit(Read());
+  const FakeEndpoint::Sent sent = link_.sent.back();
+  pool_->SuspectConnections(now_);
+  Advance(milliseconds(1000));
+  FakeEndpoint::Answer(*pool_, sent, now_);
+  ExpectOutcome(read, Verdict::kRan, Reason::kNone);
+}
+
+// Guards against new statements on free connections that went silent too.
+TEST_F(EndpointPoolTest, ConnectionsAreSuspectedFreeOnesAreProbedAtOnce) {
+  const std::set<ConnectionId> before = link_.open;
+  pool_->SuspectConnections(now_);
+  Advance(milliseconds(300), true);
+  EXPECT_EQ(link_.closed, before);
+}
+
 // Guards against requests that wait for an endpoint that refuses connections.
 TEST_F(EndpointPoolTest, OpeningKeepsFailingWaitingRequestsEndNotRun) {
   const std::set<ConnectionId> open = link_.open;
