Tests for a longer log of an older term and for failed ends of transactions; lint

The faults promote_longest_log and reuse_unknown_connection were not noticed by any test; GroupOfThree.LongerLogOfOlderTermIsNotPromoted and EndpointPoolWithTransactionEnd notice them (scripts/mutations).

--- a/src/wire/peer_codec.cc
+++ b/src/wire/peer_codec.cc
@@ -197,8 +197,9 @@
   request.access = DecodeEnum(from.access(), AccessMode::kWrite);
   request.idempotent = from.idempotent();
   request.id = {Text(from.request_id()), from.attempt()};
-  if (from.max_age_us() >= 0)
+  if (from.max_age_us() >= 0) {
     request.max_age = DecodeDuration(from.max_age_us());
+  }
   request.deadline = now + DecodeDuration(from.time_left_us());
   request.min_position = Decode(from.min_position());
   request.transaction = Text(from.transaction());
--- a/test/cli/commands_test.cc
+++ b/test/cli/commands_test.cc
@@ -70,7 +70,7 @@
     std::string name =
         testing::UnitTest::GetInstance()->current_test_info()->name();
     std::replace(name.begin(), name.end(), '/', '-');
-    const std::string path =
+    std::string path =
         testing::TempDir() + "commands_test_" + std::to_string(getpid()) + name;
     std::ofstream(path) << text;
     return path;
--- a/test/group/group_monitor_test.cc
+++ b/test/group/group_monitor_test.cc
@@ -263,6 +263,26 @@
   CheckSettled(world_);
 }
 
+// Guards against a promotion by the length of the log alone: the entries of a
+// replaced primary that nobody confirmed would win over acknowledged ones.
+TEST_F(GroupOfThree, LongerLogOfOlderTermIsNotPromoted) {
+  world_.group[0].cut = true;
+  world_.RunFor(seconds(5));
+  const std::size_t second = world_.group.CurrentPrimary();
+  ASSERT_EQ(world_.group[second].term, 2U);
+  FakeEndpoint::Entry unconfirmed;
+  unconfirmed.term = 1;
+  world_.group[0].log.resize(world_.group[second].log.size() + 1000,
+                             unconfirmed);
+  world_.group.Crash(second);
+  world_.RunFor(seconds(8));
+  EXPECT_EQ(world_.group.CurrentPrimary(), 3 - second);
+  world_.group.Restore(0);
+  world_.group.Restore(second);
+  world_.RunFor(seconds(10));
+  CheckSettled(world_);
+}
+
 // Guards against a group that stays blocked when the endpoint that was chosen
 // fails between fence and promotion: the majority that is left includes the
 // old primary.
--- a/test/mutation_environment.cc
+++ b/test/mutation_environment.cc
@@ -48,7 +48,7 @@
   std::exit(2);
 }
 
-const bool is_set = SetMutation();
+const bool kIsSet = SetMutation();
 
 }  // namespace
 }  // namespace carawayhaven
--- a/test/net/caller_server_test.cc
+++ b/test/net/caller_server_test.cc
@@ -50,7 +50,8 @@
     return socket;
   }
   void Send(const std::shared_ptr<WebSocketConnection>& socket,
-            const char* type, std::uint64_t id, json more = json::object()) {
+            const char* type, std::uint64_t id,
+            const json& more = json::object()) {
     json message = {
         {"type", type}, {"id", id}, {"service", "s"}, {"statement", "get"}};
     message.update(more);
--- a/test/queue/endpoint_pool_test.cc
+++ b/test/queue/endpoint_pool_test.cc
@@ -327,6 +327,24 @@
   EXPECT_TRUE(link_.closed.empty());
 }
 
+class EndpointPoolWithTransactionEnd
+    : public EndpointPoolTest,
+      public testing::WithParamInterface<RequestKind> {};
+
+// Guards against a connection that runs the statements of others while its
+// endpoint may still hold the transaction open.
+TEST_P(EndpointPoolWithTransactionEnd, EndFailsConnectionIsClosed) {
+  Begin("t");
+  const ConnectionId connection = link_.sent.back().connection;
+  Submit(InTransaction(GetParam(), "t"));
+  AnswerLast(EndpointStatus::kError);
+  EXPECT_TRUE(link_.closed.contains(connection));
+}
+
+INSTANTIATE_TEST_SUITE_P(Ends, EndpointPoolWithTransactionEnd,
+                         testing::Values(RequestKind::kCommit,
+                                         RequestKind::kRollback));
+
 // Guards against a statement on a silent connection that waits for its
 // deadline although it is known that connections went silent.
 TEST_F(EndpointPoolTest, ConnectionsAreSuspectedSilentStatementIsGivenUp) {
--- a/test/wire/endpoint_codec_test.cc
+++ b/test/wire/endpoint_codec_test.cc
@@ -48,10 +48,10 @@
 
 // Guards against a field that one side forgets or confuses with another.
 TEST(EndpointCodec, CommandKeepsItsFields) {
-  for (int operation = 0; operation <= int(EndpointOperation::kFollow);
-       ++operation) {
+  for (int operation = 0;
+       operation <= static_cast<int>(EndpointOperation::kFollow); ++operation) {
     EndpointCommand sent = FullCommand();
-    sent.operation = EndpointOperation(operation);
+    sent.operation = static_cast<EndpointOperation>(operation);
     const EndpointCommand got =
         DecodeEndpointCommand(EncodeEndpointCommand(sent));
     EXPECT_EQ(got.operation, sent.operation);
@@ -69,9 +69,10 @@
 }
 
 TEST(EndpointCodec, AnswerKeepsItsFields) {
-  for (int status = 0; status <= int(EndpointStatus::kError); ++status) {
+  for (int status = 0; status <= static_cast<int>(EndpointStatus::kError);
+       ++status) {
     EndpointAnswer sent = FullAnswer();
-    sent.status = EndpointStatus(status);
+    sent.status = static_cast<EndpointStatus>(status);
     const EndpointAnswer got = DecodeEndpointAnswer(EncodeEndpointAnswer(sent));
     EXPECT_EQ(got.correlation, sent.correlation);
     EXPECT_EQ(got.status, sent.status);
--- a/test/wire/peer_codec_test.cc
+++ b/test/wire/peer_codec_test.cc
@@ -32,21 +32,22 @@
   }
   void operator()(const ForwardMessage& m) {
     const Request& r = m.request;
-    Add("forward", m.correlation, m.endpoint, m.term, int(r.kind), r.service,
-        r.team, r.statement, r.parameters, int(r.access), r.idempotent,
-        r.id.value, r.id.attempt, r.max_age ? r.max_age->count() : -1,
+    Add("forward", m.correlation, m.endpoint, m.term, static_cast<int>(r.kind),
+        r.service, r.team, r.statement, r.parameters,
+        static_cast<int>(r.access), r.idempotent, r.id.value, r.id.attempt,
+        r.max_age ? r.max_age->count() : -1,
         r.deadline.time_since_epoch().count(), r.min_position.term,
         r.min_position.index, r.transaction, r.traceparent);
   }
   void operator()(const ForwardReplyMessage& m) {
     const Outcome& o = m.outcome;
-    Add("reply", m.correlation, m.term, int(o.verdict), int(o.reason),
-        o.payload, o.position.term, o.position.index, o.served_by,
-        o.from_replica, o.retry_after.count());
+    Add("reply", m.correlation, m.term, static_cast<int>(o.verdict),
+        static_cast<int>(o.reason), o.payload, o.position.term,
+        o.position.index, o.served_by, o.from_replica, o.retry_after.count());
   }
   void operator()(const VmRecord& r) {
     Add(r.vm, r.data_centre, r.address, r.incarnation, r.sequence,
-        int(r.state));
+        static_cast<int>(r.state));
   }
   void operator()(const HeartbeatMessage& m) {
     Add("heartbeat", m.digest.count, m.digest.hash, m.reply);
@@ -173,16 +174,16 @@
     return EncodePeerMessage(message, kNow);
   };
   HeartbeatMessage heartbeat;
-  heartbeat.sender.state = VmState(4);
+  heartbeat.sender.state = static_cast<VmState>(4);
   const Duration endless{std::numeric_limits<std::int64_t>::max() / 2};
   const std::vector<Bytes> refused = {
-      forward_with([](Request& r) { r.kind = RequestKind(5); }),
-      forward_with([](Request& r) { r.access = AccessMode(2); }),
+      forward_with([](Request& r) { r.kind = static_cast<RequestKind>(5); }),
+      forward_with([](Request& r) { r.access = static_cast<AccessMode>(2); }),
       forward_with([&](Request& r) { r.deadline = kNow + endless; }),
       forward_with([&](Request& r) { r.deadline = kNow - endless; }),
       forward_with([&](Request& r) { r.max_age = endless; }),
-      reply_with(Verdict(3), Reason::kNone),
-      reply_with(Verdict::kRan, Reason(16)),
+      reply_with(static_cast<Verdict>(3), Reason::kNone),
+      reply_with(Verdict::kRan, static_cast<Reason>(16)),
       EncodePeerMessage(heartbeat, kNow)};
   for (const Bytes& bytes : refused) {
     EXPECT_THROW(DecodePeerMessage(bytes, kNow), DecodeError);
@@ -206,7 +207,8 @@
   for (const PeerMessage& message : Messages()) {
     const Bytes whole = EncodePeerMessage(message, kNow);
     for (std::size_t size = 0; size < whole.size(); ++size) {
-      Decodes(Bytes(whole.begin(), whole.begin() + std::ptrdiff_t(size)));
+      Decodes(Bytes(whole.begin(),
+                    whole.begin() + static_cast<std::ptrdiff_t>(size)));
     }
     EXPECT_FALSE(Decodes(Bytes(whole.begin(), whole.begin() + 4)));
     for (std::size_t bit = 0; bit < whole.size() * 8; ++bit) {
--- a/util/load/final_check.cc
+++ b/util/load/final_check.cc
@@ -50,8 +50,8 @@
 }
 
 void FinalCheck::OnClose(const std::shared_ptr<WebSocketConnection>& socket) {
-  if (socket == socket_)
-    context_.loop.RunAfter(kRetryDelay, [this] { Start(); });
+  if (socket != socket_) return;
+  context_.loop.RunAfter(kRetryDelay, [this] { Start(); });
 }
 
 void FinalCheck::ReadNext() {
