Bound the store calls and the owner computations after large events

PrefixWatcher retried every 500 ms without jitter: 830 VMs that start while the store is down made 3,300 calls a second (calc.), above its 2,000; it now backs off from 0.5 to 8 s with jitter, about 280 calls a second (calc.), and renews a watch at most each 250 ms. The owners of all pools are computed at most once in 250 ms: 138 changes after the loss of a data centre took 20% of a core for 7 s (calc.), now 4%.

--- a/src/proxy/prefix_watcher.cc
+++ b/src/proxy/prefix_watcher.cc
@@ -1,23 +1,38 @@
 #include "proxy/prefix_watcher.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace carawayhaven {
 
 PrefixWatcher::PrefixWatcher(PlatformStore& store, std::string prefix,
+                             std::mt19937_64& random,
                              std::function<bool()> is_watcher,
                              ObjectsCallback on_objects)
     : store_(store),
       prefix_(std::move(prefix)),
+      random_(random),
       is_watcher_(std::move(is_watcher)),
       on_objects_(std::move(on_objects)),
       alive_(std::make_shared<PrefixWatcher*>(this)) {}
 
 void PrefixWatcher::Tick(TimePoint now) {
   if (now < next_) return;
-  next_ = now + (listed_ ? kRoleCheckInterval : kRetryInterval);
-  if (pending_ || (listed_ && !is_watcher_())) return;
-  pending_ = true;
+  if (failed_) {
+    failed_ = false;
+    std::uniform_int_distribution<Duration::rep> jitter(backoff_.count() / 2,
+                                                        backoff_.count());
+    next_ = now + Duration(jitter(random_));
+    backoff_ = std::min(2 * backoff_, kLastRetry);
+    return;
+  }
+  if (listed_ && !is_watcher_()) {
+    next_ = now + kRoleCheckInterval;
+    return;
+  }
+  // Until the reply there is nothing to do.
+  next_ = TimePoint::max();
+  renew_at_ = now + kRenewInterval;
   store_.Watch(prefix_, revision_,
                [alive = std::weak_ptr(alive_)](const StoreReply& reply) {
                  if (const auto self = alive.lock()) (*self)->OnReply(reply);
@@ -25,12 +40,15 @@
 }
 
 void PrefixWatcher::OnReply(const StoreReply& reply) {
-  pending_ = false;
-  if (reply.status != StoreStatus::kOk) return;
+  if (reply.status != StoreStatus::kOk) {
+    failed_ = true;
+    next_ = TimePoint::min();
+    return;
+  }
   listed_ = true;
+  backoff_ = kFirstRetry;
   revision_ = reply.revision;
-  // The next watch starts at the end of this round.
-  next_ = TimePoint::min();
+  next_ = renew_at_;
   on_objects_(reply.objects);
 }
 
--- a/src/proxy/prefix_watcher.h
+++ b/src/proxy/prefix_watcher.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -15,17 +16,24 @@
 /// on watches it while this VM has that role. Not thread-safe.
 class PrefixWatcher {
  public:
-  /// Pause after a call that failed; with two watchers in each of 6 data
-  /// centres this is 24 calls a second while the store is down.
-  static constexpr Duration kRetryInterval = std::chrono::milliseconds(500);
+  /// Bounds of the pause after a call that failed, doubled each time and with
+  /// jitter: 830 VMs that start while the store is down would otherwise make
+  /// more calls than it takes in a second when it is back.
+  static constexpr Duration kFirstRetry = std::chrono::milliseconds(500);
+  static constexpr Duration kLastRetry = std::chrono::seconds(8);
+  /// Least time between two watches. A lost data centre changes hundreds of
+  /// objects within seconds, and each change ends the watches of all watchers.
+  static constexpr Duration kRenewInterval = std::chrono::milliseconds(250);
   static constexpr Duration kRoleCheckInterval = std::chrono::seconds(1);
 
   using ObjectsCallback = std::function<void(const std::vector<StoredObject>&)>;
 
-  /// `store` must outlive the watcher. `is_watcher` tells whether this VM
-  /// keeps a watch pending; a waiting watch counts as a call of the store.
+  /// `store` and `random` must outlive the watcher. `is_watcher` tells whether
+  /// this VM keeps a watch pending; a waiting watch counts as a call of the
+  /// store.
   PrefixWatcher(PlatformStore& store, std::string prefix,
-                std::function<bool()> is_watcher, ObjectsCallback on_objects);
+                std::mt19937_64& random, std::function<bool()> is_watcher,
+                ObjectsCallback on_objects);
 
   void Tick(TimePoint now);
   TimePoint NextTick() const { return next_; }
@@ -35,12 +43,16 @@
 
   PlatformStore& store_;
   std::string prefix_;
+  std::mt19937_64& random_;
   std::function<bool()> is_watcher_;
   ObjectsCallback on_objects_;
   std::shared_ptr<PrefixWatcher*> alive_;
   ObjectVersion revision_ = 0;
   TimePoint next_ = TimePoint::min();
-  bool pending_ = false;
+  TimePoint renew_at_;
+  Duration backoff_ = kFirstRetry;
+  /// The last call failed; its pause is drawn in the next Tick.
+  bool failed_ = false;
   bool listed_ = false;
 };
 
--- a/src/proxy/proxy_process.cc
+++ b/src/proxy/proxy_process.cc
@@ -25,6 +25,10 @@
 constexpr Duration kLeavingCheckInterval = std::chrono::milliseconds(250);
 // Peers to which news of a group is sent on, as for the configuration.
 constexpr std::size_t kGroupUpdateFanOut = 6;
+// Least time between two computations of all owners. One takes about 10 ms with
+// 830 VMs and 1,200 databases, and a lost data centre makes 138 changes within
+// seconds.
+constexpr Duration kChangesInterval = std::chrono::milliseconds(250);
 constexpr Duration kIdlePoll = std::chrono::milliseconds(20);
 // Beyond the time of open transactions, for the last answers.
 constexpr Duration kDrainMargin = std::chrono::seconds(2);
@@ -85,10 +89,10 @@
       distributor_(configs_, platform_, peers_, membership_, random_),
       submitter_(configs_, distributor_, platform_, random_),
       vm_list_(
-          platform_, kVmPrefix, [this] { return IsWatcher(); },
+          platform_, kVmPrefix, random_, [this] { return IsWatcher(); },
           [this](const auto& objects) { OnVmList(objects); }),
       group_list_(
-          platform_, kGroupPrefix, [this] { return IsWatcher(); },
+          platform_, kGroupPrefix, random_, [this] { return IsWatcher(); },
           [this](const auto& objects) { OnGroupList(objects); }),
       front_(configs_, groups_, membership_, peers_, random_,
              MakeFrontOptions(settings, incarnation_, groups_, tracing_)),
@@ -279,18 +283,22 @@
   const TimePoint next = std::min(
       {vm_list_.NextTick(), group_list_.NextTick(), membership_.NextTick(),
        distributor_.NextTick(), submitter_.NextTick(), group_set_.NextTick(),
-       front_.NextTick(), pools_.NextTick(), next_leaving_check_});
+       front_.NextTick(), pools_.NextTick(), next_leaving_check_,
+       HasUnnotedChanges() ? next_changes_ : TimePoint::max()});
   if (armed_for_ <= next) return;
   armed_for_ = std::max(next, now);
   // Only wakes the loop; the work is done at the end of the round.
   loop_.RunAfter(armed_for_ - now, [] {});
 }
 
+bool ProxyProcess::HasUnnotedChanges() const {
+  return membership_.revision() != seen_revision_ ||
+         configs_.digest() != seen_digest_;
+}
+
 void ProxyProcess::NoteChanges(TimePoint now) {
-  if (membership_.revision() == seen_revision_ &&
-      configs_.digest() == seen_digest_) {
-    return;
-  }
+  if (!HasUnnotedChanges() || now < next_changes_) return;
+  next_changes_ = now + kChangesInterval;
   seen_revision_ = membership_.revision();
   seen_digest_ = configs_.digest();
   LogPeerStates();
--- a/src/proxy/proxy_process.h
+++ b/src/proxy/proxy_process.h
@@ -72,6 +72,7 @@
   /// changed configuration or membership.
   void OnRound();
   void NoteChanges(TimePoint now);
+  bool HasUnnotedChanges() const;
   void GiveUpLostVms(TimePoint now);
   void LogPeerStates();
   void LogConfigurations();
@@ -103,6 +104,7 @@
   HttpServer admin_server_;
   std::unique_ptr<CallerServer> callers_;
   TimePoint next_leaving_check_;
+  TimePoint next_changes_;
   TimePoint armed_for_ = TimePoint::max();
   std::uint64_t seen_revision_ = 0;
   ConfigDigest seen_digest_;
