--- a/src/net/peer_transport.cc
+++ b/src/net/peer_transport.cc
@@ -7,6 +7,7 @@
 #include "net/address.h"
 #include "net/event_loop.h"
 #include "net/peer_connection.h"
+#include "net/socket_owner.h"
 #include "wire/peer_codec.h"
 
 namespace carawayhaven {
@@ -15,10 +16,6 @@
 constexpr char kProtocolName[] = "peer";
 constexpr size_t kReceiveBufferBytes = 64 * 1024;
 
-PeerConnection* ConnectionOf(lws* wsi) {
-  return static_cast<PeerConnection*>(lws_get_opaque_user_data(wsi));
-}
-
 }  // namespace
 
 PeerTransport::PeerTransport(EventLoop& loop, HelloMessage self,
@@ -97,7 +94,7 @@
 
 int PeerTransport::HandleEvent(lws* wsi, lws_callback_reasons reason,
                                void* /*user*/, void* in, size_t length) {
-  PeerConnection* connection = ConnectionOf(wsi);
+  auto* connection = ConnectionOf<PeerConnection>(wsi);
   switch (reason) {
     case LWS_CALLBACK_RAW_ADOPT: {
       if (connection != nullptr) return 0;
@@ -123,14 +120,7 @@
     case LWS_CALLBACK_RAW_CLOSE:
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
     case LWS_CALLBACK_WSI_DESTROY:
-      if (connection != nullptr) {
-        lws_set_opaque_user_data(wsi, nullptr);
-        if (EventLoop::IsClosing(wsi)) {
-          connection->Discard();
-        } else {
-          connection->HandleClose();
-        }
-      }
+      EndConnectionOf<PeerConnection>(wsi);
       return 0;
     default:
       return 0;
--- a/src/net/websocket_client.cc
+++ b/src/net/websocket_client.cc
@@ -6,6 +6,7 @@
 #include "carawayhaven/exceptions.h"
 #include "net/address.h"
 #include "net/event_loop.h"
+#include "net/socket_owner.h"
 
 namespace carawayhaven {
 namespace {
@@ -13,21 +14,6 @@
 constexpr char kProtocolName[] = "carawayhaven";
 constexpr size_t kReceiveBufferBytes = 16 * 1024;
 
-WebSocketConnection* ConnectionOf(lws* wsi) {
-  return static_cast<WebSocketConnection*>(lws_get_opaque_user_data(wsi));
-}
-
-void CloseConnection(lws* wsi) {
-  if (WebSocketConnection* connection = ConnectionOf(wsi)) {
-    lws_set_opaque_user_data(wsi, nullptr);
-    if (EventLoop::IsClosing(wsi)) {
-      connection->Discard();
-    } else {
-      connection->HandleClose();
-    }
-  }
-}
-
 }  // namespace
 
 WebSocketClient::WebSocketClient(EventLoop& loop)
@@ -77,22 +63,19 @@
 
 int WebSocketClient::HandleEvent(lws* wsi, lws_callback_reasons reason,
                                  void* /*user*/, void* in, size_t length) {
+  auto* connection = ConnectionOf<WebSocketConnection>(wsi);
   switch (reason) {
     case LWS_CALLBACK_CLIENT_ESTABLISHED:
-      ConnectionOf(wsi)->HandleOpen();
+      connection->HandleOpen();
       return 0;
-    case LWS_CALLBACK_CLIENT_RECEIVE: {
-      const bool final = lws_is_final_fragment(wsi) != 0 &&
-                         lws_remaining_packet_payload(wsi) == 0;
-      const std::string_view part(static_cast<const char*>(in), length);
-      return ConnectionOf(wsi)->HandleReceive(part, final) ? 0 : -1;
-    }
+    case LWS_CALLBACK_CLIENT_RECEIVE:
+      return connection->HandleReceive(ReceivedPart(wsi, in, length)) ? 0 : -1;
     case LWS_CALLBACK_CLIENT_WRITEABLE:
-      return ConnectionOf(wsi)->HandleWritable() ? 0 : -1;
+      return connection->HandleWritable() ? 0 : -1;
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
     case LWS_CALLBACK_CLIENT_CLOSED:
     case LWS_CALLBACK_WSI_DESTROY:
-      CloseConnection(wsi);
+      EndConnectionOf<WebSocketConnection>(wsi);
       return 0;
     default:
       return 0;
--- a/src/net/websocket_connection.cc
+++ b/src/net/websocket_connection.cc
@@ -13,6 +13,12 @@
 
 }  // namespace
 
+MessagePart ReceivedPart(lws* wsi, const void* in, std::size_t length) {
+  return {std::string_view(static_cast<const char*>(in), length),
+          lws_is_final_fragment(wsi) != 0 &&
+              lws_remaining_packet_payload(wsi) == 0};
+}
+
 WebSocketConnection::WebSocketConnection(WebSocketHandler& handler)
     : handler_(handler) {}
 
@@ -60,12 +66,12 @@
   if (!outgoing_.empty() || close_after_send_) lws_callback_on_writable(wsi_);
 }
 
-bool WebSocketConnection::HandleReceive(std::string_view part, bool final) {
+bool WebSocketConnection::HandleReceive(const MessagePart& part) {
   if (aborted_) return false;
   if (close_after_send_) return true;
-  if (incoming_.size() + part.size() > kMaxMessageBytes) return false;
-  incoming_.append(part);
-  if (!final) return true;
+  if (incoming_.size() + part.text.size() > kMaxMessageBytes) return false;
+  incoming_.append(part.text);
+  if (!part.final) return true;
   const std::string message = std::move(incoming_);
   incoming_.clear();
   handler_.OnMessage(shared_from_this(), message);
--- a/src/net/websocket_connection.h
+++ b/src/net/websocket_connection.h
@@ -30,6 +30,16 @@
       const std::shared_ptr<WebSocketConnection>& connection) = 0;
 };
 
+/// Part of a message, as libwebsockets hands it over.
+struct MessagePart {
+  std::string_view text;
+  /// The last part of its message.
+  bool final = false;
+};
+
+/// Returns the part that a receive callback got.
+MessagePart ReceivedPart(lws* wsi, const void* in, std::size_t length);
+
 /// One WebSocket connection, on the server's or the client's side. It keeps
 /// itself alive until its socket is closed. Not thread-safe.
 class WebSocketConnection
@@ -59,7 +69,7 @@
   /// socket.
   void Attach(lws* wsi);
   void HandleOpen();
-  bool HandleReceive(std::string_view part, bool final);
+  bool HandleReceive(const MessagePart& part);
   bool HandleWritable();
   void HandleClose();
   /// The loop ends: frees the connection without an event.
--- a/src/net/websocket_server.cc
+++ b/src/net/websocket_server.cc
@@ -3,6 +3,7 @@
 #include "carawayhaven/error_messages.h"
 #include "carawayhaven/exceptions.h"
 #include "net/event_loop.h"
+#include "net/socket_owner.h"
 
 namespace carawayhaven {
 namespace {
@@ -10,10 +11,6 @@
 // Part of a message that lws hands over at once; longer ones come in parts.
 constexpr size_t kReceiveBufferBytes = 16 * 1024;
 
-WebSocketConnection* ConnectionOf(lws* wsi) {
-  return static_cast<WebSocketConnection*>(lws_get_opaque_user_data(wsi));
-}
-
 }  // namespace
 
 WebSocketServer::WebSocketServer(EventLoop& loop, const std::string& ip,
@@ -36,32 +33,22 @@
 
 int WebSocketServer::HandleEvent(lws* wsi, lws_callback_reasons reason,
                                  void* /*user*/, void* in, size_t length) {
+  auto* connection = ConnectionOf<WebSocketConnection>(wsi);
   switch (reason) {
     case LWS_CALLBACK_ESTABLISHED: {
       auto* server = static_cast<WebSocketServer*>(lws_get_protocol(wsi)->user);
-      auto connection = std::make_shared<WebSocketConnection>(server->handler_);
-      lws_set_opaque_user_data(wsi, connection.get());
-      connection->Attach(wsi);
-      connection->HandleOpen();
+      auto accepted = std::make_shared<WebSocketConnection>(server->handler_);
+      lws_set_opaque_user_data(wsi, accepted.get());
+      accepted->Attach(wsi);
+      accepted->HandleOpen();
       return 0;
     }
-    case LWS_CALLBACK_RECEIVE: {
-      const bool final = lws_is_final_fragment(wsi) != 0 &&
-                         lws_remaining_packet_payload(wsi) == 0;
-      const std::string_view part(static_cast<const char*>(in), length);
-      return ConnectionOf(wsi)->HandleReceive(part, final) ? 0 : -1;
-    }
+    case LWS_CALLBACK_RECEIVE:
+      return connection->HandleReceive(ReceivedPart(wsi, in, length)) ? 0 : -1;
     case LWS_CALLBACK_SERVER_WRITEABLE:
-      return ConnectionOf(wsi)->HandleWritable() ? 0 : -1;
+      return connection->HandleWritable() ? 0 : -1;
     case LWS_CALLBACK_CLOSED:
-      if (WebSocketConnection* connection = ConnectionOf(wsi)) {
-        lws_set_opaque_user_data(wsi, nullptr);
-        if (EventLoop::IsClosing(wsi)) {
-          connection->Discard();
-        } else {
-          connection->HandleClose();
-        }
-      }
+      EndConnectionOf<WebSocketConnection>(wsi);
       return 0;
     default:
       return 0;
