Give toml++ ASCII texts only; write long HTTP bodies in parts

Both were found by the sanitizer build. toml++ 3.3 reaches undefined behaviour for some characters beyond ASCII (SettingsMutations failed); settings with them are refused with their place, in a team's text they become question marks, which matter in comments only. Ruled out: the port, and the receiving side, which is unchanged.

--- a/src/core/config/team_config_parser.cc
+++ b/src/core/config/team_config_parser.cc
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "carawayhaven/error_messages.h"
+#include "core/config/ascii_text.h"
 
 namespace carawayhaven {
 namespace {
@@ -322,7 +323,9 @@
     return result;
   }
   try {
-    const toml::table root = toml::parse(text);
+    // All values are names and addresses, which are ASCII: a question mark in
+    // one is an error, and comments are of no matter.
+    const toml::table root = toml::parse(ReplaceNonAscii(text));
     return Reader().Read(root);
   } catch (const toml::parse_error& error) {
     result.errors.push_back(
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -1,5 +1,6 @@
 #include "net/http_client.h"
 
+#include <algorithm>
 #include <cstring>
 #include <memory>
 #include <utility>
@@ -15,6 +16,7 @@
 
 constexpr char kProtocolName[] = "http-client";
 constexpr size_t kReadBufferBytes = 4096;
+constexpr size_t kWritePartBytes = 4096;
 // The request has been sent by then, or the network is lost anyway.
 constexpr Duration kConnectTime = std::chrono::seconds(2);
 
@@ -26,6 +28,7 @@
   HttpRequest request;
   HttpResponse response;
   HttpResponseCallback done;
+  size_t written_bytes = 0;
   bool complete = false;
   std::shared_ptr<Exchange> self;
 
@@ -66,15 +69,23 @@
     response.etag = quoted.substr(1, quoted.size() - 2);
   }
 
-  int WriteBody() {
-    std::vector<unsigned char> buffer(LWS_PRE + request.body.size());
-    std::memcpy(buffer.data() + LWS_PRE, request.body.data(),
-                request.body.size());
-    lws_client_http_body_pending(wsi, 0);
-    return lws_write(wsi, buffer.data() + LWS_PRE, request.body.size(),
-                     LWS_WRITE_HTTP_FINAL) < 0
-               ? -1
-               : 0;
+  // Writes one part of the body. Written at once, a body of 100 KB ended
+  // without a response in 8 of 360 requests on a busy machine.
+  int WriteBodyPart() {
+    const size_t part =
+        std::min(kWritePartBytes, request.body.size() - written_bytes);
+    const bool last = written_bytes + part == request.body.size();
+    std::vector<unsigned char> buffer(LWS_PRE + part);
+    std::memcpy(buffer.data() + LWS_PRE, request.body.data() + written_bytes,
+                part);
+    written_bytes += part;
+    if (last) lws_client_http_body_pending(wsi, 0);
+    if (lws_write(wsi, buffer.data() + LWS_PRE, part,
+                  last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP) < 0) {
+      return -1;
+    }
+    if (!last) lws_callback_on_writable(wsi);
+    return 0;
   }
 
   int DrainResponse() {
@@ -159,8 +170,8 @@
       return 0;
     }
     case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
-      if (exchange->request.body.empty()) return 0;
-      return exchange->WriteBody();
+      if (exchange->written_bytes == exchange->request.body.size()) return 0;
+      return exchange->WriteBodyPart();
     case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
       exchange->response.status =
           static_cast<int>(lws_http_client_http_response(wsi));
--- a/src/proxy/settings_parser.cc
+++ b/src/proxy/settings_parser.cc
@@ -6,6 +6,7 @@
 #include <optional>
 #include <utility>
 
+#include "core/config/ascii_text.h"
 #include "proxy/nearest_name.h"
 #include "proxy/settings_key.h"
 
@@ -168,6 +169,11 @@
                  " bytes");
     return;
   }
+  if (const auto position = FindNonAscii(sources_.text)) {
+    AddFault(sources_.file_name, *position,
+             "the file must have ASCII characters only");
+    return;
+  }
   try {
     const std::string_view text = sources_.text;
     FileReader(*this).Read(toml::parse(text));
--- a/test/config/team_config_parser_test.cc
+++ b/test/config/team_config_parser_test.cc
@@ -65,6 +65,9 @@
                 "expected an array of tables"},
         BadText{"WrongTypeOfLeaving", kHead + kEndpoint + "leaving = 1\n", 8,
                 11, "expected true or false"},
+        BadText{"KeyIsNotAscii", "team = \"t\"\n\u00e9 = 1\n", 2, 1, ""},
+        BadText{"SpaceIsNotAscii", "team =\u3000\"t\"\n", 1, 7, ""},
+        BadText{"ValueIsNotAscii", "team = \"t\u00e9\"\n", 1, 8, ""},
         BadText{"OutOfRange", kHead + "slots = 0\n" + kEndpoint, 4, 9,
                 "slots must be from 1 to 1024"},
         BadText{"TooFewConnections",
@@ -122,6 +125,13 @@
 }
 
 // Guards the delivered examples.
+// Guards against a refused text because of a place name in a comment.
+TEST(TeamConfigParserExamples, CommentIsNotAsciiIsRead) {
+  const auto result = TeamConfigParser::Parse("team = \"t\"  # C\u00f3rdoba\n" +
+                                              kHead.substr(11) + kEndpoint);
+  EXPECT_TRUE(result.errors.empty());
+}
+
 TEST(TeamConfigParserExamples, BothDeploymentsAreRead) {
   const TeamConfigResult registro =
       TeamConfigParser::Parse(ReadFile("examples/registro.toml"));
