--- a/util/load/caller.cc
+++ b/util/load/caller.cc
@@ -70,7 +70,16 @@
 
 void Caller::OnMessage(const std::shared_ptr<WebSocketConnection>& socket,
                        std::string_view text) {
-  if (socket != socket_) return;
+  context_.loop.RunAfter(context_.caller_latency,
+                         [this, socket, message = std::string(text)] {
+                           HandleMessage(socket, message);
+                         });
+}
+
+void Caller::HandleMessage(const std::shared_ptr<WebSocketConnection>& socket,
+                           const std::string& text) {
+  // An answer that was on its way when the connection ended is lost.
+  if (socket != socket_ || !connected_) return;
   const nlohmann::json message = nlohmann::json::parse(text, nullptr, false);
   if (!message.is_object()) return;
   if (message.value("type", "") == "leaving") {
@@ -167,7 +176,9 @@
   message["service"] = service();
   message["timeout_ms"] = context_.timeout_ms;
   if (!token_.empty()) message["token"] = token_;
-  socket_->Send(message.dump());
+  context_.loop.RunAfter(
+      context_.caller_latency,
+      [socket = socket_, text = message.dump()] { socket->Send(text); });
 }
 
 // Steps: begin, two statements, commit.
--- a/util/load/caller.h
+++ b/util/load/caller.h
@@ -31,6 +31,8 @@
   std::vector<std::string> proxies;
   std::vector<std::string> services;
   Duration think_time{20'000};
+  /// One-way latency between a caller and its proxy.
+  Duration caller_latency{3'000};
   std::uint64_t timeout_ms = 4000;
   /// No new operation starts after this.
   TimePoint ends_at{};
@@ -56,6 +58,8 @@
                  std::string_view text) override;
   void OnClose(const std::shared_ptr<WebSocketConnection>& socket) override;
 
+  void HandleMessage(const std::shared_ptr<WebSocketConnection>& socket,
+                     const std::string& text);
   void Connect();
   void NextOperation();
   void StartOperation();
--- a/util/load/main.cc
+++ b/util/load/main.cc
@@ -108,9 +108,7 @@
                  Workload::ForUsers(options_.users),
                  options_.proxies,
                  options_.services,
-                 std::chrono::milliseconds(options_.think_ms),
-                 4000,
-                 TimePoint{}},
+                 std::chrono::milliseconds(options_.think_ms)},
         check_(context_, [this](bool complete) { Finish(complete); }) {}
 
   int Execute() {
