--- a/bench/queue_experiment.cc
+++ b/bench/queue_experiment.cc
@@ -76,15 +76,15 @@
       good[end / kWindow * kWindow] += cost;
       if (end >= kPeakStart && end < kPeakEnd) by_team[sample.team] += cost;
     }
-    if (arrival >= seconds(1) && arrival < kPeakStart) {
+    if (arrival >= seconds(1) && arrival < kRampStart) {
       before.push_back(latency);
     }
-    if (arrival >= kPeakEnd + seconds(2)) after.push_back(latency);
-    if (arrival >= kPeakEnd) {
+    if (arrival >= kRampEnd + seconds(2)) after.push_back(latency);
+    if (arrival >= kRampEnd) {
       recovering[arrival / half_window * half_window].push_back(latency);
     }
   }
-  for (Duration window = kPeakStart; window < kPeakEnd; window += kWindow) {
+  for (Duration window = kRampStart; window < kRampEnd; window += kWindow) {
     const double capacity =
         static_cast<double>(slots) * static_cast<double>(kWindow.count());
     result.least_goodput =
@@ -100,7 +100,7 @@
   std::map<Duration, std::vector<Duration>> usual;
   for (const Sample& sample : run.samples) {
     const Duration arrival = sample.arrival.time_since_epoch();
-    if (arrival < seconds(1) || arrival >= kPeakStart) continue;
+    if (arrival < seconds(1) || arrival >= kRampStart) continue;
     usual[arrival / half_window * half_window].push_back(
         sample.ran ? sample.latency() : seconds(999));
   }
@@ -109,7 +109,7 @@
     highest_usual = std::max(highest_usual, Quantile(values, 0.99));
   }
   for (const auto& [window, values] : recovering) {
-    const double passed = Milliseconds(window + half_window - kPeakEnd) / 1000;
+    const double passed = Milliseconds(window + half_window - kRampEnd) / 1000;
     if (Quantile(values, 0.99) <= highest_usual) {
       result.recovery_s = passed;
       break;
@@ -164,7 +164,7 @@
 
   void Peak(std::uint32_t slots) {
     std::printf(
-        "\nCrest 1x to 5x and back, %u slots\n%-22s %8s %9s %14s %13s %10s "
+        "\nPeak 1x to 5x and back, %u slots\n%-22s %8s %9s %14s %13s %10s "
         "%8s\n",
         slots, "policy", "goodput", "fairness", "P99 before ms", "P99 after ms",
         "recovery s", "refused");
--- a/bench/queue_loads.h
+++ b/bench/queue_loads.h
@@ -116,10 +116,10 @@
 
 constexpr Duration kPeakTimeLeft = milliseconds(500);
 constexpr Duration kWindow = seconds(1);
-constexpr Duration kPeakStart = seconds(10);
+constexpr Duration kRampStart = seconds(10);
 constexpr Duration kPeakStart = seconds(12);
 constexpr Duration kPeakEnd = seconds(16);
-constexpr Duration kPeakEnd = seconds(18);
+constexpr Duration kRampEnd = seconds(18);
 constexpr Duration kPeakRun = seconds(30);
 constexpr double kNormalDemand = 0.7;
 // Share of each team in the demand. At the peak each exceeds a quarter of the
@@ -133,10 +133,10 @@
     return static_cast<double>((at - from).count()) /
            static_cast<double>((to - from).count());
   };
-  if (at < kPeakStart || at >= kPeakEnd) return kNormalDemand;
-  if (at < kPeakStart) return 1 + 4 * part(kPeakStart, kPeakStart);
+  if (at < kRampStart || at >= kRampEnd) return kNormalDemand;
+  if (at < kPeakStart) return 1 + 4 * part(kRampStart, kPeakStart);
   if (at < kPeakEnd) return 5;
-  return 5 - 4 * part(kPeakEnd, kPeakEnd);
+  return 5 - 4 * part(kPeakEnd, kRampEnd);
 }
 
 inline std::vector<Sample> PeakSamples(std::uint32_t slots,
--- a/bench/queue_mix_experiment.cc
+++ b/bench/queue_mix_experiment.cc
@@ -228,8 +228,8 @@
 /// Of a retry: that of the first try, or the full time again.
 enum class Deadline { kSame, kNew };
 
-void RetryAtCrest(std::uint32_t slots, Retry retry, Deadline deadline,
-                  const char* name, std::uint64_t seed) {
+void RetryAtPeak(std::uint32_t slots, Retry retry, Deadline deadline,
+                 const char* name, std::uint64_t seed) {
   constexpr int kRetries = 3;
   constexpr Duration kFixed = milliseconds(10);
   class IgnoreAnswers : public EndpointPoolHandler {
@@ -425,15 +425,15 @@
 // Figures without a target.
 void Unbounded(std::uint64_t seed) {
   for (std::uint32_t slots : {3U, 5U}) {
-    RetryAtCrest(slots, Retry::kNever, Deadline::kSame, "never", seed);
-    RetryAtCrest(slots, Retry::kAfterHint, Deadline::kSame,
-                 "retry_after, same deadline", seed);
-    RetryAtCrest(slots, Retry::kAfterFixedTime, Deadline::kSame,
-                 "10 ms, same deadline", seed);
-    RetryAtCrest(slots, Retry::kAfterHint, Deadline::kNew,
-                 "retry_after, new deadline", seed);
-    RetryAtCrest(slots, Retry::kAfterFixedTime, Deadline::kNew,
-                 "10 ms, new deadline", seed);
+    RetryAtPeak(slots, Retry::kNever, Deadline::kSame, "never", seed);
+    RetryAtPeak(slots, Retry::kAfterHint, Deadline::kSame,
+                "retry_after, same deadline", seed);
+    RetryAtPeak(slots, Retry::kAfterFixedTime, Deadline::kSame,
+                "10 ms, same deadline", seed);
+    RetryAtPeak(slots, Retry::kAfterHint, Deadline::kNew,
+                "retry_after, new deadline", seed);
+    RetryAtPeak(slots, Retry::kAfterFixedTime, Deadline::kNew,
+                "10 ms, new deadline", seed);
   }
   constexpr Duration kNever = std::chrono::hours(1);
   for (std::uint32_t connections : {11U, 41U}) {
