Test that a replaced primary's read with an age is refused

The fault read_from_replaced_primary was not noticed by the present schedules of the history test. EndpointPoolTest.ReplacedPrimaryAnswersReadWithAgeIsBehind fails with it and passes without.

--- a/test/queue/endpoint_pool_test.cc
+++ b/test/queue/endpoint_pool_test.cc
@@ -327,6 +327,19 @@
   EXPECT_TRUE(link_.closed.empty());
 }
 
+// Guards against old data from a primary that was replaced without its
+// knowledge and therefore states the age 0.
+TEST_F(EndpointPoolTest, ReplacedPrimaryAnswersReadWithAgeIsBehind) {
+  pool_->SetTerm(2);
+  const auto read = Submit(Read());
+  EndpointAnswer answer;
+  answer.correlation = link_.sent.back().command.correlation;
+  answer.term = 1;
+  answer.role = EndpointRole::kPrimary;
+  pool_->OnAnswer(link_.sent.back().connection, answer, now_);
+  ExpectOutcome(read, Verdict::kNotRun, Reason::kBehind);
+}
+
 class EndpointPoolWithTransactionEnd
     : public EndpointPoolTest,
       public testing::WithParamInterface<RequestKind> {};
