--- a/include/carawayhaven/error_messages.h
+++ b/include/carawayhaven/error_messages.h
@@ -58,6 +58,8 @@
 inline constexpr char kUndeclaredState[] = "chart declares no state ";
 inline constexpr char kUnreachableState[] = "chart never reaches the state ";
 inline constexpr char kNoWayOut[] = "chart has no way out of the state ";
+inline constexpr char kMalformedOwnObject[] =
+    "object of the proxy in the store is malformed";
 inline constexpr char kContextFailed[] = "cannot create the event loop";
 
 }  // namespace carawayhaven::error_messages
--- a/src/cli/command_list.cc
+++ b/src/cli/command_list.cc
@@ -13,10 +13,18 @@
 namespace carawayhaven {
 
 CommandList::CommandList(const CommandContext& context, AdminClient& client,
-                         ProxyCommand::RunProxy run_proxy)
+                         ProxyCommand::RunProxy run_proxy,
+                         ProxyCommand::RunProxy run_session_proxy)
     : context_(context) {
-  commands_.push_back(
-      std::make_unique<ProxyCommand>(context, std::move(run_proxy)));
+  commands_.push_back(std::make_unique<ProxyCommand>(
+      context, "proxy", "runs a proxy for callers with requests",
+      std::move(run_proxy)));
+  if (run_session_proxy != nullptr) {
+    commands_.push_back(std::make_unique<ProxyCommand>(
+        context, "session-proxy", "runs a proxy for callers with sessions",
+        std::move(run_session_proxy),
+        std::vector<std::string>{"ready_address", "promotion_address"}));
+  }
   commands_.push_back(std::make_unique<CheckCommand>(context));
   commands_.push_back(std::make_unique<SubmitCommand>(context, client));
   commands_.push_back(std::make_unique<StatusCommand>(context, client));
--- a/src/cli/command_list.h
+++ b/src/cli/command_list.h
@@ -14,9 +14,11 @@
 /// All subcommands of the binary.
 class CommandList {
  public:
-  /// `context` and `client` must outlive the list.
+  /// `context` and `client` must outlive the list. Without `run_session_proxy`
+  /// there is no command "session-proxy".
   CommandList(const CommandContext& context, AdminClient& client,
-              ProxyCommand::RunProxy run_proxy);
+              ProxyCommand::RunProxy run_proxy,
+              ProxyCommand::RunProxy run_session_proxy = nullptr);
 
   /// Runs the command that the first argument names with the other arguments
   /// and returns the exit code.
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -8,6 +8,7 @@
 #include "cli/command_list.h"
 #include "cli/loop_admin_client.h"
 #include "net/event_loop.h"
+#include "platform/session_proxy_runner.h"
 #include "proxy/logging.h"
 #include "proxy/proxy_process.h"
 
@@ -43,7 +44,7 @@
   try {
     const CommandContext context = MakeContext();
     LoopAdminClient client;
-    return CommandList(context, client, RunProxy)
+    return CommandList(context, client, RunProxy, platform::RunSessionProxy)
         .Run(std::vector<std::string>(argv + 1, argv + argc));
   } catch (const std::exception& error) {
     std::cerr << "carawayhaven: " << error.what() << '\n';
--- a/src/cli/proxy_command.cc
+++ b/src/cli/proxy_command.cc
@@ -8,9 +8,12 @@
 
 namespace carawayhaven {
 
-ProxyCommand::ProxyCommand(const CommandContext& context, RunProxy run_proxy)
-    : Command("proxy", "runs a proxy", context),
+ProxyCommand::ProxyCommand(const CommandContext& context, std::string name,
+                           std::string summary, RunProxy run_proxy,
+                           std::vector<std::string> needed)
+    : Command(std::move(name), std::move(summary), context),
       run_proxy_(std::move(run_proxy)),
+      needed_(std::move(needed)),
       file_("", "settings", "TOML file with the settings", true, "", "FILE",
             command_line()),
       print_settings_("", "print-settings",
@@ -43,6 +46,7 @@
       out() << loaded.Describe();
       return kExitOk;
     }
+    if (!CheckNeeded(loaded)) return kExitRefused;
     return run_proxy_(loaded.settings);
   } catch (const SettingsError& error) {
     err() << error.what() << '\n';
@@ -50,4 +54,14 @@
   }
 }
 
+bool ProxyCommand::CheckNeeded(const LoadedSettings& loaded) const {
+  bool complete = true;
+  for (const std::string& key : needed_) {
+    if (loaded.origins.contains(key)) continue;
+    complete = false;
+    err() << file_.getValue() << ": missing key '" << key << "'\n";
+  }
+  return complete;
+}
+
 }  // namespace carawayhaven
--- a/src/cli/proxy_command.h
+++ b/src/cli/proxy_command.h
@@ -17,7 +17,10 @@
   /// Runs the proxy and returns the exit code of the process.
   using RunProxy = std::function<ExitCode(const Settings&)>;
 
-  ProxyCommand(const CommandContext& context, RunProxy run_proxy);
+  /// `needed` are keys that this command requires beside the required ones.
+  ProxyCommand(const CommandContext& context, std::string name,
+               std::string summary, RunProxy run_proxy,
+               std::vector<std::string> needed = {});
 
  protected:
   ExitCode Execute() override;
@@ -25,7 +28,11 @@
  private:
   using TextArgument = TCLAP::ValueArg<std::string>;
 
+  /// Writes an error for each needed key without a value.
+  bool CheckNeeded(const LoadedSettings& loaded) const;
+
   RunProxy run_proxy_;
+  std::vector<std::string> needed_;
   TextArgument file_;
   TCLAP::SwitchArg print_settings_;
   /// One for each key, in the order of SettingsKeys().
--- /dev/null
+++ b/src/core/config/object_mirror.cc
@@ -0,0 +1,88 @@
+#include "core/config/object_mirror.h"
+
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace carawayhaven {
+namespace {
+
+// Each call is counted by the store, also one that it refuses.
+constexpr Duration kFirstRetry = std::chrono::milliseconds(60);
+constexpr Duration kLastRetry = std::chrono::milliseconds(600);
+
+}  // namespace
+
+ObjectMirror::ObjectMirror(PlatformStore& store, std::string prefix,
+                           Clock clock, std::mt19937_64& random,
+                           ObjectMirrorEvents& events)
+    : store_(store),
+      prefix_(std::move(prefix)),
+      clock_(std::move(clock)),
+      random_(random),
+      events_(events),
+      backoff_(kFirstRetry, kLastRetry),
+      alive_(std::make_shared<ObjectMirror*>(this)) {}
+
+void ObjectMirror::Tick(TimePoint now) {
+  if (now < next_) return;
+  // Until the reply there is nothing to do.
+  next_ = TimePoint::max();
+  store_.Watch(
+      prefix_, revision_,
+      [alive = std::weak_ptr(alive_), sent = now](const StoreReply& reply) {
+        if (const auto self = alive.lock()) (*self)->OnReply(reply, sent);
+      });
+}
+
+void ObjectMirror::OnReply(const StoreReply& reply, TimePoint sent) {
+  const TimePoint now = clock_();
+  if (reply.status == StoreStatus::kHistoryLost) {
+    revision_ = 0;
+    next_ = now;
+    return;
+  }
+  if (reply.status != StoreStatus::kOk) {
+    SetReachable(false, now);
+    next_ = now + backoff_.Next(random_);
+    return;
+  }
+  backoff_.Reset();
+  SetReachable(true, now);
+  std::set<std::string> present;
+  for (const StoredObject& object : reply.objects) {
+    present.insert(object.path);
+    if (object.removed) {
+      if (known_.erase(object.path) > 0) {
+        events_.OnObjectRemoved(object.path, now);
+      }
+      continue;
+    }
+    ObjectVersion& version = known_[object.path];
+    if (object.version <= version) continue;
+    version = object.version;
+    events_.OnObject(object, now);
+  }
+  if (reply.complete) {
+    std::vector<std::string> gone;
+    for (const auto& [path, version] : known_) {
+      if (!present.contains(path)) gone.push_back(path);
+    }
+    for (const std::string& path : gone) {
+      known_.erase(path);
+      events_.OnObjectRemoved(path, now);
+    }
+    listed_ = true;
+  }
+  revision_ = reply.revision;
+  confirmed_at_ = sent;
+  next_ = now;
+  events_.OnMirrorConfirmed(sent, now);
+}
+
+void ObjectMirror::SetReachable(bool reachable, TimePoint now) {
+  if (std::exchange(reachable_, reachable) == reachable) return;
+  events_.OnMirrorReachable(reachable, now);
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/src/core/failover/duty_election.h
@@ -0,0 +1,88 @@
+#ifndef CARAWAYHAVEN_CORE_FAILOVER_DUTY_ELECTION_H_
+#define CARAWAYHAVEN_CORE_FAILOVER_DUTY_ELECTION_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "carawayhaven/time.h"
+#include "core/failover/failover_records.h"
+#include "core/platform_store.h"
+
+namespace carawayhaven {
+
+/// Decides which VM grants rights to primaries and promotes endpoints: the one
+/// that the duty object names. A VM becomes the holder by a conditional write,
+/// and stays it while the store has confirmed that within kAuthority; a
+/// successor waits that time out before it promotes, unless it knows that the
+/// predecessor has stopped. Not thread-safe.
+class DutyElection {
+ public:
+  using Clock = std::function<TimePoint()>;
+  /// Version of the duty object after a write, or nothing when it failed.
+  using TokenCallback = std::function<void(std::optional<ObjectVersion>)>;
+
+  // Outages of the store up to this long do not end the holder's duty.
+  static constexpr Duration kAuthority = std::chrono::seconds(10);
+  // Validity of a granted right. A primary is replaced no sooner than this
+  // after its last right was granted.
+  static constexpr Duration kRightDuration = std::chrono::milliseconds(1000);
+  // Difference in speed of two clocks over a right's time, and then some.
+  static constexpr Duration kMargin = std::chrono::milliseconds(50);
+
+  /// `store` must outlive the election.
+  DutyElection(PlatformStore& store, VmName self, Clock clock);
+
+  /// Sets this process's number; before, it cannot hold the duty.
+  void SetIncarnation(std::uint64_t incarnation) { incarnation_ = incarnation; }
+
+  /// Takes the duty object as the store had it when a call at `sent` was made.
+  void OnRecord(const DutyRecord& record, ObjectVersion version, TimePoint now);
+  void OnRecordRemoved(TimePoint now);
+  /// The store had no newer duty object when a call was sent at `sent`.
+  void OnConfirmed(TimePoint sent);
+
+  /// True while this process may grant rights.
+  bool IsHolder(TimePoint now) const;
+  const VmName& holder() const { return record_.holder; }
+  const DutyRecord& record() const { return record_; }
+
+  /// Tries to become the holder. No effect while a write is under way.
+  void TryTakeOver(TimePoint now);
+
+  /// True when no right that a predecessor granted can be valid any more.
+  bool MayPromote(TimePoint now) const {
+    return IsHolder(now) && now >= promote_from_;
+  }
+  /// The predecessor is known to grant nothing after `now`.
+  void OnPredecessorStopped(TimePoint now);
+  const std::optional<DutyRecord>& predecessor() const { return predecessor_; }
+
+  /// Writes the duty object, which shows that this VM still is the holder. Its
+  /// new version is a fencing token for one promotion.
+  void TakeToken(TokenCallback done);
+
+  /// Stops to hold the duty and tells the others.
+  void Resign(TimePoint now);
+
+ private:
+  bool IsOwn(const DutyRecord& record) const;
+  void Write(const DutyRecord& record, TokenCallback done);
+
+  PlatformStore& store_;
+  VmName self_;
+  Clock clock_;
+  std::uint64_t incarnation_ = 0;
+  DutyRecord record_;
+  ObjectVersion version_ = 0;
+  TimePoint confirmed_;
+  TimePoint promote_from_ = TimePoint::max();
+  std::optional<DutyRecord> predecessor_;
+  bool writing_ = false;
+  bool resigned_ = false;
+  std::shared_ptr<DutyElection*> alive_;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_CORE_FAILOVER_DUTY_ELECTION_H_
--- /dev/null
+++ b/src/core/failover/failover_manager.cc
@@ -0,0 +1,278 @@
+#include "core/failover/failover_manager.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "carawayhaven/exceptions.h"
+
+namespace carawayhaven {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A quarter of a right's time, so that three answers may be missed.
+constexpr Duration kAskInterval = milliseconds(250);
+constexpr Duration kRoundInterval = milliseconds(50);
+// Without a grant for this long the holder counts as gone; each further
+// candidate waits longer, so that one of them takes over alone.
+constexpr Duration kHolderGone = milliseconds(600);
+constexpr Duration kCandidateStagger = milliseconds(200);
+constexpr Duration kTakeOverRetry = milliseconds(300);
+// Answers to older requests are of no use.
+constexpr Duration kForgetRequest = std::chrono::seconds(2);
+
+}  // namespace
+
+FailoverManager::FailoverManager(const Parts& parts, VmName self, VmEntry entry,
+                                 ObjectVersion own_version)
+    : parts_(parts),
+      self_(std::move(self)),
+      entry_(std::move(entry)),
+      duty_(parts.store, self_, parts.clock),
+      mirror_(parts.store, std::string(kOwnPrefix), parts.clock, parts.random,
+              *this),
+      own_version_(own_version),
+      granted_at_(parts.clock()) {
+  duty_.SetIncarnation(own_version);
+}
+
+PrimaryKeeper& FailoverManager::KeeperOf(const ServiceName& service) {
+  std::unique_ptr<PrimaryKeeper>& keeper = keepers_[service];
+  if (keeper == nullptr) {
+    keeper = std::make_unique<PrimaryKeeper>(
+        KeeperEnvironment{parts_.link, parts_.store, parts_.promotions, duty_,
+                          parts_.observer, parts_.router.endpoints(), self_,
+                          parts_.clock},
+        service);
+  }
+  return *keeper;
+}
+
+void FailoverManager::SetRoutes(const RouteTable& routes) {
+  config_version_ = routes.version;
+  for (const auto& [name, limits] : routes.services) {
+    KeeperOf(name).SetSyncReplicas(limits.sync_replicas);
+  }
+}
+
+void FailoverManager::OnObject(const StoredObject& object, TimePoint now) {
+  const std::string_view path = object.path;
+  try {
+    if (path == kDutyPath) {
+      duty_.OnRecord(ParseDutyRecord(object.value), object.version, now);
+      NoteHolder(duty_.record().resigned ? VmName() : duty_.record().holder,
+                 now);
+    } else if (path.starts_with(kPrimaryPrefix)) {
+      KeeperOf(ServiceName(path.substr(kPrimaryPrefix.size())))
+          .OnRecord(ParsePrimaryRecord(object.value), object.version);
+    } else if (path.starts_with(kVmPrefix)) {
+      const VmName vm(path.substr(kVmPrefix.size()));
+      vm_versions_[vm] = object.version;
+      if (vm != self_) vms_[vm] = ParseVmEntry(object.value);
+    }
+  } catch (const DecodeError& error) {
+    parts_.observer.OnMalformedObject(object.path, error.what());
+  }
+}
+
+void FailoverManager::OnObjectRemoved(std::string_view path, TimePoint now) {
+  if (path == kDutyPath) {
+    duty_.OnRecordRemoved(now);
+  } else if (path.starts_with(kVmPrefix)) {
+    vms_.erase(VmName(path.substr(kVmPrefix.size())));
+  }
+}
+
+void FailoverManager::OnMirrorConfirmed(TimePoint sent, TimePoint now) {
+  duty_.OnConfirmed(sent);
+  std::vector<ListedVm> listed;
+  for (const auto& [vm, entry] : vms_) {
+    listed.push_back({vm, entry.data_centre, entry.address, entry.leaving});
+  }
+  parts_.membership.OnVmList(listed, now);
+}
+
+void FailoverManager::OnMirrorReachable(bool reachable, TimePoint /*now*/) {
+  parts_.observer.OnStoreReachable(kOwnPrefix, reachable);
+}
+
+void FailoverManager::NoteHolder(const VmName& holder, TimePoint now) {
+  if (std::exchange(holder_, holder) == holder) return;
+  parts_.observer.OnHolderChanged(holder, duty_.IsHolder(now));
+}
+
+// The first candidate in the order of names acts first; the others only when
+// it did not.
+void FailoverManager::ConsiderTakeOver(TimePoint now) {
+  if (!mirror_.listed() || leaving_ || duty_.IsHolder(now) ||
+      now < next_take_over_) {
+    return;
+  }
+  int rank = 0;
+  for (const VmName& vm : parts_.membership.table().Owners()) {
+    if (vm == self_) break;
+    if (vm != duty_.record().holder) ++rank;
+  }
+  const bool vacant = duty_.record().holder.empty() || duty_.record().resigned;
+  const Duration patience = vacant ? Duration{0} : kHolderGone;
+  if (now - granted_at_ < patience + rank * kCandidateStagger) return;
+  next_take_over_ = now + kTakeOverRetry;
+  duty_.TryTakeOver(now);
+}
+
+// A predecessor whose process has ended grants nothing any more.
+void FailoverManager::ReviewPredecessor(TimePoint now) {
+  const std::optional<DutyRecord>& predecessor = duty_.predecessor();
+  if (!predecessor) return;
+  const auto version = vm_versions_.find(predecessor->holder);
+  if (version != vm_versions_.end() &&
+      version->second > predecessor->incarnation) {
+    duty_.OnPredecessorStopped(now);
+  }
+}
+
+void FailoverManager::GrantOwn(TimePoint now) {
+  for (const auto& [service, keeper] : keepers_) {
+    const std::optional<GrantedRight> right = keeper->Grantable(now);
+    if (!right) continue;
+    granted_at_ = now;
+    parts_.router.GrantRight(
+        service, {right->endpoint, right->term, now + right->time_left}, now);
+    if (right->position.term > 0) {
+      parts_.router.AddPosition(service, now - right->position_age,
+                                right->position);
+    }
+  }
+  if (duty_.IsHolder(now)) granted_at_ = now;
+}
+
+std::vector<PrimaryReport> FailoverManager::Reports(TimePoint now) const {
+  std::vector<PrimaryReport> reports;
+  for (const auto& [service, right] : parts_.router.rights().all()) {
+    const auto found = parts_.router.endpoints().find(right.endpoint);
+    if (found == parts_.router.endpoints().end()) continue;
+    const EndpointState& endpoint = found->second;
+    PrimaryReport report;
+    report.service = service;
+    report.endpoint = right.endpoint;
+    report.answer_age =
+        std::min<Duration>(now - endpoint.last_answer, std::chrono::hours(1));
+    report.failing = endpoint.failing_since != TimePoint::max();
+    reports.push_back(std::move(report));
+  }
+  return reports;
+}
+
+void FailoverManager::AskForRights(TimePoint now) {
+  if (now < next_ask_) return;
+  next_ask_ = now + kAskInterval;
+  std::erase_if(asked_, [now](const auto& entry) {
+    return now - entry.second > kForgetRequest;
+  });
+  if (duty_.IsHolder(now)) return;
+  RightRequestMessage request;
+  request.config_version = config_version_;
+  request.reports = Reports(now);
+  const auto ask = [&](const VmName& vm) {
+    request.correlation = next_correlation_++;
+    if (parts_.peers.Send(vm, request)) asked_[request.correlation] = now;
+  };
+  if (!holder_.empty() && holder_ != self_) ask(holder_);
+  // A peer passes on what it holds when the holder itself cannot be reached.
+  const std::vector<VmName>& peers = parts_.membership.Peers();
+  if (now - granted_at_ > 2 * kAskInterval && !peers.empty()) {
+    std::uniform_int_distribution<std::size_t> any(0, peers.size() - 1);
+    const VmName peer = peers[any(parts_.random)];
+    if (peer != holder_) ask(peer);
+  }
+}
+
+void FailoverManager::OnRightRequest(const VmName& vm,
+                                     const RightRequestMessage& request,
+                                     TimePoint now) {
+  RightReplyMessage reply;
+  reply.correlation = request.correlation;
+  reply.holder = holder_;
+  if (duty_.IsHolder(now)) {
+    reply.holder = self_;
+    for (const PrimaryReport& report : request.reports) {
+      const auto keeper = keepers_.find(report.service);
+      if (keeper != keepers_.end()) keeper->second->OnReport(vm, report, now);
+    }
+    for (const auto& [service, keeper] : keepers_) {
+      if (auto right = keeper->Grantable(now)) {
+        reply.rights.push_back(std::move(*right));
+      }
+    }
+  } else {
+    for (const auto& [service, right] : parts_.router.rights().all()) {
+      if (right.expires <= now) continue;
+      GrantedRight& passed = reply.rights.emplace_back();
+      passed.service = service;
+      passed.endpoint = right.endpoint;
+      passed.term = right.term;
+      passed.time_left = right.expires - now;
+      const PositionHistory* history = parts_.router.HistoryOf(service);
+      if (const auto newest =
+              history == nullptr ? std::nullopt : history->Newest()) {
+        passed.position = newest->position;
+        passed.position_age = now - newest->at;
+      }
+    }
+  }
+  parts_.peers.Send(vm, reply);
+}
+
+// Everything counts from the moment at which the request was sent: the time
+// that the answer took is lost, never added.
+void FailoverManager::OnRightReply(const VmName& vm,
+                                   const RightReplyMessage& reply,
+                                   TimePoint now) {
+  const auto asked = asked_.find(reply.correlation);
+  if (asked == asked_.end()) return;
+  const TimePoint sent = asked->second;
+  asked_.erase(asked);
+  if (reply.holder == vm && !mirror_.reachable()) NoteHolder(vm, now);
+  const std::optional<DutyRecord>& predecessor = duty_.predecessor();
+  if (duty_.IsHolder(now) && predecessor && predecessor->holder == vm &&
+      reply.holder != vm) {
+    duty_.OnPredecessorStopped(now);
+  }
+  for (const GrantedRight& right : reply.rights) {
+    const TimePoint expires = sent + right.time_left;
+    granted_at_ = std::max(granted_at_, expires - DutyElection::kRightDuration);
+    if (expires <= now) continue;
+    parts_.router.GrantRight(right.service,
+                             {right.endpoint, right.term, expires}, now);
+    if (right.position.term > 0) {
+      parts_.router.AddPosition(right.service, sent - right.position_age,
+                                right.position);
+    }
+  }
+}
+
+void FailoverManager::Leave(TimePoint now) {
+  if (std::exchange(leaving_, true)) return;
+  duty_.Resign(now);
+  entry_.leaving = true;
+  parts_.store.Put(std::string(kVmPrefix) + self_, FormatRecord(entry_),
+                   own_version_, [](const StoreReply& /*reply*/) {});
+}
+
+void FailoverManager::Tick(TimePoint now) {
+  mirror_.Tick(now);
+  if (now < next_round_) return;
+  next_round_ = now + kRoundInterval;
+  ReviewPredecessor(now);
+  for (const auto& [service, keeper] : keepers_) keeper->Tick(now);
+  GrantOwn(now);
+  ConsiderTakeOver(now);
+  AskForRights(now);
+}
+
+TimePoint FailoverManager::NextTick() const {
+  return std::min(mirror_.NextTick(), next_round_);
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/src/core/failover/failover_manager.h
@@ -0,0 +1,96 @@
+#ifndef CARAWAYHAVEN_CORE_FAILOVER_FAILOVER_MANAGER_H_
+#define CARAWAYHAVEN_CORE_FAILOVER_FAILOVER_MANAGER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+
+#include "core/config/object_mirror.h"
+#include "core/failover/duty_election.h"
+#include "core/failover/primary_keeper.h"
+#include "core/membership/membership.h"
+#include "core/peer_link.h"
+#include "core/session/route_table.h"
+#include "core/session/session_router.h"
+
+namespace carawayhaven {
+
+/// Joins the parts that decide who may use which endpoint as a primary: elects
+/// the VM that grants rights, keeps the primaries when it is this one, asks
+/// peers for rights and answers them. Not thread-safe; one loop, one thread.
+class FailoverManager : public ObjectMirrorEvents {
+ public:
+  struct Parts {
+    SessionLink& link;
+    PlatformStore& store;
+    PromotionService& promotions;
+    SessionRouter& router;
+    Membership& membership;
+    PeerLink& peers;
+    FailoverObserver& observer;
+    std::mt19937_64& random;
+    std::function<TimePoint()> clock;
+  };
+
+  /// `own_version` is the version of this VM's entry in the store, which
+  /// numbers this process.
+  FailoverManager(const Parts& parts, VmName self, VmEntry entry,
+                  ObjectVersion own_version);
+
+  /// Sets the services that have primaries, and the version that peers with an
+  /// older route table are told of.
+  void SetRoutes(const RouteTable& routes);
+
+  void OnRightRequest(const VmName& vm, const RightRequestMessage& request,
+                      TimePoint now);
+  void OnRightReply(const VmName& vm, const RightReplyMessage& reply,
+                    TimePoint now);
+
+  /// Hands the duty over and takes this VM off the list of peers.
+  void Leave(TimePoint now);
+
+  bool is_holder(TimePoint now) const { return duty_.IsHolder(now); }
+  const VmName& holder() const { return holder_; }
+
+  void Tick(TimePoint now);
+  TimePoint NextTick() const;
+
+  void OnObject(const StoredObject& object, TimePoint now) override;
+  void OnObjectRemoved(std::string_view path, TimePoint now) override;
+  void OnMirrorConfirmed(TimePoint sent, TimePoint now) override;
+  void OnMirrorReachable(bool reachable, TimePoint now) override;
+
+ private:
+  void ConsiderTakeOver(TimePoint now);
+  void ReviewPredecessor(TimePoint now);
+  void AskForRights(TimePoint now);
+  void GrantOwn(TimePoint now);
+  std::vector<PrimaryReport> Reports(TimePoint now) const;
+  void NoteHolder(const VmName& holder, TimePoint now);
+  PrimaryKeeper& KeeperOf(const ServiceName& service);
+
+  Parts parts_;
+  VmName self_;
+  VmEntry entry_;
+  DutyElection duty_;
+  ObjectMirror mirror_;
+  std::map<ServiceName, std::unique_ptr<PrimaryKeeper>> keepers_;
+  std::map<VmName, VmEntry> vms_;
+  std::map<VmName, ObjectVersion> vm_versions_;
+  VmName holder_;
+  bool leaving_ = false;
+  ObjectVersion own_version_;
+  std::uint64_t config_version_ = 0;
+  TimePoint next_take_over_;
+  CorrelationId next_correlation_ = 1;
+  std::map<CorrelationId, TimePoint> asked_;
+  TimePoint next_ask_;
+  TimePoint next_round_;
+  /// When a holder last granted a right that reached this VM.
+  TimePoint granted_at_;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_CORE_FAILOVER_FAILOVER_MANAGER_H_
--- /dev/null
+++ b/src/core/failover/failover_records.cc
@@ -0,0 +1,71 @@
+#include "core/failover/failover_records.h"
+
+#include <nlohmann/json.hpp>
+
+#include "carawayhaven/error_messages.h"
+#include "carawayhaven/exceptions.h"
+
+namespace carawayhaven {
+namespace {
+
+using nlohmann::json;
+
+// Calls `read` with the parsed object; what is no such object is an error.
+template <typename Read>
+auto Parse(std::string_view text, Read read) {
+  try {
+    return read(json::parse(text));
+  } catch (const json::exception&) {
+    throw DecodeError(error_messages::kMalformedOwnObject);
+  }
+}
+
+}  // namespace
+
+std::string FormatRecord(const DutyRecord& record) {
+  return json{{"holder", record.holder},
+              {"incarnation", record.incarnation},
+              {"resigned", record.resigned},
+              {"promotions", record.promotions}}
+      .dump();
+}
+
+std::string FormatRecord(const PrimaryRecord& record) {
+  return json{{"primary", record.primary}, {"promoting", record.promoting}}
+      .dump();
+}
+
+std::string FormatRecord(const VmEntry& record) {
+  return json{{"data_centre", record.data_centre},
+              {"address", record.address},
+              {"process", record.process},
+              {"leaving", record.leaving}}
+      .dump();
+}
+
+DutyRecord ParseDutyRecord(std::string_view text) {
+  return Parse(text, [](const json& object) {
+    return DutyRecord{object.at("holder").get<std::string>(),
+                      object.at("incarnation").get<std::uint64_t>(),
+                      object.at("resigned").get<bool>(),
+                      object.at("promotions").get<std::uint64_t>()};
+  });
+}
+
+PrimaryRecord ParsePrimaryRecord(std::string_view text) {
+  return Parse(text, [](const json& object) {
+    return PrimaryRecord{object.at("primary").get<std::string>(),
+                         object.at("promoting").get<bool>()};
+  });
+}
+
+VmEntry ParseVmEntry(std::string_view text) {
+  return Parse(text, [](const json& object) {
+    return VmEntry{object.at("data_centre").get<std::string>(),
+                   object.at("address").get<std::string>(),
+                   object.at("process").get<std::string>(),
+                   object.at("leaving").get<bool>()};
+  });
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/src/core/failover/primary_keeper.cc
@@ -0,0 +1,438 @@
+#include "core/failover/primary_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace carawayhaven {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kAskInterval = milliseconds(250);
+constexpr Duration kFastAskInterval = milliseconds(80);
+// Without an answer for this long no more rights are granted. Longer than an
+// interval and two round trips between regions.
+constexpr Duration kSuspectAfter = milliseconds(600);
+// Without an answer for this long the primary is replaced.
+constexpr Duration kDeadAfter = milliseconds(1200);
+// The same when other VMs than this one cannot reach it.
+constexpr Duration kMostFailTime = milliseconds(1000);
+constexpr Duration kReportAge = milliseconds(1500);
+// Replicas that have not answered by then are not candidates.
+constexpr Duration kChoiceTime = milliseconds(500);
+// A replica that takes over on purpose has this long to receive the whole log.
+constexpr Duration kHandoverTime = milliseconds(1500);
+constexpr Duration kRetryPause = milliseconds(150);
+constexpr Duration kExclusion = std::chrono::seconds(3);
+// A promotion without effect for this long is ordered again.
+constexpr Duration kPromotionTime = milliseconds(3000);
+
+std::string_view StateName(int state) {
+  constexpr std::string_view kNames[] = {"passive",   "searching", "serving",
+                                         "stopped",   "choosing",  "promoting",
+                                         "confirming"};
+  return kNames[state];
+}
+
+}  // namespace
+
+PrimaryKeeper::PrimaryKeeper(const KeeperEnvironment& environment,
+                             ServiceName service)
+    : environment_(environment),
+      service_(std::move(service)),
+      alive_(std::make_shared<PrimaryKeeper*>(this)) {}
+
+void PrimaryKeeper::OnRecord(const PrimaryRecord& record,
+                             ObjectVersion version) {
+  if (version <= record_version_) return;
+  record_version_ = version;
+  record_ = record;
+}
+
+void PrimaryKeeper::OnReport(const VmName& vm, const PrimaryReport& report,
+                             TimePoint now) {
+  reports_[vm] = {report, now};
+}
+
+const EndpointState* PrimaryKeeper::Find(const EndpointName& name) const {
+  const auto found = environment_.endpoints.find(name);
+  return found == environment_.endpoints.end() ? nullptr : &found->second;
+}
+
+EndpointProbe& PrimaryKeeper::ProbeOf(const EndpointState& endpoint) {
+  std::unique_ptr<EndpointProbe>& probe = probes_[endpoint.record.name];
+  const bool stale = probe != nullptr &&
+                     (probe->record().address != endpoint.record.address ||
+                      probe->record().started_ms != endpoint.record.started_ms);
+  if (probe == nullptr || stale) {
+    probe = std::make_unique<EndpointProbe>(environment_.link, endpoint.record);
+  }
+  return *probe;
+}
+
+void PrimaryKeeper::Enter(State state, std::string_view why, Duration age,
+                          TimePoint now) {
+  state_ = state;
+  entered_ = now;
+  next_ask_ = now;
+  next_ = now;
+  environment_.observer.OnPrimaryState(
+      service_, StateName(static_cast<int>(state)), primary_, term_, why, age);
+}
+
+std::optional<GrantedRight> PrimaryKeeper::Grantable(TimePoint now) const {
+  if (state_ != State::kServing || !environment_.duty.IsHolder(now)) {
+    return std::nullopt;
+  }
+  GrantedRight right;
+  right.service = service_;
+  right.endpoint = primary_;
+  right.term = term_;
+  right.time_left = DutyElection::kRightDuration;
+  const auto probe = probes_.find(primary_);
+  if (probe != probes_.end() && probe->second->position()) {
+    right.position = *probe->second->position();
+    right.position_age = now - probe->second->asked_at();
+  }
+  return right;
+}
+
+void PrimaryKeeper::Tick(TimePoint now) {
+  if (now < next_) return;
+  next_ = now + kFastAskInterval;
+  if (!environment_.duty.IsHolder(now)) {
+    if (state_ != State::kPassive) {
+      probes_.clear();
+      busy_ = false;
+      ++attempt_;
+      Enter(State::kPassive, "not_holder", Duration{0}, now);
+    }
+    next_ = now + kAskInterval;
+    return;
+  }
+  for (const auto& [name, probe] : probes_) probe->Tick(now);
+  switch (state_) {
+    case State::kPassive:
+      primary_.clear();
+      term_ = 0;
+      stopped_at_ = now;
+      Enter(State::kSearching, "holder", Duration{0}, now);
+      return;
+    case State::kSearching:
+      Search(now);
+      return;
+    case State::kServing:
+      Serve(now);
+      return;
+    case State::kStopped:
+      Stopped(now);
+      return;
+    case State::kChoosing:
+      Choose(now);
+      return;
+    case State::kPromoting:
+      Promote(now);
+      return;
+    case State::kConfirming:
+      Confirm(now);
+      return;
+  }
+}
+
+void PrimaryKeeper::AskAll(TimePoint now) {
+  if (now < next_ask_) return;
+  next_ask_ = now + kFastAskInterval;
+  for (const auto& [name, endpoint] : environment_.endpoints) {
+    if (endpoint.record.service == service_) ProbeOf(endpoint).Ask(now);
+  }
+}
+
+// The primary is the endpoint that leads the highest term; an order that was
+// recorded but not seen to take effect is completed first.
+void PrimaryKeeper::Search(TimePoint now) {
+  if (record_ && record_->promoting) {
+    chosen_ = record_->primary;
+    recorded_ = true;
+    Enter(State::kPromoting, "recorded_order", Duration{0}, now);
+    return;
+  }
+  AskAll(now);
+  const EndpointProbe* best = nullptr;
+  for (const auto& [name, probe] : probes_) {
+    if (!probe->status() || !probe->status()->is_primary ||
+        probe->answered_at() < entered_) {
+      continue;
+    }
+    if (best == nullptr || probe->status()->term > best->status()->term) {
+      best = probe.get();
+    }
+  }
+  // Without the recorded primary's answer another that leads may be an old one.
+  const bool expected =
+      best != nullptr && (!record_ || record_->primary == best->record().name);
+  if (expected || (best != nullptr && now - entered_ > kDeadAfter)) {
+    primary_ = best->record().name;
+    term_ = best->status()->term;
+    Enter(State::kServing, "status", now - best->asked_at(), now);
+    return;
+  }
+  if (now - entered_ < kDeadAfter) return;
+  EndpointName believed = record_ ? record_->primary : EndpointName();
+  for (const auto& [name, endpoint] : environment_.endpoints) {
+    if (believed.empty() && endpoint.record.service == service_ &&
+        endpoint.record.claims_primary) {
+      believed = name;
+    }
+  }
+  primary_ = believed;
+  for (const auto& [name, probe] : probes_) {
+    if (probe->status()) term_ = std::max(term_, probe->status()->term);
+  }
+  Enter(State::kStopped, "no_primary_found", now - entered_, now);
+}
+
+TimePoint PrimaryKeeper::AliveAt() const {
+  TimePoint alive{};
+  const auto probe = probes_.find(primary_);
+  if (probe != probes_.end()) alive = probe->second->answered_at();
+  if (const EndpointState* endpoint = Find(primary_)) {
+    alive = std::max(alive, endpoint->last_answer);
+  }
+  for (const auto& [vm, report] : reports_) {
+    if (report.report.endpoint != primary_) continue;
+    alive = std::max(alive, report.received - report.report.answer_age);
+  }
+  return alive;
+}
+
+bool PrimaryKeeper::MostVmsFail(TimePoint now) const {
+  std::size_t failing = 0;
+  std::size_t count = 0;
+  for (const auto& [vm, report] : reports_) {
+    if (report.report.endpoint != primary_ ||
+        now - report.received > kReportAge) {
+      continue;
+    }
+    ++count;
+    if (report.report.failing) ++failing;
+  }
+  return count >= 2 && 2 * failing > count;
+}
+
+bool PrimaryKeeper::Leaves() const {
+  const EndpointState* endpoint = Find(primary_);
+  return endpoint == nullptr || endpoint->leaving_since != TimePoint::max() ||
+         !endpoint->AcceptsWork(environment_.clock());
+}
+
+void PrimaryKeeper::Serve(TimePoint now) {
+  const EndpointState* endpoint = Find(primary_);
+  if (endpoint == nullptr) {
+    stopped_at_ = now;
+    Enter(State::kStopped, "endpoint_unknown", Duration{0}, now);
+    return;
+  }
+  EndpointProbe& probe = ProbeOf(*endpoint);
+  if (now >= next_ask_) {
+    next_ask_ = now + kAskInterval;
+    probe.Ask(now);
+  }
+  if (probe.status() && probe.answered_at() >= entered_ &&
+      !probe.status()->is_primary) {
+    stopped_at_ = now;
+    Enter(State::kSearching, "not_primary", now - probe.asked_at(), now);
+    return;
+  }
+  if (probe.status() && probe.status()->is_primary) {
+    term_ = std::max(term_, probe.status()->term);
+  }
+  const TimePoint alive = std::max(AliveAt(), entered_);
+  if (!MostVmsFail(now)) {
+    most_fail_since_ = TimePoint::max();
+  } else if (most_fail_since_ == TimePoint::max()) {
+    most_fail_since_ = now;
+  }
+  const bool most_fail = most_fail_since_ != TimePoint::max() &&
+                         now - most_fail_since_ >= kMostFailTime;
+  if (now - alive > kSuspectAfter || most_fail || Leaves()) {
+    stopped_at_ = now;
+    Enter(State::kStopped,
+          Leaves()    ? "leaving"
+          : most_fail ? "most_vms_fail"
+                      : "no_answer",
+          now - alive, now);
+  }
+}
+
+void PrimaryKeeper::Stopped(TimePoint now) {
+  const EndpointState* endpoint = Find(primary_);
+  if (endpoint != nullptr && now >= next_ask_) {
+    next_ask_ = now + kFastAskInterval;
+    ProbeOf(*endpoint).Ask(now);
+  }
+  const TimePoint alive = AliveAt();
+  const bool most_fail = MostVmsFail(now);
+  if (endpoint != nullptr && !Leaves() && !most_fail && alive > entered_) {
+    Enter(State::kSearching, "answers_again", now - alive, now);
+    return;
+  }
+  const bool expired =
+      now >= stopped_at_ + DutyElection::kRightDuration + DutyElection::kMargin;
+  if (!expired || !environment_.duty.MayPromote(now)) return;
+  if (!Leaves() && !most_fail && now - alive < kDeadAfter) return;
+  handover_position_.reset();
+  chosen_.clear();
+  Enter(State::kChoosing, Leaves() ? "leaving" : "dead", now - alive, now);
+}
+
+// Compares the replicas. The old primary is told to step down where it can be
+// reached, so that its log does not grow beyond what a replica receives.
+void PrimaryKeeper::Choose(TimePoint now) {
+  AskAll(now);
+  const EndpointProbe* best = nullptr;
+  std::size_t missing = 0;
+  for (const auto& [name, endpoint] : environment_.endpoints) {
+    if (endpoint.record.service != service_ || name == primary_) continue;
+    if (endpoint.leaving_since != TimePoint::max() ||
+        !endpoint.AcceptsWork(now)) {
+      continue;
+    }
+    const auto excluded = excluded_.find(name);
+    if (excluded != excluded_.end() && excluded->second > now) continue;
+    const EndpointProbe& probe = ProbeOf(endpoint);
+    if (!probe.status() || probe.answered_at() < entered_) {
+      ++missing;
+      continue;
+    }
+    if (best == nullptr ||
+        probe.status()->received > best->status()->received) {
+      best = &probe;
+    }
+  }
+  const Duration elapsed = now - entered_;
+  if (best == nullptr) {
+    if (elapsed > kHandoverTime) {
+      Enter(State::kSearching, "no_candidate", elapsed, now);
+    }
+    return;
+  }
+  const EndpointState* old = Find(primary_);
+  EndpointProbe* old_probe = nullptr;
+  if (old != nullptr) {
+    old_probe = &ProbeOf(*old);
+    old_probe->StepDown(term_ + 1, now);
+    if (old_probe->stepped_down() && !handover_position_) {
+      handover_position_ = old_probe->status()->received;
+    }
+  }
+  if (missing > 0 && elapsed < kChoiceTime) return;
+  if (missing > 0 && sync_replicas_ > 0 && elapsed < kHandoverTime) return;
+  const bool wait_for_log =
+      handover_position_ && best->status()->received < *handover_position_;
+  const bool wait_for_old =
+      old_probe != nullptr && !handover_position_ && elapsed < kChoiceTime;
+  if ((wait_for_log || wait_for_old) && elapsed < kHandoverTime) return;
+  chosen_ = best->record().name;
+  recorded_ = false;
+  Enter(State::kPromoting, "longest_log", now - best->asked_at(), now);
+}
+
+void PrimaryKeeper::WriteRecord(bool promoting, TimePoint now) {
+  busy_ = true;
+  const PrimaryRecord record{promoting ? chosen_ : primary_, promoting};
+  const std::uint64_t attempt = ++attempt_;
+  retry_at_ = now + kRetryPause;
+  environment_.store.Put(
+      std::string(kPrimaryPrefix) + service_, FormatRecord(record),
+      record_version_,
+      [alive = std::weak_ptr(alive_), record,
+       attempt](const StoreReply& reply) {
+        const auto self = alive.lock();
+        if (self == nullptr) return;
+        PrimaryKeeper& keeper = **self;
+        if (reply.status == StoreStatus::kOk) {
+          keeper.OnRecord(record, reply.object.version);
+        }
+        if (attempt != keeper.attempt_) return;
+        keeper.busy_ = false;
+        keeper.next_ = {};
+        if (reply.status == StoreStatus::kOk && record.promoting) {
+          keeper.recorded_ = true;
+        }
+      });
+}
+
+// The record comes first, so that a successor completes the order; the token
+// shows that this VM still holds the duty right before the order goes out.
+void PrimaryKeeper::Promote(TimePoint now) {
+  if (busy_ || now < retry_at_) return;
+  if (!environment_.duty.MayPromote(now)) return;
+  if (!recorded_) {
+    WriteRecord(true, now);
+    return;
+  }
+  busy_ = true;
+  retry_at_ = now + kRetryPause;
+  const std::uint64_t attempt = ++attempt_;
+  environment_.duty.TakeToken(
+      [alive = std::weak_ptr(alive_), attempt,
+       asked = now](std::optional<ObjectVersion> token) {
+        const auto self = alive.lock();
+        if (self == nullptr || attempt != (*self)->attempt_) return;
+        PrimaryKeeper& keeper = **self;
+        const TimePoint sent = keeper.environment_.clock();
+        // A holder that was suspended meanwhile may have a successor.
+        if (!token || sent - asked > DutyElection::kRightDuration ||
+            !keeper.environment_.duty.IsHolder(sent)) {
+          keeper.busy_ = false;
+          return;
+        }
+        keeper.environment_.promotions.Promote(
+            keeper.service_, keeper.chosen_, keeper.environment_.self, *token,
+            [alive, attempt](PromotionResult result) {
+              const auto same = alive.lock();
+              if (same != nullptr) (*same)->OnPromoted(result, attempt);
+            });
+      });
+}
+
+void PrimaryKeeper::OnPromoted(PromotionResult result, std::uint64_t attempt) {
+  if (attempt != attempt_ || state_ != State::kPromoting) return;
+  const TimePoint now = environment_.clock();
+  busy_ = false;
+  switch (result) {
+    case PromotionResult::kAccepted:
+    case PromotionResult::kUnknown:
+      Enter(State::kConfirming,
+            result == PromotionResult::kAccepted ? "ordered" : "order_unknown",
+            Duration{0}, now);
+      return;
+    case PromotionResult::kRefused:
+      excluded_[chosen_] = now + kExclusion;
+      Enter(State::kChoosing, "order_refused", Duration{0}, now);
+      return;
+    case PromotionResult::kUnavailable:
+      retry_at_ = now + kRetryPause;
+      return;
+  }
+}
+
+void PrimaryKeeper::Confirm(TimePoint now) {
+  AskAll(now);
+  const auto found = probes_.find(chosen_);
+  if (found != probes_.end() && found->second->status() &&
+      found->second->asked_at() >= entered_ &&
+      found->second->status()->is_primary) {
+    primary_ = chosen_;
+    term_ = found->second->status()->term;
+    reports_.clear();
+    Enter(State::kServing, "promoted", now - found->second->asked_at(), now);
+    WriteRecord(false, now);
+    busy_ = false;
+    return;
+  }
+  if (now - entered_ < kPromotionTime) return;
+  Enter(State::kPromoting, "no_effect", now - entered_, now);
+}
+
+}  // namespace carawayhaven
--- a/src/core/peer_message.h
+++ b/src/core/peer_message.h
@@ -108,10 +108,49 @@
   bool suspected = false;
 };
 
+/// How one VM finds the primary of a service.
+struct PrimaryReport {
+  ServiceName service;
+  EndpointName endpoint;
+  /// Time since the endpoint last answered the sender.
+  Duration answer_age{0};
+  /// It has not answered what the sender asked of it since then.
+  bool failing = false;
+};
+
+/// Asks a peer for rights to use primaries.
+struct RightRequestMessage {
+  CorrelationId correlation = 0;
+  /// Version of the sender's route table.
+  std::uint64_t config_version = 0;
+  std::vector<PrimaryReport> reports;
+};
+
+/// A right to use an endpoint as the primary of its service.
+struct GrantedRight {
+  ServiceName service;
+  EndpointName endpoint;
+  Term term = 0;
+  /// Counted from the moment at which the request was sent.
+  Duration time_left{0};
+  /// Position that the primary had `position_age` before the reply.
+  LogPosition position;
+  Duration position_age{0};
+};
+
+/// The answer to a RightRequestMessage.
+struct RightReplyMessage {
+  CorrelationId correlation = 0;
+  /// The VM that grants rights, as the sender knows it.
+  VmName holder;
+  std::vector<GrantedRight> rights;
+};
+
 using PeerMessage =
     std::variant<HelloMessage, ForwardMessage, ForwardReplyMessage,
                  HeartbeatMessage, ConfigUpdateMessage, ConfigRequestMessage,
-                 GroupUpdateMessage, SuspectReportMessage>;
+                 GroupUpdateMessage, SuspectReportMessage, RightRequestMessage,
+                 RightReplyMessage>;
 
 }  // namespace carawayhaven
 
--- a/src/core/platform_store.h
+++ b/src/core/platform_store.h
@@ -20,6 +20,8 @@
   kConflict,
   /// The store refused the call because of its rate limits; nothing changed.
   kOverloaded,
+  /// The changes after that revision are not known any more; start from zero.
+  kHistoryLost,
   /// No answer, or an error: an update may have taken effect.
   kUnknown,
 };
@@ -28,6 +30,8 @@
   std::string path;
   std::string value;
   ObjectVersion version = 0;
+  /// Watch: the object was removed.
+  bool removed = false;
 };
 
 struct StoreReply {
@@ -38,6 +42,8 @@
   std::vector<StoredObject> objects;
   /// Watch: pass it as `after` of the next call.
   ObjectVersion revision = 0;
+  /// Watch: `objects` are all that exist, not only what has changed.
+  bool complete = false;
 };
 
 using StoreCallback = std::function<void(const StoreReply&)>;
--- /dev/null
+++ b/src/core/session/caller_session.cc
@@ -0,0 +1,352 @@
+#include "core/session/caller_session.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace carawayhaven {
+namespace {
+
+constexpr char kTransactionFailed[] =
+    "the transaction has failed; end it by ROLLBACK";
+constexpr char kNoTransaction[] = "no transaction is open";
+constexpr char kNestedTransaction[] = "a transaction is open already";
+constexpr char kNotAStatement[] = "not a statement";
+constexpr char kUnknownName[] = "no prepared statement has that name";
+constexpr char kNoSuchDatabase[] = "no route has that database name";
+constexpr char kTooManyWaiting[] = "too many statements without an answer";
+constexpr char kConnectionEnded[] =
+    "the endpoint connection of the transaction ended; it is rolled back";
+constexpr char kOutcomeUnknown[] =
+    "no answer from the endpoint; the outcome is unknown";
+constexpr char kNoAnswer[] = "no answer from the endpoint in time";
+constexpr char kRolledBack[] = "the transaction was rolled back";
+
+std::string RetryText(const JobResult& result) {
+  const auto milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(result.retry_after);
+  return "not run (" + std::string(ReplyCodeName(result.reason)) +
+         "); retry after " +
+         std::to_string(std::max<std::int64_t>(milliseconds.count(), 1)) +
+         " ms";
+}
+
+}  // namespace
+
+CallerSession::CallerSession(SessionRouter& router, SessionObserver& observer,
+                             Routes routes, CallerChannel& channel)
+    : router_(router),
+      observer_(observer),
+      routes_(std::move(routes)),
+      channel_(&channel) {}
+
+void CallerSession::OnConnect(std::string database) {
+  database_ = std::move(database);
+  if (!routes_().databases.contains(database_)) {
+    channel_->Reject(ReplyCode::kUnknownDatabase, kNoSuchDatabase);
+    return;
+  }
+  channel_->Accept();
+}
+
+void CallerSession::OnStatement(CallerStatement statement, TimePoint now) {
+  last_active_ = now;
+  if (waiting_.size() >= kMaxWaiting) {
+    if (channel_ != nullptr) {
+      channel_->Reject(ReplyCode::kMalformed, kTooManyWaiting);
+    }
+    return;
+  }
+  waiting_.push_back(std::move(statement));
+  if (!busy_) Next(now);
+}
+
+void CallerSession::OnDisconnected(TimePoint now) {
+  channel_ = nullptr;
+  waiting_.clear();
+  if (job_ != nullptr) router_.Abandon(job_, now);
+  EndTransaction(TransactionState::kIdle, now);
+}
+
+bool CallerSession::IsIdle() const {
+  return !busy_ && waiting_.empty() && state_ == TransactionState::kIdle;
+}
+
+void CallerSession::Close(TimePoint now) {
+  EndTransaction(TransactionState::kIdle, now);
+  if (channel_ != nullptr) channel_->Close();
+}
+
+void CallerSession::EndIdleTransaction(TimePoint now) {
+  if (state_ != TransactionState::kOpen || busy_) return;
+  EndTransaction(TransactionState::kFailed, now);
+}
+
+void CallerSession::Next(TimePoint now) {
+  while (!busy_ && !waiting_.empty() && channel_ != nullptr) {
+    current_ = std::move(waiting_.front());
+    waiting_.pop_front();
+    busy_ = true;
+    received_ = now;
+    Run(now);
+  }
+  if (closing_ && IsIdle() && channel_ != nullptr) channel_->Close();
+}
+
+void CallerSession::Run(TimePoint now) {
+  const StatementKind kind = current_.kind;
+  if (kind == StatementKind::kMalformed) {
+    AnswerSelf(ReplyCode::kMalformed, kNotAStatement, now);
+    return;
+  }
+  if (state_ == TransactionState::kFailed) {
+    if (kind == StatementKind::kRollback) {
+      RunRollback(now);
+    } else if (kind == StatementKind::kCommit) {
+      state_ = TransactionState::kIdle;
+      AnswerSelf(ReplyCode::kAborted, kRolledBack, now);
+    } else {
+      AnswerSelf(ReplyCode::kMalformed, kTransactionFailed, now);
+    }
+    return;
+  }
+  switch (kind) {
+    case StatementKind::kSet:
+      RunSet(now);
+      return;
+    case StatementKind::kPrepare:
+      RunPrepare(now);
+      return;
+    case StatementKind::kDeallocate:
+      RunDeallocate(now);
+      return;
+    case StatementKind::kBegin:
+    case StatementKind::kBeginReadOnly:
+      RunBegin(now);
+      return;
+    case StatementKind::kRollback:
+      RunRollback(now);
+      return;
+    default:
+      RunOnEndpoint(now);
+  }
+}
+
+void CallerSession::RunSet(TimePoint now) {
+  context_.values[current_.name] = current_.value;
+  AnswerSelf(ReplyCode::kOk, "", now);
+}
+
+void CallerSession::RunPrepare(TimePoint now) {
+  context_.prepared[current_.name] = {current_.access, current_.value};
+  AnswerSelf(ReplyCode::kOk, "", now);
+}
+
+void CallerSession::RunDeallocate(TimePoint now) {
+  if (context_.prepared.erase(current_.name) == 0) {
+    AnswerSelf(ReplyCode::kUnknownStatement, kUnknownName, now);
+    return;
+  }
+  AnswerSelf(ReplyCode::kOk, "", now);
+}
+
+// The transaction opens at the endpoint with its first statement.
+void CallerSession::RunBegin(TimePoint now) {
+  if (state_ != TransactionState::kIdle) {
+    AnswerSelf(ReplyCode::kMalformed, kNestedTransaction, now);
+    return;
+  }
+  const auto route = routes_().databases.find(database_);
+  if (route == routes_().databases.end()) {
+    AnswerSelf(ReplyCode::kUnknownDatabase, kNoSuchDatabase, now);
+    return;
+  }
+  route_ = route->second;
+  state_ = TransactionState::kOpen;
+  read_only_ = current_.kind == StatementKind::kBeginReadOnly;
+  wrote_ = false;
+  transaction_received_ = received_;
+  connection_ = 0;
+  AnswerSelf(ReplyCode::kOk, "", now);
+}
+
+void CallerSession::RunRollback(TimePoint now) {
+  if (state_ == TransactionState::kIdle) {
+    AnswerSelf(ReplyCode::kMalformed, kNoTransaction, now);
+    return;
+  }
+  EndTransaction(TransactionState::kIdle, now);
+  AnswerSelf(ReplyCode::kOk, "", now);
+}
+
+bool CallerSession::HasEffect(const CallerStatement& statement) const {
+  if (statement.kind == StatementKind::kWrite) return true;
+  if (statement.kind != StatementKind::kExecute) return false;
+  const auto found = context_.prepared.find(statement.name);
+  return found != context_.prepared.end() &&
+         found->second.access == AccessMode::kWrite;
+}
+
+void CallerSession::RunOnEndpoint(TimePoint now) {
+  const bool in_transaction = state_ == TransactionState::kOpen;
+  const bool commits = current_.kind == StatementKind::kCommit;
+  if (commits && !in_transaction) {
+    AnswerSelf(ReplyCode::kMalformed, kNoTransaction, now);
+    return;
+  }
+  if (current_.kind == StatementKind::kExecute &&
+      !context_.prepared.contains(current_.name)) {
+    if (in_transaction) EndTransaction(TransactionState::kFailed, now);
+    AnswerSelf(ReplyCode::kUnknownStatement, kUnknownName, now);
+    return;
+  }
+  if (!in_transaction) {
+    const auto route = routes_().databases.find(database_);
+    if (route == routes_().databases.end()) {
+      AnswerSelf(ReplyCode::kUnknownDatabase, kNoSuchDatabase, now);
+      return;
+    }
+    route_ = route->second;
+  }
+  const bool writes = HasEffect(current_);
+  auto job = std::make_shared<StatementJob>();
+  job->owner = shared_from_this();
+  job->statement = current_;
+  job->service = route_.service;
+  const bool reads_only = in_transaction ? read_only_ : !writes;
+  job->needs_primary =
+      route_.consistency == Consistency::kPrimary || !reads_only;
+  job->max_age = route_.max_age;
+  if (route_.consistency == Consistency::kReadYourWrites &&
+      position_service_ == route_.service) {
+    job->session_position = position_;
+  }
+  job->received = received_;
+  job->deadline = received_ + route_.statement_timeout;
+  job->objective = route_.objective;
+  job->priority = route_.priority;
+  job->commits = commits;
+  job->has_effect = commits ? wrote_ : writes;
+  if (in_transaction && connection_ == 0) {
+    job->received = transaction_received_;
+    job->begin = read_only_ ? EndpointStatementKind::kBeginReadOnly
+                            : EndpointStatementKind::kBegin;
+  }
+  if (in_transaction && writes) wrote_ = true;
+  job_ = job;
+  if (connection_ != 0) {
+    router_.SubmitOn(connection_, std::move(job), now);
+  } else {
+    router_.Submit(std::move(job), now);
+  }
+}
+
+void CallerSession::OnJobDone(const JobResult& result, TimePoint now) {
+  const std::shared_ptr<StatementJob> job = std::exchange(job_, nullptr);
+  if (channel_ == nullptr) {
+    if (result.connection != 0) router_.RollBack(result.connection, now);
+    return;
+  }
+  const bool in_transaction = state_ == TransactionState::kOpen;
+  const bool commits = current_.kind == StatementKind::kCommit;
+  const bool succeeded = result.end == JobResult::End::kAnswered &&
+                         result.reply.code == ReplyCode::kOk;
+  std::string cause;
+  StatementReply reply = ReplyFor(result, &cause);
+  if (!in_transaction) {
+    state_ = TransactionState::kIdle;
+  } else if (commits) {
+    connection_ = 0;
+    state_ = TransactionState::kIdle;
+  } else if (succeeded && result.connection != 0) {
+    connection_ = result.connection;
+  } else {
+    // The router has ended the transaction at the endpoint.
+    connection_ = 0;
+    state_ = TransactionState::kFailed;
+  }
+  if (succeeded && result.reply.position && job != nullptr && job->has_effect &&
+      (commits || !in_transaction)) {
+    if (position_service_ != job->service) position_ = {};
+    position_service_ = job->service;
+    position_ = std::max(position_, *result.reply.position);
+  }
+  Answer(std::move(reply), cause, now);
+}
+
+// Says only what is certain: a promise that nothing is kept needs a refusal of
+// the endpoint, a statement that was not sent, or a transaction without commit.
+StatementReply CallerSession::ReplyFor(const JobResult& result,
+                                       std::string* cause) {
+  const bool in_transaction = state_ == TransactionState::kOpen;
+  const bool commits = current_.kind == StatementKind::kCommit;
+  const bool kept = commits ? wrote_ : HasEffect(current_) && !in_transaction;
+  StatementReply reply;
+  switch (result.end) {
+    case JobResult::End::kAnswered:
+      reply = result.reply;
+      if (reply.code == ReplyCode::kOk) break;
+      *cause = "endpoint";
+      if (reply.code == ReplyCode::kOther ||
+          (commits && (reply.code == ReplyCode::kTimeout ||
+                       reply.code == ReplyCode::kFailed))) {
+        reply.code = kept ? ReplyCode::kInDoubt : ReplyCode::kAborted;
+      } else if (in_transaction && IsNotRun(reply.code)) {
+        reply.code = ReplyCode::kAborted;
+      } else if (reply.code == ReplyCode::kUnknownStatement) {
+        reply.code = ReplyCode::kBusy;
+      }
+      break;
+    case JobResult::End::kNotRun:
+      reply.code = in_transaction ? ReplyCode::kAborted : ReplyCode::kBusy;
+      reply.message = RetryText(result);
+      *cause = "not_run";
+      break;
+    case JobResult::End::kLost:
+    case JobResult::End::kTimedOut:
+      *cause = result.end == JobResult::End::kLost ? "connection_lost"
+                                                   : "no_answer_in_time";
+      if (kept) {
+        reply.code = ReplyCode::kInDoubt;
+        reply.message = kOutcomeUnknown;
+      } else if (in_transaction) {
+        reply.code = ReplyCode::kAborted;
+        reply.message = kConnectionEnded;
+      } else {
+        reply.code = ReplyCode::kTimeout;
+        reply.message = kNoAnswer;
+      }
+      break;
+  }
+  return reply;
+}
+
+void CallerSession::OnTransactionLost(TimePoint /*now*/) {
+  if (state_ != TransactionState::kOpen) return;
+  connection_ = 0;
+  state_ = TransactionState::kFailed;
+}
+
+void CallerSession::AnswerSelf(ReplyCode code, std::string_view message,
+                               TimePoint now) {
+  StatementReply reply;
+  reply.code = code;
+  reply.message = message;
+  Answer(std::move(reply), code == ReplyCode::kOk ? "" : message, now);
+}
+
+void CallerSession::Answer(StatementReply reply, std::string_view cause,
+                           TimePoint now) {
+  reply.state = state_;
+  observer_.OnStatementEnded(current_, reply, cause, now - received_);
+  busy_ = false;
+  last_active_ = now;
+  if (channel_ != nullptr) channel_->Reply(reply);
+  if (!waiting_.empty() || closing_) Next(now);
+}
+
+void CallerSession::EndTransaction(TransactionState state, TimePoint now) {
+  if (connection_ != 0) router_.RollBack(std::exchange(connection_, 0), now);
+  state_ = state;
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/src/core/session/endpoint_state.cc
@@ -0,0 +1,50 @@
+#include "core/session/endpoint_state.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace carawayhaven {
+namespace {
+
+// Weight of one response in the mean.
+constexpr double kResponseWeight = 0.2;
+// A mean without new responses loses half of its weight in that time.
+constexpr Duration kResponseHalfLife = std::chrono::seconds(1);
+// Entries that lapsed while the registry was away come back within 2 s.
+constexpr Duration kMissingGrace = std::chrono::milliseconds(2500);
+// A primary that leaves serves until its successor does, well before the time
+// after which a leaving endpoint may not get new work.
+constexpr Duration kLeavingPrimaryTime = std::chrono::seconds(5);
+
+}  // namespace
+
+void EndpointState::ObserveResponse(Duration response, TimePoint now) {
+  if (response_ == Duration{0}) {
+    response_ = response;
+  } else {
+    response_ += std::chrono::duration_cast<Duration>(kResponseWeight *
+                                                      (response - response_));
+  }
+  response_at_ = now;
+}
+
+Duration EndpointState::ExpectedResponse(Duration baseline,
+                                         TimePoint now) const {
+  if (response_ == Duration{0}) return baseline;
+  const double age = static_cast<double>((now - response_at_).count()) /
+                     static_cast<double>(kResponseHalfLife.count());
+  const double weight = std::exp2(-std::max(age, 0.0));
+  return std::chrono::duration_cast<Duration>(weight * response_ +
+                                              (1 - weight) * baseline);
+}
+
+bool EndpointState::AcceptsWork(TimePoint now) const {
+  if (missing_since != TimePoint::max() &&
+      now - missing_since > kMissingGrace) {
+    return false;
+  }
+  return leaving_since == TimePoint::max() ||
+         (record.claims_primary && now - leaving_since < kLeavingPrimaryTime);
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/src/core/session/router_observer.h
@@ -0,0 +1,53 @@
+#ifndef CARAWAYHAVEN_CORE_SESSION_ROUTER_OBSERVER_H_
+#define CARAWAYHAVEN_CORE_SESSION_ROUTER_OBSERVER_H_
+
+#include <string_view>
+
+#include "carawayhaven/log_position.h"
+#include "carawayhaven/time.h"
+#include "core/session/reply_code.h"
+#include "core/session/statement_job.h"
+
+namespace carawayhaven {
+
+/// A step of a statement's way through the router.
+struct RoutingDecision {
+  enum class Kind : std::uint8_t {
+    kSent,
+    kHedged,
+    kRetried,
+    kRefused,
+    kAnswered,
+    kLost,
+    kTimedOut,
+    kHeldForRight,
+  };
+
+  Kind kind = Kind::kSent;
+  const StatementJob* job = nullptr;
+  std::string_view endpoint;
+  /// kSent: what the endpoint's log must have reached.
+  LogPosition required;
+  ReplyCode code = ReplyCode::kOk;
+  /// Time since the statement was received.
+  Duration elapsed{0};
+  /// kSent, kHeldForRight: time for which the primary right holds; negative
+  /// when it has expired or is unknown.
+  Duration right_left{-1};
+};
+
+/// Is told what the router decides, for logs and metrics.
+class RouterObserver {
+ public:
+  virtual ~RouterObserver() = default;
+
+  virtual void OnRouting(const RoutingDecision& decision) = 0;
+
+  /// Connections to the endpoint work again, or fail.
+  virtual void OnEndpointReachable(std::string_view endpoint, bool reachable,
+                                   ReplyCode code) = 0;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_CORE_SESSION_ROUTER_OBSERVER_H_
--- /dev/null
+++ b/src/core/session/session_link.h
@@ -0,0 +1,55 @@
+#ifndef CARAWAYHAVEN_CORE_SESSION_SESSION_LINK_H_
+#define CARAWAYHAVEN_CORE_SESSION_SESSION_LINK_H_
+
+#include <string_view>
+
+#include "core/endpoint_link.h"
+#include "core/session/statement.h"
+
+namespace carawayhaven {
+
+/// Receives the events of sessions with endpoints.
+class SessionLinkEvents {
+ public:
+  virtual ~SessionLinkEvents() = default;
+
+  /// The endpoint accepted the session; `reply` holds its log position.
+  virtual void OnSessionOpened(ConnectionId connection,
+                               const StatementReply& reply, TimePoint now) = 0;
+
+  /// The session ended or could not be opened; `code` is the endpoint's reason
+  /// when it gave one. A statement without an answer may have run. The last
+  /// event of a session.
+  virtual void OnSessionClosed(ConnectionId connection, ReplyCode code,
+                               TimePoint now) = 0;
+
+  /// The answer to the oldest statement that has none.
+  virtual void OnReply(ConnectionId connection, const StatementReply& reply,
+                       TimePoint now) = 0;
+};
+
+/// Opens sessions with endpoints. Events are delivered from the loop, never
+/// from within a call. Not thread-safe; one loop, one thread.
+class SessionLink {
+ public:
+  virtual ~SessionLink() = default;
+
+  /// Starts to open a session at `address` ("IP:port") with that endpoint of
+  /// that service, and no other. `events` must outlive the session.
+  virtual ConnectionId Open(std::string_view address, std::string_view service,
+                            std::string_view endpoint,
+                            SessionLinkEvents& events) = 0;
+
+  /// Sends a statement. Returns false when the session is not open, in which
+  /// case no byte was sent.
+  virtual bool Send(ConnectionId connection,
+                    const EndpointStatement& statement) = 0;
+
+  /// Closes the session; the endpoint rolls an open transaction back. No event
+  /// of it follows. An unknown id is ignored.
+  virtual void Close(ConnectionId connection) = 0;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_CORE_SESSION_SESSION_LINK_H_
--- /dev/null
+++ b/src/core/session/session_router.h
@@ -0,0 +1,183 @@
+#ifndef CARAWAYHAVEN_CORE_SESSION_SESSION_ROUTER_H_
+#define CARAWAYHAVEN_CORE_SESSION_SESSION_ROUTER_H_
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "core/limits/retry_budget.h"
+#include "core/session/endpoint_state.h"
+#include "core/session/position_history.h"
+#include "core/session/primary_rights.h"
+#include "core/session/router_observer.h"
+#include "core/session/session_link.h"
+#include "core/session/statement_job.h"
+
+namespace carawayhaven {
+
+/// Counters since the start.
+struct RouterStats {
+  std::uint64_t sent = 0;
+  std::uint64_t sent_to_replica = 0;
+  std::uint64_t hedged = 0;
+  std::uint64_t retried = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t lost = 0;
+  std::uint64_t timed_out = 0;
+  std::uint64_t connections_opened = 0;
+};
+
+/// Chooses an endpoint and a connection for each statement, brings the
+/// connection into the session's state, and settles what becomes of a statement
+/// that is refused or gets no answer. Reads are repeated elsewhere; a statement
+/// with an effect is sent a second time only after the endpoint refused it.
+/// Not thread-safe; one loop, one thread.
+class SessionRouter : public SessionLinkEvents {
+ public:
+  /// Expected time to an endpoint's data centre and back.
+  using Distance = std::function<Duration(const DataCentreName&)>;
+
+  /// All references must outlive the router.
+  SessionRouter(SessionLink& link, RouterObserver& observer, Distance distance);
+  ~SessionRouter() override;
+  SessionRouter(const SessionRouter&) = delete;
+  SessionRouter& operator=(const SessionRouter&) = delete;
+
+  /// Adds or updates an endpoint.
+  void SetEndpoint(const EndpointRecord& record, TimePoint now);
+  /// The registry has no record of the endpoint any more.
+  void RemoveEndpoint(const EndpointName& endpoint, TimePoint now);
+  /// Sets how many connections this VM may have to each endpoint of a service.
+  void SetConnectionLimit(const ServiceName& service, std::uint32_t limit);
+
+  /// Takes a right; what waits for a primary may run then.
+  void GrantRight(const ServiceName& service, const PrimaryRight& right,
+                  TimePoint now);
+  /// Takes a position that a primary had at `at`.
+  void AddPosition(const ServiceName& service, TimePoint at,
+                   LogPosition position);
+
+  /// Runs a statement on any suitable connection.
+  void Submit(std::shared_ptr<StatementJob> job, TimePoint now);
+  /// Runs a statement on the connection of its transaction.
+  void SubmitOn(ConnectionId connection, std::shared_ptr<StatementJob> job,
+                TimePoint now);
+  /// Ends the transaction on the connection by a rollback.
+  void RollBack(ConnectionId connection, TimePoint now);
+  /// Gives up a job whose caller is gone.
+  void Abandon(const std::shared_ptr<StatementJob>& job, TimePoint now);
+
+  const PrimaryRights& rights() const { return rights_; }
+  const PositionHistory* HistoryOf(const ServiceName& service) const;
+  const std::map<EndpointName, EndpointState>& endpoints() const {
+    return endpoints_;
+  }
+  RouterStats stats() const { return stats_; }
+  std::size_t waiting() const;
+  std::size_t connections() const { return connections_.size(); }
+
+  void Tick(TimePoint now);
+  TimePoint NextTick() const { return next_tick_; }
+
+  void OnSessionOpened(ConnectionId connection, const StatementReply& reply,
+                       TimePoint now) override;
+  void OnSessionClosed(ConnectionId connection, ReplyCode code,
+                       TimePoint now) override;
+  void OnReply(ConnectionId connection, const StatementReply& reply,
+               TimePoint now) override;
+
+ private:
+  using JobPtr = std::shared_ptr<StatementJob>;
+
+  struct Connection {
+    EndpointName endpoint;
+    bool open = false;
+    bool in_transaction = false;
+    ConnectionContext context;
+    JobPtr job;
+    /// The session whose transaction holds the connection.
+    std::shared_ptr<JobOwner> holder;
+    std::vector<EndpointStatement> steps;
+    std::size_t step = 0;
+    TimePoint started;
+    TimePoint sent;
+    TimePoint last_answer;
+    /// When the read on it is repeated elsewhere; max() when it is not.
+    TimePoint hedge_at = TimePoint::max();
+    /// When the connection is given up without an answer.
+    TimePoint give_up_at = TimePoint::max();
+    /// The endpoint was the primary, by a valid right, when the step was sent.
+    bool sent_with_right = false;
+  };
+  struct Service {
+    std::list<JobPtr> queue;
+    std::uint32_t connection_limit = 1;
+    PositionHistory positions;
+    RetryBudget retries;
+  };
+  /// A successful write whose endpoint may have been replaced before it.
+  struct HeldAnswer {
+    JobPtr job;
+    JobResult result;
+    TimePoint until;
+  };
+
+  void Enqueue(const JobPtr& job);
+  void Dispatch(const ServiceName& name, TimePoint now);
+  bool TryStart(const JobPtr& job, Service& service, TimePoint now);
+  std::optional<LogPosition> RequiredPosition(const StatementJob& job,
+                                              const Service& service) const;
+  EndpointState* ChooseEndpoint(const StatementJob& job, const Service& service,
+                                bool replicas_allowed, TimePoint now);
+  ConnectionId ChooseConnection(const EndpointState& endpoint,
+                                const StatementJob& job) const;
+  bool MayOpen(const EndpointState& endpoint, const Service& service,
+               TimePoint now) const;
+  void OpenConnection(EndpointState& endpoint, TimePoint now);
+  void Start(ConnectionId id, const JobPtr& job,
+             std::optional<LogPosition> required, TimePoint now);
+  void SendStep(ConnectionId id, TimePoint now);
+  void OnSetupReply(ConnectionId id, const StatementReply& reply,
+                    TimePoint now);
+  void OnFinalReply(ConnectionId id, const StatementReply& reply,
+                    TimePoint now);
+  /// Takes the job off its connection and keeps or closes the connection.
+  JobPtr Detach(ConnectionId id, bool keep, TimePoint now);
+  void CloseConnection(ConnectionId id, TimePoint now);
+  void Retry(const JobPtr& job, const EndpointName& endpoint, ReplyCode code,
+             TimePoint now);
+  void OnNoAnswer(const JobPtr& job, const EndpointName& endpoint,
+                  JobResult::End end, TimePoint now);
+  void Refuse(const JobPtr& job, ReplyCode reason, TimePoint now);
+  void Finish(const JobPtr& job, JobResult result, TimePoint now);
+  void ReviewHeldAnswers(TimePoint now);
+  void TickConnections(TimePoint now);
+  void TickQueues(TimePoint now);
+  void NotePosition(const Connection& connection, const StatementReply& reply,
+                    TimePoint now);
+  void Observe(RoutingDecision::Kind kind, const StatementJob& job,
+               std::string_view endpoint, ReplyCode code, TimePoint now);
+  Duration RightLeft(const StatementJob& job, TimePoint now) const;
+  void WakeAt(TimePoint time) { next_tick_ = std::min(next_tick_, time); }
+
+  SessionLink& link_;
+  RouterObserver& observer_;
+  Distance distance_;
+  PrimaryRights rights_;
+  std::map<EndpointName, EndpointState> endpoints_;
+  std::map<ServiceName, Service> services_;
+  std::unordered_map<ConnectionId, Connection> connections_;
+  std::list<HeldAnswer> held_;
+  TimePoint next_tick_ = TimePoint::max();
+  RouterStats stats_;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_CORE_SESSION_SESSION_ROUTER_H_
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <atomic>
 #include <csignal>
+#include <ctime>
 #include <list>
 
 #include "carawayhaven/error_messages.h"
@@ -31,14 +32,24 @@
 
 std::atomic<lws_context*> signalled_context{nullptr};
 volatile std::sig_atomic_t termination_requested = 0;
+volatile std::sig_atomic_t reload_requested = 0;
 
-void HandleTerminationSignal(int /*signal*/) {
-  termination_requested = 1;
+void WakeLoop() {
   if (lws_context* context = signalled_context.load()) {
     lws_cancel_service(context);
   }
 }
 
+void HandleTerminationSignal(int /*signal*/) {
+  termination_requested = 1;
+  WakeLoop();
+}
+
+void HandleReloadSignal(int /*signal*/) {
+  reload_requested = 1;
+  WakeLoop();
+}
+
 }  // namespace
 
 // The libev loop that serves libwebsockets and the timers of this class. Its
@@ -88,7 +99,9 @@
   lws_context_creation_info info{};
   info.port = CONTEXT_PORT_NO_LISTEN;
   info.user = this;
-  info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_LIBEV;
+  // Addresses are IP numbers of version 4; some hosts have no other sockets.
+  info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_LIBEV |
+                 LWS_SERVER_OPTION_DISABLE_IPV6;
   info.fd_limit_per_thread = kMaxDescriptors;
   driver_ = std::make_unique<Driver>(*this);
   void* foreign_loops[] = {driver_->loop()};
@@ -110,8 +123,11 @@
 }
 
 TimePoint EventLoop::Now() {
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
   return TimePoint(std::chrono::duration_cast<Duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
+      std::chrono::seconds(time.tv_sec) +
+      std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 void EventLoop::RunAfter(Duration delay, Callback callback) {
@@ -126,6 +142,12 @@
   std::signal(SIGINT, HandleTerminationSignal);
 }
 
+void EventLoop::OnReloadSignal(Callback callback) {
+  on_reload_ = std::move(callback);
+  signalled_context.store(context_);
+  std::signal(SIGHUP, HandleReloadSignal);
+}
+
 void EventLoop::Run() {
   while (!stopped_) {
     driver_->RunRound();
@@ -133,6 +155,10 @@
       termination_requested = 0;
       std::exchange(on_termination_, nullptr)();
     }
+    if (reload_requested != 0 && on_reload_) {
+      reload_requested = 0;
+      on_reload_();
+    }
     if (on_round_end_) on_round_end_();
   }
   stopped_ = false;
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -26,7 +26,8 @@
   EventLoop(const EventLoop&) = delete;
   EventLoop& operator=(const EventLoop&) = delete;
 
-  /// Current time of the steady clock.
+  /// Current time of a steady clock that also counts the time in which the VM
+  /// was suspended, so that what expires does so in a suspended VM as well.
   static TimePoint Now();
 
   /// Runs `callback` once, not before `delay` has passed, from the loop.
@@ -40,6 +41,9 @@
   /// Called once from the loop after SIGTERM or SIGINT. Installs the handlers.
   void OnTerminationSignal(Callback callback);
 
+  /// Called from the loop after each SIGHUP. Installs the handler.
+  void OnReloadSignal(Callback callback);
+
   /// Sets what runs after each round of events and of timers; null removes it.
   void OnRoundEnd(Callback callback) { on_round_end_ = std::move(callback); }
 
@@ -64,6 +68,7 @@
   std::multimap<TimePoint, Callback> timers_;
   std::unique_ptr<Driver> driver_;
   Callback on_termination_;
+  Callback on_reload_;
   Callback on_round_end_;
   bool stopped_ = false;
   bool closing_ = false;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -55,6 +55,9 @@
         !add("if-match:", '"' + request.if_match + '"')) {
       return false;
     }
+    for (const auto& [name, value] : request.headers) {
+      if (!add(name.c_str(), value)) return false;
+    }
     return request.bearer_token.empty() ||
            add("authorization:", "Bearer " + request.bearer_token);
   }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -9,6 +9,8 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace carawayhaven {
 
@@ -26,6 +28,8 @@
   /// Token of an "Authorization: Bearer" header; empty when absent.
   std::string bearer_token;
   std::string body;
+  /// Client only: further headers, each name in lower case with a colon.
+  std::vector<std::pair<std::string, std::string>> headers;
 };
 
 struct HttpResponse {
--- a/src/net/peer_transport.cc
+++ b/src/net/peer_transport.cc
@@ -70,6 +70,14 @@
   addresses_.insert_or_assign(vm, std::string(address));
 }
 
+void PeerTransport::ResetLink(const VmName& vm) {
+  const auto found = links_.find(vm);
+  if (found == links_.end()) return;
+  const std::shared_ptr<PeerConnection> link = found->second;
+  links_.erase(found);
+  link->Abort();
+}
+
 std::shared_ptr<PeerConnection> PeerTransport::Connect(
     const std::string& address_text) {
   auto connection = std::make_shared<PeerConnection>(*this, true);
--- a/src/net/peer_transport.h
+++ b/src/net/peer_transport.h
@@ -43,6 +43,10 @@
   bool Send(const VmName& vm, const PeerMessage& message) override;
   void SetAddress(const VmName& vm, std::string_view address) override;
 
+  /// Gives the link to the VM up, because it has gone silent; the next message
+  /// opens another.
+  void ResetLink(const VmName& vm);
+
   const PeerTransportStats& stats() const { return stats_; }
   /// Open connections, in either direction.
   std::size_t connections() const { return connections_; }
--- /dev/null
+++ b/src/proxy/caller_listener.h
@@ -0,0 +1,36 @@
+#ifndef CARAWAYHAVEN_PROXY_CALLER_LISTENER_H_
+#define CARAWAYHAVEN_PROXY_CALLER_LISTENER_H_
+
+#include <cstddef>
+#include <memory>
+
+#include "core/session/caller_channel.h"
+#include "core/session/caller_session.h"
+
+namespace carawayhaven {
+
+/// Makes the session of each caller that connects.
+class SessionSource {
+ public:
+  virtual ~SessionSource() = default;
+
+  /// Returns a new session that answers on `channel`, which stays valid until
+  /// the session's OnDisconnected.
+  virtual std::shared_ptr<CallerSession> NewSession(CallerChannel& channel) = 0;
+};
+
+/// Accepts callers. Not thread-safe.
+class CallerListener {
+ public:
+  virtual ~CallerListener() = default;
+
+  /// Sets who makes sessions; null refuses callers.
+  virtual void SetSessionSource(SessionSource* source) = 0;
+  virtual std::size_t session_count() const = 0;
+  /// Sends what was answered; to be called at the end of each round.
+  virtual void Flush() = 0;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_PROXY_CALLER_LISTENER_H_
--- /dev/null
+++ b/src/proxy/session_log.cc
@@ -0,0 +1,143 @@
+#include "proxy/session_log.h"
+
+#include <utility>
+
+#include "proxy/logging.h"
+
+namespace carawayhaven {
+namespace {
+
+constexpr HistogramScale kSecondsScale{0.0005, 20.0, 32};
+
+constexpr std::array<std::string_view, 8> kDecisionNames{
+    "sent",     "hedged", "retried",   "refused",
+    "answered", "lost",   "timed_out", "held_for_right"};
+
+double Milliseconds(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+std::string PositionText(LogPosition position) {
+  if (position.term == 0) return "-";
+  return std::to_string(position.term) + '.' + std::to_string(position.index);
+}
+
+}  // namespace
+
+SessionLog::SessionLog(Metrics& metrics, Clock clock)
+    : metrics_(metrics),
+      clock_(std::move(clock)),
+      statement_seconds_(metrics.GetHistogram(
+          "carawayhaven_statement_seconds",
+          "Time from a caller's statement to its answer", kSecondsScale)),
+      suppressed_(metrics.GetCounter("carawayhaven_log_suppressed_total",
+                                     "Log lines left out to bound the log")) {
+  for (std::size_t i = 0; i < kDecisionNames.size(); ++i) {
+    decisions_[i] = &metrics.GetCounter(
+        "carawayhaven_routing_total", "Decisions of the router",
+        {{"decision", std::string(kDecisionNames[i])}});
+  }
+}
+
+bool SessionLog::TakeLine(bool failure) {
+  const TimePoint now = clock_();
+  if (now - second_ >= std::chrono::seconds(1)) {
+    second_ = now;
+    routine_lines_ = 0;
+    failure_lines_ = 0;
+    if (suppressed_now_ > 0) {
+      Log(LogLevel::kWarning, "log_suppressed",
+          {{"lines", std::exchange(suppressed_now_, 0)}});
+    }
+  }
+  unsigned& lines = failure ? failure_lines_ : routine_lines_;
+  if (lines < (failure ? kFailureLinesPerSecond : kRoutineLinesPerSecond)) {
+    ++lines;
+    return true;
+  }
+  ++suppressed_now_;
+  suppressed_.Increment();
+  return false;
+}
+
+void SessionLog::OnRouting(const RoutingDecision& decision) {
+  const auto kind = static_cast<std::size_t>(decision.kind);
+  decisions_[kind]->Increment();
+  const bool routine = decision.kind == RoutingDecision::Kind::kSent ||
+                       decision.kind == RoutingDecision::Kind::kAnswered;
+  // The end of a statement is logged once, with its reply.
+  if (decision.kind == RoutingDecision::Kind::kAnswered) return;
+  if (!TakeLine(!routine)) return;
+  Log(LogLevel::kInfo, "statement_routed",
+      {{"id", decision.job->statement.id},
+       {"decision", kDecisionNames[kind]},
+       {"service", decision.job->service},
+       {"endpoint", decision.endpoint},
+       {"code", ReplyCodeName(decision.code)},
+       {"primary", decision.job->needs_primary},
+       {"required", PositionText(decision.required)},
+       {"right_left_ms", Milliseconds(decision.right_left)},
+       {"attempt", decision.job->attempts},
+       {"elapsed_ms", Milliseconds(decision.elapsed)}});
+}
+
+void SessionLog::OnEndpointReachable(std::string_view endpoint, bool reachable,
+                                     ReplyCode code) {
+  Log(reachable ? LogLevel::kInfo : LogLevel::kWarning,
+      reachable ? "endpoint_reachable" : "endpoint_unreachable",
+      {{"endpoint", endpoint}, {"code", ReplyCodeName(code)}});
+}
+
+void SessionLog::OnStatementEnded(const CallerStatement& statement,
+                                  const StatementReply& reply,
+                                  std::string_view cause, Duration elapsed) {
+  statement_seconds_.Observe(std::chrono::duration<double>(elapsed).count());
+  Counter*& counter = replies_[reply.code];
+  if (counter == nullptr) {
+    counter = &metrics_.GetCounter(
+        "carawayhaven_replies_total", "Answers to callers by code",
+        {{"code", std::string(ReplyCodeName(reply.code))}});
+  }
+  counter->Increment();
+  const bool failed = reply.code != ReplyCode::kOk;
+  if (!failed && reply.signature.empty()) return;
+  if (!TakeLine(failed)) return;
+  Log(failed ? LogLevel::kWarning : LogLevel::kInfo, "statement_ended",
+      {{"id", statement.id},
+       {"code", ReplyCodeName(reply.code)},
+       {"cause", cause},
+       {"message", reply.message},
+       {"elapsed_ms", Milliseconds(elapsed)}});
+}
+
+void SessionLog::OnHolderChanged(const VmName& holder, bool self) {
+  Log(LogLevel::kInfo, "duty_holder_changed",
+      {{"holder", holder}, {"self", self}});
+}
+
+void SessionLog::OnPrimaryState(const ServiceName& service,
+                                std::string_view state,
+                                const EndpointName& endpoint, Term term,
+                                std::string_view why, Duration age) {
+  Log(LogLevel::kInfo, "primary_state",
+      {{"service", service},
+       {"state", state},
+       {"endpoint", endpoint},
+       {"term", term},
+       {"why", why},
+       {"input_age_ms", Milliseconds(age)}});
+}
+
+void SessionLog::OnStoreReachable(std::string_view prefix, bool reachable) {
+  Log(reachable ? LogLevel::kInfo : LogLevel::kWarning,
+      reachable ? "store_reachable" : "store_unreachable",
+      {{"prefix", prefix}});
+}
+
+void SessionLog::OnMalformedObject(std::string_view path,
+                                   std::string_view error) {
+  Log(LogLevel::kWarning, "object_malformed",
+      {{"path", path}, {"error", error}});
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/src/proxy/session_log.h
@@ -0,0 +1,64 @@
+#ifndef CARAWAYHAVEN_PROXY_SESSION_LOG_H_
+#define CARAWAYHAVEN_PROXY_SESSION_LOG_H_
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "core/failover/failover_observer.h"
+#include "core/session/caller_session.h"
+#include "core/session/router_observer.h"
+#include "proxy/metrics.h"
+
+namespace carawayhaven {
+
+/// Writes the decisions of a session proxy as log lines and counts them. Lines
+/// about statements are bounded a second: first those about failures, then the
+/// others; what is left out is counted. Not thread-safe.
+class SessionLog : public RouterObserver,
+                   public SessionObserver,
+                   public FailoverObserver {
+ public:
+  using Clock = std::function<TimePoint()>;
+
+  // Lines a second about statements that went well, and about those that did
+  // not. A statement has two lines; a VM runs about a hundred a second.
+  static constexpr unsigned kRoutineLinesPerSecond = 40;
+  static constexpr unsigned kFailureLinesPerSecond = 200;
+
+  SessionLog(Metrics& metrics, Clock clock);
+
+  void OnRouting(const RoutingDecision& decision) override;
+  void OnEndpointReachable(std::string_view endpoint, bool reachable,
+                           ReplyCode code) override;
+  void OnStatementEnded(const CallerStatement& statement,
+                        const StatementReply& reply, std::string_view cause,
+                        Duration elapsed) override;
+  void OnHolderChanged(const VmName& holder, bool self) override;
+  void OnPrimaryState(const ServiceName& service, std::string_view state,
+                      const EndpointName& endpoint, Term term,
+                      std::string_view why, Duration age) override;
+  void OnStoreReachable(std::string_view prefix, bool reachable) override;
+  void OnMalformedObject(std::string_view path,
+                         std::string_view error) override;
+
+ private:
+  bool TakeLine(bool failure);
+
+  Metrics& metrics_;
+  Clock clock_;
+  Histogram& statement_seconds_;
+  std::map<ReplyCode, Counter*> replies_;
+  std::array<Counter*, 8> decisions_{};
+  Counter& suppressed_;
+  TimePoint second_;
+  unsigned routine_lines_ = 0;
+  unsigned failure_lines_ = 0;
+  std::uint64_t suppressed_now_ = 0;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_PROXY_SESSION_LOG_H_
--- /dev/null
+++ b/src/proxy/session_proxy.cc
@@ -0,0 +1,464 @@
+#include "proxy/session_proxy.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "carawayhaven/exceptions.h"
+#include "core/config/config_digest_source.h"
+#include "net/address.h"
+#include "net/event_loop.h"
+#include "proxy/logging.h"
+
+namespace carawayhaven {
+namespace {
+
+using std::chrono::milliseconds;
+
+// One way between regions, there and back; only a start until it is measured.
+constexpr Duration kRemoteDistance = milliseconds(25);
+constexpr Duration kLocalDistance = milliseconds(1);
+constexpr Duration kRegisterRetry = milliseconds(200);
+// Sessions are looked at this often for idle transactions.
+constexpr Duration kSweepInterval = milliseconds(250);
+// Connections of an endpoint that stay free for probes of the duty holder and
+// for VMs that replace others.
+constexpr std::uint32_t kReservedConnections = 2;
+// The load balancer asks each second and needs two refusals.
+constexpr Duration kBalancerTime = milliseconds(2600);
+// Parts of the grace time after which open transactions are ended and the
+// process stops.
+constexpr double kTransactionPart = 0.5;
+constexpr double kStopPart = 0.9;
+constexpr Duration kDrainInterval = milliseconds(50);
+constexpr std::size_t kFlushLogBytes = 4096;
+constexpr char kRoutesTeam[] = "routes";
+
+}  // namespace
+
+// Follows the operator's configuration.
+class SessionProxy::RoutesMirror : public ObjectMirrorEvents {
+ public:
+  explicit RoutesMirror(SessionProxy& proxy)
+      : proxy_(proxy),
+        mirror(proxy.parts_.store,
+               std::string(proxy.parts_.documents.routes_prefix()),
+               &EventLoop::Now, proxy.random_, *this) {}
+
+  void OnObject(const StoredObject& object, TimePoint now) override {
+    if (object.path != proxy_.parts_.documents.routes_path()) return;
+    proxy_.ApplyRoutes(object.value, "store", now);
+  }
+  void OnObjectRemoved(std::string_view /*path*/, TimePoint /*now*/) override {}
+  void OnMirrorConfirmed(TimePoint /*sent*/, TimePoint /*now*/) override {}
+  void OnMirrorReachable(bool reachable, TimePoint /*now*/) override {
+    proxy_.log_.OnStoreReachable(proxy_.parts_.documents.routes_prefix(),
+                                 reachable);
+  }
+
+ private:
+  SessionProxy& proxy_;
+
+ public:
+  ObjectMirror mirror;
+};
+
+// Follows the entries of the endpoints.
+class SessionProxy::EndpointsMirror : public ObjectMirrorEvents {
+ public:
+  explicit EndpointsMirror(SessionProxy& proxy)
+      : proxy_(proxy),
+        mirror(proxy.parts_.store,
+               std::string(proxy.parts_.documents.endpoints_prefix()),
+               &EventLoop::Now, proxy.random_, *this) {}
+
+  void OnObject(const StoredObject& object, TimePoint now) override {
+    try {
+      const EndpointRecord record =
+          proxy_.parts_.documents.DecodeEndpoint(object);
+      const auto known = proxy_.router_.endpoints().find(record.name);
+      if (known == proxy_.router_.endpoints().end() ||
+          known->second.record != record) {
+        Log(LogLevel::kInfo, "endpoint_record",
+            {{"endpoint", record.name},
+             {"service", record.service},
+             {"data_centre", record.data_centre},
+             {"leaving", record.leaving},
+             {"primary", record.claims_primary},
+             {"version", object.version}});
+      }
+      proxy_.router_.SetEndpoint(record, now);
+    } catch (const DecodeError& error) {
+      proxy_.log_.OnMalformedObject(object.path, error.what());
+    }
+  }
+  void OnObjectRemoved(std::string_view path, TimePoint now) override {
+    const EndpointName name(
+        path.substr(proxy_.parts_.documents.endpoints_prefix().size()));
+    Log(LogLevel::kInfo, "endpoint_record_removed", {{"endpoint", name}});
+    proxy_.router_.RemoveEndpoint(name, now);
+  }
+  void OnMirrorConfirmed(TimePoint /*sent*/, TimePoint /*now*/) override {}
+  void OnMirrorReachable(bool reachable, TimePoint /*now*/) override {
+    proxy_.log_.OnStoreReachable(proxy_.parts_.documents.endpoints_prefix(),
+                                 reachable);
+  }
+
+ private:
+  SessionProxy& proxy_;
+
+ public:
+  ObjectMirror mirror;
+};
+
+// Answers the load balancer.
+class SessionProxy::Readiness : public HttpHandler {
+ public:
+  explicit Readiness(const SessionProxy& proxy) : proxy_(proxy) {}
+
+  void OnRequest(const HttpRequest& /*request*/,
+                 HttpResponder responder) override {
+    HttpResponse response;
+    response.status = proxy_.IsReady() ? 200 : 503;
+    response.body = "{}";
+    responder(response);
+  }
+
+ private:
+  const SessionProxy& proxy_;
+};
+
+// Serves the metrics.
+class SessionProxy::Status : public HttpHandler {
+ public:
+  explicit Status(SessionProxy& proxy) : proxy_(proxy) {}
+
+  void OnRequest(const HttpRequest& /*request*/,
+                 HttpResponder responder) override {
+    Metrics& metrics = proxy_.metrics_;
+    const RouterStats stats = proxy_.router_.stats();
+    const auto gauge = [&](const char* name, const char* help, double value) {
+      metrics.GetGauge(name, help).Set(value);
+    };
+    gauge("carawayhaven_sessions", "Sessions of callers",
+          static_cast<double>(proxy_.parts_.callers.session_count()));
+    gauge("carawayhaven_waiting_statements", "Statements without a connection",
+          static_cast<double>(proxy_.router_.waiting()));
+    gauge("carawayhaven_endpoint_connections", "Connections to endpoints",
+          static_cast<double>(proxy_.router_.connections()));
+    gauge("carawayhaven_endpoint_connections_opened",
+          "Connections to endpoints opened since the start",
+          static_cast<double>(stats.connections_opened));
+    gauge("carawayhaven_replica_statements",
+          "Statements sent to replicas since the start",
+          static_cast<double>(stats.sent_to_replica));
+    gauge("carawayhaven_config_version", "Version of the routes in force",
+          static_cast<double>(proxy_.routes_.version));
+    gauge("carawayhaven_log_dropped_lines", "Log lines that did not fit",
+          static_cast<double>(proxy_.parts_.log_output.dropped_lines()));
+    HttpResponse response;
+    response.content_type = "text/plain; version=0.0.4";
+    response.body = metrics.FormatPrometheus();
+    responder(response);
+  }
+
+ private:
+  SessionProxy& proxy_;
+};
+
+struct SessionProxy::Cluster {
+  Cluster(SessionProxy& proxy, ObjectVersion version)
+      : peers(proxy.parts_.loop,
+              HelloMessage{proxy.settings_.vm, proxy.settings_.data_centre,
+                           proxy.settings_.peer_address, version},
+              proxy),
+        membership(
+            MembershipOptions{proxy.settings_.vm, proxy.settings_.data_centre,
+                              proxy.settings_.peer_address, version},
+            peers, digests, proxy.random_),
+        failover(FailoverManager::Parts{proxy.parts_.link, proxy.parts_.store,
+                                        proxy.parts_.promotions, proxy.router_,
+                                        membership, peers, proxy.log_,
+                                        proxy.random_, &EventLoop::Now},
+                 proxy.settings_.vm, proxy.entry_, version) {}
+
+  // The routes have one version, which is compared with each request for
+  // rights, so heartbeats need no digest.
+  struct NoDigest : ConfigDigestSource {
+    const ConfigDigest& digest() const override { return none; }
+    ConfigDigest none;
+  };
+
+  NoDigest digests;
+  PeerTransport peers;
+  Membership membership;
+  FailoverManager failover;
+  std::set<VmName> silent;
+};
+
+SessionProxy::SessionProxy(const SessionProxyParts& parts,
+                           const Settings& settings)
+    : parts_(parts),
+      settings_(settings),
+      random_(std::random_device{}()),
+      log_(metrics_, &EventLoop::Now),
+      router_(parts.link, log_,
+              [own = settings.data_centre](const DataCentreName& other) {
+                return own == other ? kLocalDistance : kRemoteDistance;
+              }) {
+  entry_.data_centre = settings.data_centre;
+  entry_.address = settings.peer_address;
+  entry_.process = std::to_string(random_());
+  readiness_ = std::make_unique<Readiness>(*this);
+  const Address ready = ParseAddress(settings.ready_address);
+  ready_server_ = std::make_unique<HttpServer>(parts.loop, ready.ip, ready.port,
+                                               *readiness_);
+  status_ = std::make_unique<Status>(*this);
+  const Address admin = ParseAddress(settings.admin_address);
+  admin_server_ =
+      std::make_unique<HttpServer>(parts.loop, admin.ip, admin.port, *status_);
+  routes_mirror_ = std::make_unique<RoutesMirror>(*this);
+  endpoints_mirror_ = std::make_unique<EndpointsMirror>(*this);
+  parts_.callers.SetSessionSource(this);
+  parts_.loop.OnRoundEnd([this] { OnRound(); });
+  RegisterVm();
+  OnRound();
+  Log(LogLevel::kInfo, "proxy_started",
+      {{"vm", settings.vm},
+       {"data_centre", settings.data_centre},
+       {"process", entry_.process}});
+}
+
+SessionProxy::~SessionProxy() {
+  parts_.loop.OnRoundEnd(nullptr);
+  parts_.callers.SetSessionSource(nullptr);
+}
+
+// The entry's version numbers this process for its peers: unlike the wall clock
+// it rises with each start.
+void SessionProxy::RegisterVm() {
+  parts_.store.Put(std::string(kVmPrefix) + settings_.vm, FormatRecord(entry_),
+                   entry_version_, [this](const StoreReply& reply) {
+                     if (reply.status == StoreStatus::kOk) {
+                       OnRegistered(reply.object.version);
+                       return;
+                     }
+                     if (reply.status == StoreStatus::kConflict) {
+                       entry_version_ = reply.object.version;
+                       RegisterVm();
+                       return;
+                     }
+                     if (reply.status == StoreStatus::kNotFound) {
+                       entry_version_ = 0;
+                     }
+                     parts_.loop.RunAfter(kRegisterRetry,
+                                          [this] { RegisterVm(); });
+                   });
+}
+
+void SessionProxy::OnRegistered(ObjectVersion version) {
+  entry_version_ = version;
+  Log(LogLevel::kInfo, "vm_registered", {{"version", version}});
+  cluster_ = std::make_unique<Cluster>(*this, version);
+  if (routes_.version > 0) cluster_->failover.SetRoutes(routes_);
+}
+
+std::shared_ptr<CallerSession> SessionProxy::NewSession(
+    CallerChannel& channel) {
+  auto session = std::make_shared<CallerSession>(
+      router_, log_, [this]() -> const RouteTable& { return routes_; },
+      channel);
+  sessions_.insert(session);
+  return session;
+}
+
+// A version never goes back; the highest one that was seen is in force.
+bool SessionProxy::ApplyRoutes(const std::string& text, std::string_view source,
+                               TimePoint /*now*/) {
+  try {
+    RouteTable table = parts_.documents.DecodeRoutes(text);
+    if (table.version <= routes_.version) return false;
+    Log(LogLevel::kInfo, "routes_applied",
+        {{"version", table.version},
+         {"previous", routes_.version},
+         {"source", source},
+         {"databases", table.databases.size()}});
+    routes_ = std::move(table);
+    routes_text_ = text;
+  } catch (const DecodeError& error) {
+    Log(LogLevel::kError, "routes_rejected",
+        {{"source", source}, {"error", error.what()}});
+    return false;
+  }
+  UpdateConnectionLimits();
+  if (cluster_ != nullptr) cluster_->failover.SetRoutes(routes_);
+  return true;
+}
+
+// Each endpoint's connections are shared evenly between the live VMs.
+void SessionProxy::UpdateConnectionLimits() {
+  std::uint32_t vms = 1;
+  if (cluster_ != nullptr) {
+    vms = static_cast<std::uint32_t>(
+        std::max<std::size_t>(1, cluster_->membership.table().Owners().size()));
+  }
+  for (const auto& [service, limits] : routes_.services) {
+    const std::uint32_t shared = limits.connections > kReservedConnections
+                                     ? limits.connections - kReservedConnections
+                                     : 1;
+    router_.SetConnectionLimit(service, std::max(1U, shared / vms));
+  }
+}
+
+void SessionProxy::OnPeerMessage(const VmName& vm, const PeerMessage& message,
+                                 TimePoint now) {
+  if (const auto* request = std::get_if<RightRequestMessage>(&message)) {
+    cluster_->failover.OnRightRequest(vm, *request, now);
+    if (request->config_version < routes_.version) {
+      cluster_->peers.Send(
+          vm, ConfigUpdateMessage{kRoutesTeam, routes_.version, routes_text_});
+    }
+  } else if (const auto* reply = std::get_if<RightReplyMessage>(&message)) {
+    cluster_->failover.OnRightReply(vm, *reply, now);
+  } else if (const auto* update = std::get_if<ConfigUpdateMessage>(&message)) {
+    ApplyRoutes(update->text, vm, now);
+  } else {
+    cluster_->membership.OnPeerMessage(vm, message, now);
+  }
+}
+
+void SessionProxy::OnPeerLost(const VmName& vm, TimePoint now) {
+  cluster_->membership.OnPeerLost(vm, now);
+}
+
+// A link to a peer that is suspected may have gone silent for good.
+void SessionProxy::ResetSilentLinks() {
+  for (const auto& [vm, member] : cluster_->membership.table().members()) {
+    const bool lost = member.record.state == VmState::kSuspected ||
+                      member.record.state == VmState::kDead;
+    if (!lost) {
+      if (cluster_->silent.erase(vm) > 0) {
+        Log(LogLevel::kInfo, "peer_regained", {{"vm", vm}});
+      }
+    } else if (cluster_->silent.insert(vm).second) {
+      Log(LogLevel::kWarning, "peer_lost", {{"vm", vm}});
+      cluster_->peers.ResetLink(vm);
+    }
+  }
+}
+
+bool SessionProxy::IsReady() const {
+  return drain_started_ == TimePoint::max() && routes_.version > 0 &&
+         cluster_ != nullptr && !router_.endpoints().empty();
+}
+
+void SessionProxy::OnRound() {
+  const TimePoint now = EventLoop::Now();
+  if (armed_for_ <= now) armed_for_ = TimePoint::max();
+  routes_mirror_->mirror.Tick(now);
+  endpoints_mirror_->mirror.Tick(now);
+  TimePoint next = std::min(routes_mirror_->mirror.NextTick(),
+                            endpoints_mirror_->mirror.NextTick());
+  if (cluster_ != nullptr) {
+    cluster_->membership.Tick(now);
+    cluster_->failover.Tick(now);
+    if (cluster_->membership.revision() != seen_members_) {
+      seen_members_ = cluster_->membership.revision();
+      UpdateConnectionLimits();
+    }
+    next = std::min(
+        {next, cluster_->membership.NextTick(), cluster_->failover.NextTick()});
+  }
+  router_.Tick(now);
+  if (now >= next_sweep_) {
+    next_sweep_ = now + kSweepInterval;
+    TickSessions(now);
+    if (cluster_ != nullptr) ResetSilentLinks();
+  }
+  if (drain_started_ != TimePoint::max()) {
+    TickDrain(now);
+    next = std::min(next, now + kDrainInterval);
+  }
+  next = std::min({next, router_.NextTick(), next_sweep_});
+  parts_.flush_link();
+  parts_.callers.Flush();
+  if (parts_.log_output.pending() >= kFlushLogBytes || next == next_sweep_) {
+    parts_.log_output.Flush();
+  }
+  if (armed_for_ <= next) return;
+  armed_for_ = std::max(next, now);
+  // Only wakes the loop; the work is done at the end of the round.
+  parts_.loop.RunAfter(armed_for_ - now, [] {});
+}
+
+void SessionProxy::TickSessions(TimePoint now) {
+  for (auto entry = sessions_.begin(); entry != sessions_.end();) {
+    const std::shared_ptr<CallerSession> session = entry->lock();
+    if (session == nullptr) {
+      entry = sessions_.erase(entry);
+      continue;
+    }
+    if (session->InTransaction() &&
+        now - session->last_active() > routes_.transaction_idle_limit) {
+      session->EndIdleTransaction(now);
+    }
+    ++entry;
+  }
+}
+
+void SessionProxy::Drain() {
+  if (drain_started_ != TimePoint::max()) return;
+  const TimePoint now = EventLoop::Now();
+  drain_started_ = now;
+  Log(LogLevel::kInfo, "drain_started", {{"vm", settings_.vm}});
+  if (cluster_ != nullptr) {
+    cluster_->failover.Leave(now);
+    cluster_->membership.Leave(now);
+  }
+}
+
+// Callers are served until the load balancer has stopped to send new ones; then
+// idle sessions are closed, which moves them to other VMs.
+void SessionProxy::TickDrain(TimePoint now) {
+  if (stopping_) return;
+  const Duration elapsed = now - drain_started_;
+  const auto part = [&](double share) {
+    return std::chrono::duration_cast<Duration>(settings_.shutdown_grace *
+                                                share);
+  };
+  bool open = false;
+  for (const auto& weak : std::vector(sessions_.begin(), sessions_.end())) {
+    const std::shared_ptr<CallerSession> session = weak.lock();
+    if (session == nullptr || session->disconnected()) continue;
+    if (elapsed < kBalancerTime) {
+      open = true;
+      continue;
+    }
+    if (session->IsIdle() ||
+        (session->InTransaction() && elapsed > part(kTransactionPart))) {
+      session->Close(now);
+      continue;
+    }
+    session->CloseWhenIdle();
+    open = true;
+  }
+  if ((open || elapsed < kBalancerTime) && elapsed < part(kStopPart)) return;
+  stopping_ = true;
+  Log(LogLevel::kInfo, "proxy_stopped",
+      {{"vm", settings_.vm}, {"sessions_left", open}});
+  // The last answers are still in the sockets' queues.
+  parts_.loop.RunAfter(kDrainInterval * 2, [this] {
+    parts_.log_output.Flush();
+    parts_.loop.Stop();
+  });
+}
+
+void SessionProxy::OnReload() {
+  Log(LogLevel::kInfo, "settings_reloaded",
+      {{"vm", settings_.vm}, {"changed", false}});
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/src/proxy/session_proxy.h
@@ -0,0 +1,114 @@
+#ifndef CARAWAYHAVEN_PROXY_SESSION_PROXY_H_
+#define CARAWAYHAVEN_PROXY_SESSION_PROXY_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+#include "core/config/object_mirror.h"
+#include "core/failover/failover_manager.h"
+#include "core/membership/membership.h"
+#include "core/session/caller_session.h"
+#include "core/session/session_router.h"
+#include "net/http_server.h"
+#include "net/peer_transport.h"
+#include "proxy/bounded_output.h"
+#include "proxy/caller_listener.h"
+#include "proxy/metrics.h"
+#include "proxy/platform_documents.h"
+#include "proxy/session_log.h"
+#include "proxy/settings.h"
+
+namespace carawayhaven {
+
+class EventLoop;
+
+/// The outside of a session proxy. All outlive the proxy.
+struct SessionProxyParts {
+  EventLoop& loop;
+  PlatformStore& store;
+  PromotionService& promotions;
+  SessionLink& link;
+  /// Sends what was queued on the link; called at the end of each round.
+  std::function<void()> flush_link;
+  CallerListener& callers;
+  const PlatformDocuments& documents;
+  BoundedOutput& log_output;
+};
+
+/// One proxy for callers with sessions: joins the core with the network. It
+/// keeps nothing that must last; the routes, the endpoints and the proxy's own
+/// records are in the platform's store. Not thread-safe; one loop, one thread.
+class SessionProxy : public PeerEvents, public SessionSource {
+ public:
+  /// Starts to listen for peers and for questions about readiness. Throws
+  /// NetworkError when an address cannot be listened on.
+  SessionProxy(const SessionProxyParts& parts, const Settings& settings);
+  ~SessionProxy() override;
+  SessionProxy(const SessionProxy&) = delete;
+  SessionProxy& operator=(const SessionProxy&) = delete;
+
+  /// Stops to be ready, ends what is in flight, then stops the loop, within the
+  /// grace time of the settings.
+  void Drain();
+  /// The settings file may have changed.
+  void OnReload();
+
+  std::shared_ptr<CallerSession> NewSession(CallerChannel& channel) override;
+
+ private:
+  class RoutesMirror;
+  class EndpointsMirror;
+  class Readiness;
+  class Status;
+  struct Cluster;
+
+  void OnPeerMessage(const VmName& vm, const PeerMessage& message,
+                     TimePoint now) override;
+  void OnPeerLost(const VmName& vm, TimePoint now) override;
+
+  void RegisterVm();
+  void OnRegistered(ObjectVersion version);
+  bool ApplyRoutes(const std::string& text, std::string_view source,
+                   TimePoint now);
+  void UpdateConnectionLimits();
+  void OnRound();
+  void ResetSilentLinks();
+  void TickSessions(TimePoint now);
+  void TickDrain(TimePoint now);
+  bool IsReady() const;
+
+  SessionProxyParts parts_;
+  Settings settings_;
+  std::mt19937_64 random_;
+  Metrics metrics_;
+  SessionLog log_;
+  SessionRouter router_;
+  RouteTable routes_;
+  std::string routes_text_;
+  std::unique_ptr<RoutesMirror> routes_mirror_;
+  std::unique_ptr<EndpointsMirror> endpoints_mirror_;
+  /// Peers and failover; exists once this VM is registered.
+  std::unique_ptr<Cluster> cluster_;
+  std::unique_ptr<Readiness> readiness_;
+  std::unique_ptr<HttpServer> ready_server_;
+  std::unique_ptr<Status> status_;
+  std::unique_ptr<HttpServer> admin_server_;
+  std::set<std::weak_ptr<CallerSession>,
+           std::owner_less<std::weak_ptr<CallerSession>>>
+      sessions_;
+  VmEntry entry_;
+  ObjectVersion entry_version_ = 0;
+  TimePoint next_sweep_;
+  TimePoint drain_started_ = TimePoint::max();
+  bool stopping_ = false;
+  TimePoint armed_for_ = TimePoint::max();
+  std::uint64_t seen_members_ = 0;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_PROXY_SESSION_PROXY_H_
--- a/src/proxy/settings.h
+++ b/src/proxy/settings.h
@@ -21,6 +21,12 @@
   std::string peer_address;
   std::string admin_address;
   std::string platform_address;
+  /// Sessions with line protocol: address of the readiness answer.
+  std::string ready_address;
+  /// Sessions with line protocol: where promotions are ordered.
+  std::string promotion_address;
+  /// Time between SIGTERM and SIGKILL.
+  Duration shutdown_grace = std::chrono::seconds(6);
   Duration drain_timeout = std::chrono::seconds(10);
   Duration default_timeout = std::chrono::seconds(2);
   std::uint32_t max_sessions = 8192;
--- a/src/proxy/settings_key.cc
+++ b/src/proxy/settings_key.cc
@@ -26,6 +26,12 @@
   return std::get<std::int64_t>(value);
 }
 
+double Number(const SettingsValue& value) {
+  return std::holds_alternative<double>(value)
+             ? std::get<double>(value)
+             : static_cast<double>(Integer(value));
+}
+
 std::string FormatMilliseconds(Duration duration) {
   return std::to_string(
       std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
@@ -71,6 +77,24 @@
     SettingsKey{"platform_address", SettingsType::kAddress, true, 0, 0,
                 "address of the platform's object API",
                 CARAWAYHAVEN_TEXT_KEY(platform_address)},
+    SettingsKey{"ready_address", SettingsType::kAddress, false, 0, 0,
+                "address that tells the load balancer whether to send callers",
+                CARAWAYHAVEN_TEXT_KEY(ready_address)},
+    SettingsKey{"promotion_address", SettingsType::kAddress, false, 0, 0,
+                "address at which promotions are ordered",
+                CARAWAYHAVEN_TEXT_KEY(promotion_address)},
+    SettingsKey{
+        "shutdown_grace_s", SettingsType::kSeconds, false, 1, 600,
+        "time between SIGTERM and SIGKILL, s",
+        [](Settings& s, const SettingsValue& v) {
+          s.shutdown_grace = std::chrono::duration_cast<Duration>(
+              std::chrono::duration<double>(Number(v)));
+        },
+        [](const Settings& s) {
+          std::ostringstream text;
+          text << std::chrono::duration<double>(s.shutdown_grace).count();
+          return text.str();
+        }},
     SettingsKey{
         "drain_timeout_ms", SettingsType::kInteger, false, 0, 600'000,
         "time that open transactions have after SIGTERM, ms",
@@ -96,9 +120,7 @@
     SettingsKey{"trace_sample_ratio", SettingsType::kRatio, false, 0, 1,
                 "share of traces that are recorded",
                 [](Settings& s, const SettingsValue& v) {
-                  s.trace_sample_ratio = std::holds_alternative<double>(v)
-                                             ? std::get<double>(v)
-                                             : static_cast<double>(Integer(v));
+                  s.trace_sample_ratio = Number(v);
                 },
                 [](const Settings& s) {
                   std::ostringstream text;
@@ -145,6 +167,9 @@
     case SettingsType::kInteger:
       return "an integer from " + std::to_string(least) + " to " +
              std::to_string(greatest);
+    case SettingsType::kSeconds:
+      return "a number from " + std::to_string(least) + " to " +
+             std::to_string(greatest);
     case SettingsType::kRatio:
       return "a number from 0 to 1";
     case SettingsType::kLogLevel:
@@ -163,6 +188,9 @@
       return text != nullptr && IsAddress(*text);
     case SettingsType::kInteger:
       return integer != nullptr && *integer >= least && *integer <= greatest;
+    case SettingsType::kSeconds:
+      return text == nullptr && Number(value) >= static_cast<double>(least) &&
+             Number(value) <= static_cast<double>(greatest);
     case SettingsType::kRatio: {
       if (text != nullptr) return false;
       const double ratio = integer != nullptr ? static_cast<double>(*integer)
--- a/src/proxy/settings_key.h
+++ b/src/proxy/settings_key.h
@@ -14,7 +14,14 @@
 /// Value of one key before it is checked.
 using SettingsValue = std::variant<std::string, std::int64_t, double>;
 
-enum class SettingsType { kName, kAddress, kInteger, kRatio, kLogLevel };
+enum class SettingsType {
+  kName,
+  kAddress,
+  kInteger,
+  kSeconds,
+  kRatio,
+  kLogLevel
+};
 
 /// A key of the settings that holds one value. All keys but `admin_tokens`.
 struct SettingsKey {
--- a/src/proxy/settings_parser.cc
+++ b/src/proxy/settings_parser.cc
@@ -18,6 +18,8 @@
 constexpr std::string_view kTokensVariable = "CARAWAYHAVEN_ADMIN_TOKENS";
 // Read by the command `submit`, not a setting of the proxy.
 constexpr std::string_view kClientTokenVariable = "CARAWAYHAVEN_TOKEN";
+// Names the settings file itself where the platform starts the proxy.
+constexpr std::string_view kSettingsFileVariable = "CARAWAYHAVEN_SETTINGS";
 constexpr std::size_t kLeastTokenBytes = 8;
 constexpr std::size_t kMaxTokenBytes = 512;
 
@@ -79,7 +81,7 @@
   if (type == SettingsType::kInteger) {
     if (const auto number = ParseNumber<std::int64_t>(text)) return *number;
   }
-  if (type == SettingsType::kRatio) {
+  if (type == SettingsType::kRatio || type == SettingsType::kSeconds) {
     if (const auto number = ParseNumber<double>(text)) return *number;
   }
   return text;
@@ -187,7 +189,7 @@
 void SettingsParser::ReadEnvironment() {
   for (const auto& [variable, text] : sources_.environment) {
     if (!variable.starts_with(kVariablePrefix) ||
-        variable == kClientTokenVariable) {
+        variable == kClientTokenVariable || variable == kSettingsFileVariable) {
       continue;
     }
     if (variable == kTokensVariable) {
--- a/src/wire/peer_codec.cc
+++ b/src/wire/peer_codec.cc
@@ -144,6 +144,39 @@
                 .Union()};
   }
 
+  Payload operator()(const RightRequestMessage& request) {
+    std::vector<Offset<wire::PrimaryReport>> reports;
+    for (const PrimaryReport& report : request.reports) {
+      const auto service = String(report.service);
+      const auto endpoint = String(report.endpoint);
+      reports.push_back(wire::CreatePrimaryReport(builder_, service, endpoint,
+                                                  report.answer_age.count(),
+                                                  report.failing));
+    }
+    const auto vector = builder_.CreateVector(reports);
+    return {wire::Payload_RightRequest,
+            wire::CreateRightRequest(builder_, request.correlation,
+                                     request.config_version, vector)
+                .Union()};
+  }
+
+  Payload operator()(const RightReplyMessage& reply) {
+    std::vector<Offset<wire::GrantedRight>> rights;
+    for (const GrantedRight& right : reply.rights) {
+      const auto service = String(right.service);
+      const auto endpoint = String(right.endpoint);
+      const wire::Position position = Encode(right.position);
+      rights.push_back(wire::CreateGrantedRight(
+          builder_, service, endpoint, right.term, right.time_left.count(),
+          &position, right.position_age.count()));
+    }
+    const auto holder = String(reply.holder);
+    const auto vector = builder_.CreateVector(rights);
+    return {wire::Payload_RightReply,
+            wire::CreateRightReply(builder_, reply.correlation, holder, vector)
+                .Union()};
+  }
+
  private:
   Offset<flatbuffers::String> String(const std::string& text) {
     return builder_.CreateString(text);
@@ -252,6 +285,28 @@
   return message;
 }
 
+RightRequestMessage DecodeRightRequest(const wire::RightRequest& request) {
+  RightRequestMessage message{
+      request.correlation(), request.config_version(), {}};
+  for (const wire::PrimaryReport* report : *request.reports()) {
+    message.reports.push_back(
+        {Text(report->service()), Text(report->endpoint()),
+         DecodeDuration(report->answer_age_us()), report->failing()});
+  }
+  return message;
+}
+
+RightReplyMessage DecodeRightReply(const wire::RightReply& reply) {
+  RightReplyMessage message{reply.correlation(), Text(reply.holder()), {}};
+  for (const wire::GrantedRight* right : *reply.rights()) {
+    message.rights.push_back(
+        {Text(right->service()), Text(right->endpoint()), right->term(),
+         DecodeDuration(right->time_left_us()), Decode(right->position()),
+         DecodeDuration(right->position_age_us())});
+  }
+  return message;
+}
+
 }  // namespace
 
 std::vector<std::uint8_t> EncodePeerMessage(const PeerMessage& message,
@@ -297,6 +352,10 @@
                                   Text(report.primary()),
                                   Text(report.observer()), report.suspected()};
     }
+    case wire::Payload_RightRequest:
+      return DecodeRightRequest(*message.payload_as_RightRequest());
+    case wire::Payload_RightReply:
+      return DecodeRightReply(*message.payload_as_RightReply());
     default:
       throw DecodeError(error_messages::kMalformedPeerMessage);
   }
