Rights to primaries also from the store's records; a new holder has time

A primary's record is withdrawn in the store, and a right's duration waited out, before a promotion; so a record that was read is a right as well.

--- a/src/core/failover/failover_manager.cc
+++ b/src/core/failover/failover_manager.cc
@@ -18,6 +18,10 @@
 // candidate waits longer, so that one of them takes over alone.
 constexpr Duration kHolderGone = milliseconds(600);
 constexpr Duration kCandidateStagger = milliseconds(200);
+// Without a grant of a peer for this long the store is asked, often enough that
+// a right does not lapse between two answers.
+constexpr Duration kStoreAskAfter = milliseconds(400);
+constexpr Duration kStoreAskInterval = milliseconds(350);
 constexpr Duration kTakeOverRetry = milliseconds(300);
 // Answers to older requests are of no use.
 constexpr Duration kForgetRequest = std::chrono::seconds(2);
@@ -33,7 +37,8 @@
       mirror_(parts.store, std::string(kOwnPrefix), parts.clock, parts.random,
               *this),
       own_version_(own_version),
-      granted_at_(parts.clock()) {
+      granted_at_(parts.clock()),
+      alive_(std::make_shared<FailoverManager*>(this)) {
   duty_.SetIncarnation(own_version);
 }
 
@@ -61,11 +66,19 @@
   try {
     if (path == kDutyPath) {
       duty_.OnRecord(ParseDutyRecord(object.value), object.version, now);
+      // A new holder needs time to reach everybody.
+      granted_at_ = std::max(granted_at_, now);
       NoteHolder(duty_.record().resigned ? VmName() : duty_.record().holder,
                  now);
     } else if (path.starts_with(kPrimaryPrefix)) {
-      KeeperOf(ServiceName(path.substr(kPrimaryPrefix.size())))
-          .OnRecord(ParsePrimaryRecord(object.value), object.version);
+      const ServiceName service(path.substr(kPrimaryPrefix.size()));
+      const PrimaryRecord record = ParsePrimaryRecord(object.value);
+      KeeperOf(service).OnRecord(record, object.version);
+      ObjectVersion& version = record_versions_[service];
+      if (object.version > version) {
+        version = object.version;
+        records_[service] = record;
+      }
     } else if (path.starts_with(kVmPrefix)) {
       const VmName vm(path.substr(kVmPrefix.size()));
       vm_versions_[vm] = object.version;
@@ -91,6 +104,70 @@
     listed.push_back({vm, entry.data_centre, entry.address, entry.leaving});
   }
   parts_.membership.OnVmList(listed, now);
+  GrantRecorded(sent, now);
+}
+
+// The holder withdraws the record and waits the duration of a right before it
+// replaces a primary, so a record that was seen is a right from that moment.
+void FailoverManager::GrantRecorded(TimePoint sent, TimePoint now) {
+  const TimePoint expires = sent + DutyElection::kRightDuration;
+  if (expires <= now) return;
+  for (const auto& [service, record] : records_) {
+    if (record.phase != PrimaryPhase::kServing) continue;
+    parts_.router.GrantRight(service, {record.primary, record.term, expires},
+                             now);
+  }
+}
+
+// For a VM that reaches the store and no peer that holds rights.
+void FailoverManager::AskStoreForRights(TimePoint now) {
+  if (asking_store_ || now < next_store_ask_ || duty_.IsHolder(now) ||
+      now - granted_at_ < kStoreAskAfter) {
+    return;
+  }
+  asking_store_ = true;
+  next_store_ask_ = now + kStoreAskInterval;
+  parts_.store.Watch(
+      kOwnPrefix, 0,
+      [alive = std::weak_ptr(alive_), sent = now](const StoreReply& reply) {
+        const auto self = alive.lock();
+        if (self == nullptr) return;
+        FailoverManager& manager = **self;
+        manager.asking_store_ = false;
+        if (reply.status != StoreStatus::kOk) return;
+        const TimePoint answered = manager.parts_.clock();
+        for (const StoredObject& object : reply.objects) {
+          if (object.path.starts_with(kPrimaryPrefix)) {
+            manager.OnObject(object, answered);
+          }
+        }
+        manager.GrantRecorded(sent, answered);
+      });
+}
+
+// Another VM took the duty over while this one held it: the entry's new version
+// shows that this process grants nothing any more under its old number.
+void FailoverManager::Yield() {
+  if (yielding_) return;
+  yielding_ = true;
+  duty_.SetIncarnation(0);
+  ++entry_.yields;
+  parts_.store.Put(std::string(kVmPrefix) + self_, FormatRecord(entry_),
+                   own_version_,
+                   [alive = std::weak_ptr(alive_)](const StoreReply& reply) {
+                     const auto self = alive.lock();
+                     if (self == nullptr) return;
+                     FailoverManager& manager = **self;
+                     manager.yielding_ = false;
+                     const bool known = reply.status == StoreStatus::kOk ||
+                                        reply.status == StoreStatus::kConflict;
+                     if (known) manager.own_version_ = reply.object.version;
+                     if (reply.status == StoreStatus::kOk) {
+                       manager.duty_.SetIncarnation(reply.object.version);
+                     } else {
+                       manager.yield_again_ = true;
+                     }
+                   });
 }
 
 void FailoverManager::OnMirrorReachable(bool reachable, TimePoint /*now*/) {
@@ -267,8 +344,15 @@
   ReviewPredecessor(now);
   for (const auto& [service, keeper] : keepers_) keeper->Tick(now);
   GrantOwn(now);
+  const bool holds = duty_.IsHolder(now);
+  const bool lost = std::exchange(was_holder_, holds) && !holds;
+  if ((lost && duty_.record().holder != self_) ||
+      std::exchange(yield_again_, false)) {
+    Yield();
+  }
   ConsiderTakeOver(now);
   AskForRights(now);
+  AskStoreForRights(now);
 }
 
 TimePoint FailoverManager::NextTick() const {
--- a/src/core/failover/failover_manager.h
+++ b/src/core/failover/failover_manager.h
@@ -65,6 +65,10 @@
   void ConsiderTakeOver(TimePoint now);
   void ReviewPredecessor(TimePoint now);
   void AskForRights(TimePoint now);
+  void AskStoreForRights(TimePoint now);
+  /// The store's records were as they are known now when a call was sent.
+  void GrantRecorded(TimePoint sent, TimePoint now);
+  void Yield();
   void GrantOwn(TimePoint now);
   std::vector<PrimaryReport> Reports(TimePoint now) const;
   void NoteHolder(const VmName& holder, TimePoint now);
@@ -89,6 +93,14 @@
   TimePoint next_round_;
   /// When a holder last granted a right that reached this VM.
   TimePoint granted_at_;
+  std::map<ServiceName, PrimaryRecord> records_;
+  std::map<ServiceName, ObjectVersion> record_versions_;
+  TimePoint next_store_ask_;
+  bool asking_store_ = false;
+  bool was_holder_ = false;
+  bool yielding_ = false;
+  bool yield_again_ = false;
+  std::shared_ptr<FailoverManager*> alive_;
 };
 
 }  // namespace carawayhaven
--- a/src/core/failover/failover_records.cc
+++ b/src/core/failover/failover_records.cc
@@ -1,5 +1,7 @@
 #include "core/failover/failover_records.h"
 
+#include <algorithm>
+#include <array>
 #include <nlohmann/json.hpp>
 
 #include "carawayhaven/error_messages.h"
@@ -10,6 +12,10 @@
 
 using nlohmann::json;
 
+/// In the order of PrimaryPhase.
+constexpr std::array<std::string_view, 3> kPhaseNames{"serving", "stopping",
+                                                      "promoting"};
+
 // Calls `read` with the parsed object; what is no such object is an error.
 template <typename Read>
 auto Parse(std::string_view text, Read read) {
@@ -31,7 +37,9 @@
 }
 
 std::string FormatRecord(const PrimaryRecord& record) {
-  return json{{"primary", record.primary}, {"promoting", record.promoting}}
+  return json{{"primary", record.primary},
+              {"term", record.term},
+              {"phase", kPhaseNames[static_cast<std::size_t>(record.phase)]}}
       .dump();
 }
 
@@ -39,6 +47,7 @@
   return json{{"data_centre", record.data_centre},
               {"address", record.address},
               {"process", record.process},
+              {"yields", record.yields},
               {"leaving", record.leaving}}
       .dump();
 }
@@ -54,8 +63,14 @@
 
 PrimaryRecord ParsePrimaryRecord(std::string_view text) {
   return Parse(text, [](const json& object) {
-    return PrimaryRecord{object.at("primary").get<std::string>(),
-                         object.at("promoting").get<bool>()};
+    const auto phase = object.at("phase").get<std::string>();
+    const auto found = std::find(kPhaseNames.begin(), kPhaseNames.end(), phase);
+    if (found == kPhaseNames.end()) {
+      throw DecodeError(error_messages::kMalformedOwnObject);
+    }
+    return PrimaryRecord{
+        object.at("primary").get<std::string>(), object.at("term").get<Term>(),
+        static_cast<PrimaryPhase>(found - kPhaseNames.begin())};
   });
 }
 
--- a/src/core/failover/failover_records.h
+++ b/src/core/failover/failover_records.h
@@ -27,11 +27,22 @@
   std::uint64_t promotions = 0;
 };
 
-/// The primary of a service after its first promotion.
+enum class PrimaryPhase : std::uint8_t {
+  /// Whoever reads this may use the primary for the duration of a right.
+  kServing,
+  /// The primary may be replaced once all rights to it have expired.
+  kStopping,
+  /// The primary was ordered to lead and not seen to do so yet.
+  kPromoting,
+};
+
+/// The primary of a service, as the duty holder last saw it.
 struct PrimaryRecord {
   EndpointName primary;
-  /// The promotion was ordered and not seen to have taken effect yet.
-  bool promoting = false;
+  Term term = 0;
+  PrimaryPhase phase = PrimaryPhase::kServing;
+
+  friend bool operator==(const PrimaryRecord&, const PrimaryRecord&) = default;
 };
 
 /// A VM's entry; peers find each other by it.
@@ -41,6 +52,9 @@
   std::string address;
   /// New at each start of the process.
   std::string process;
+  /// Times that the process lost the duty to another VM. Its entry changes with
+  /// each, which tells the successor that it grants no rights any more.
+  std::uint64_t yields = 0;
   bool leaving = false;
 };
 
--- a/src/core/failover/primary_keeper.cc
+++ b/src/core/failover/primary_keeper.cc
@@ -74,6 +74,10 @@
                           TimePoint now) {
   state_ = state;
   entered_ = now;
+  // What is under way belongs to the state that ends.
+  ++attempt_;
+  busy_ = false;
+  recorded_ = false;
   next_ask_ = now;
   next_ = now;
   environment_.observer.OnPrimaryState(
@@ -103,8 +107,6 @@
   if (!environment_.duty.IsHolder(now)) {
     if (state_ != State::kPassive) {
       probes_.clear();
-      busy_ = false;
-      ++attempt_;
       Enter(State::kPassive, "not_holder", Duration{0}, now);
     }
     next_ = now + kAskInterval;
@@ -150,9 +152,9 @@
 // The primary is the endpoint that leads the highest term; an order that was
 // recorded but not seen to take effect is completed first.
 void PrimaryKeeper::Search(TimePoint now) {
-  if (record_ && record_->promoting) {
+  if (record_ && record_->phase == PrimaryPhase::kPromoting) {
     chosen_ = record_->primary;
-    recorded_ = true;
+    term_ = record_->term;
     Enter(State::kPromoting, "recorded_order", Duration{0}, now);
     return;
   }
@@ -246,6 +248,9 @@
   if (probe.status() && probe.status()->is_primary) {
     term_ = std::max(term_, probe.status()->term);
   }
+  if (!recorded_ && !busy_ && now >= retry_at_) {
+    WriteRecord({primary_, term_, PrimaryPhase::kServing}, now);
+  }
   const TimePoint alive = std::max(AliveAt(), entered_);
   if (!MostVmsFail(now)) {
     most_fail_since_ = TimePoint::max();
@@ -333,33 +338,36 @@
       old_probe != nullptr && !handover_position_ && elapsed < kChoiceTime;
   if ((wait_for_log || wait_for_old) && elapsed < kHandoverTime) return;
   chosen_ = best->record().name;
-  recorded_ = false;
   Enter(State::kPromoting, "longest_log", now - best->asked_at(), now);
 }
 
-void PrimaryKeeper::WriteRecord(bool promoting, TimePoint now) {
+void PrimaryKeeper::WriteRecord(const PrimaryRecord& record, TimePoint now) {
+  if (record_ == record) {
+    recorded_ = true;
+    recorded_at_ = now;
+    return;
+  }
   busy_ = true;
-  const PrimaryRecord record{promoting ? chosen_ : primary_, promoting};
   const std::uint64_t attempt = ++attempt_;
   retry_at_ = now + kRetryPause;
-  environment_.store.Put(
-      std::string(kPrimaryPrefix) + service_, FormatRecord(record),
-      record_version_,
-      [alive = std::weak_ptr(alive_), record,
-       attempt](const StoreReply& reply) {
-        const auto self = alive.lock();
-        if (self == nullptr) return;
-        PrimaryKeeper& keeper = **self;
-        if (reply.status == StoreStatus::kOk) {
-          keeper.OnRecord(record, reply.object.version);
-        }
-        if (attempt != keeper.attempt_) return;
-        keeper.busy_ = false;
-        keeper.next_ = {};
-        if (reply.status == StoreStatus::kOk && record.promoting) {
-          keeper.recorded_ = true;
-        }
-      });
+  environment_.store.Put(std::string(kPrimaryPrefix) + service_,
+                         FormatRecord(record), record_version_,
+                         [alive = std::weak_ptr(alive_), record,
+                          attempt](const StoreReply& reply) {
+                           const auto self = alive.lock();
+                           if (self == nullptr) return;
+                           PrimaryKeeper& keeper = **self;
+                           const bool written =
+                               reply.status == StoreStatus::kOk;
+                           if (written)
+                             keeper.OnRecord(record, reply.object.version);
+                           if (attempt != keeper.attempt_) return;
+                           keeper.busy_ = false;
+                           keeper.next_ = {};
+                           if (!written) return;
+                           keeper.recorded_ = true;
+                           keeper.recorded_at_ = keeper.environment_.clock();
+                         });
 }
 
 // The record comes first, so that a successor completes the order; the token
@@ -368,7 +376,7 @@
   if (busy_ || now < retry_at_) return;
   if (!environment_.duty.MayPromote(now)) return;
   if (!recorded_) {
-    WriteRecord(true, now);
+    WriteRecord({chosen_, term_, PrimaryPhase::kPromoting}, now);
     return;
   }
   busy_ = true;
@@ -397,7 +405,7 @@
 }
 
 void PrimaryKeeper::OnPromoted(PromotionResult result, std::uint64_t attempt) {
-  if (attempt != attempt_ || state_ != State::kPromoting) return;
+  if (attempt != attempt_) return;
   const TimePoint now = environment_.clock();
   busy_ = false;
   switch (result) {
@@ -427,8 +435,6 @@
     term_ = found->second->status()->term;
     reports_.clear();
     Enter(State::kServing, "promoted", now - found->second->asked_at(), now);
-    WriteRecord(false, now);
-    busy_ = false;
     return;
   }
   if (now - entered_ < kPromotionTime) return;
--- a/src/core/failover/primary_keeper.h
+++ b/src/core/failover/primary_keeper.h
@@ -79,7 +79,8 @@
   void Serve(TimePoint now);
   void Stopped(TimePoint now);
   void Choose(TimePoint now);
-  void WriteRecord(bool promoting, TimePoint now);
+  /// Writes the record unless it is so already; `recorded_` tells the result.
+  void WriteRecord(const PrimaryRecord& record, TimePoint now);
   void Promote(TimePoint now);
   void OnPromoted(PromotionResult result, std::uint64_t attempt);
   void Confirm(TimePoint now);
@@ -110,6 +111,7 @@
   std::map<EndpointName, TimePoint> excluded_;
   bool busy_ = false;
   bool recorded_ = false;
+  TimePoint recorded_at_;
   std::uint64_t attempt_ = 0;
   TimePoint retry_at_;
   std::uint32_t sync_replicas_ = 0;
--- a/src/core/session/caller_session.cc
+++ b/src/core/session/caller_session.cc
@@ -13,12 +13,15 @@
 constexpr char kNotAStatement[] = "not a statement";
 constexpr char kUnknownName[] = "no prepared statement has that name";
 constexpr char kNoSuchDatabase[] = "no route has that database name";
+constexpr char kNoRoutesYet[] = "starting; connect to another proxy";
 constexpr char kTooManyWaiting[] = "too many statements without an answer";
 constexpr char kConnectionEnded[] =
     "the endpoint connection of the transaction ended; it is rolled back";
 constexpr char kOutcomeUnknown[] =
     "no answer from the endpoint; the outcome is unknown";
 constexpr char kNoAnswer[] = "no answer from the endpoint in time";
+constexpr char kShuttingDown[] =
+    "the proxy shuts down; the transaction is rolled back";
 constexpr char kRolledBack[] = "the transaction was rolled back";
 
 std::string RetryText(const JobResult& result) {
@@ -41,6 +44,10 @@
 
 void CallerSession::OnConnect(std::string database) {
   database_ = std::move(database);
+  if (routes_().version == 0) {
+    channel_->Reject(ReplyCode::kTooManyConnections, kNoRoutesYet);
+    return;
+  }
   if (!routes_().databases.contains(database_)) {
     channel_->Reject(ReplyCode::kUnknownDatabase, kNoSuchDatabase);
     return;
@@ -76,9 +83,24 @@
   if (channel_ != nullptr) channel_->Close();
 }
 
+// The caller hears of it without having asked, so that it knows at once that it
+// may repeat the transaction elsewhere.
+void CallerSession::Shutdown(TimePoint now) {
+  closing_ = true;
+  if (busy_ || channel_ == nullptr) return;
+  const bool open = state_ == TransactionState::kOpen;
+  EndTransaction(TransactionState::kIdle, now);
+  if (open) {
+    channel_->Reject(ReplyCode::kAborted, kShuttingDown);
+  } else {
+    channel_->Close();
+  }
+}
+
 void CallerSession::EndIdleTransaction(TimePoint now) {
   if (state_ != TransactionState::kOpen || busy_) return;
   EndTransaction(TransactionState::kFailed, now);
+  abort_untold_ = true;
 }
 
 void CallerSession::Next(TimePoint now) {
@@ -104,6 +126,8 @@
     } else if (kind == StatementKind::kCommit) {
       state_ = TransactionState::kIdle;
       AnswerSelf(ReplyCode::kAborted, kRolledBack, now);
+    } else if (std::exchange(abort_untold_, false)) {
+      AnswerSelf(ReplyCode::kAborted, kRolledBack, now);
     } else {
       AnswerSelf(ReplyCode::kMalformed, kTransactionFailed, now);
     }
@@ -166,6 +190,7 @@
   wrote_ = false;
   transaction_received_ = received_;
   connection_ = 0;
+  abort_untold_ = false;
   AnswerSelf(ReplyCode::kOk, "", now);
 }
 
@@ -324,6 +349,7 @@
   if (state_ != TransactionState::kOpen) return;
   connection_ = 0;
   state_ = TransactionState::kFailed;
+  abort_untold_ = true;
 }
 
 void CallerSession::AnswerSelf(ReplyCode code, std::string_view message,
--- a/src/core/session/caller_session.h
+++ b/src/core/session/caller_session.h
@@ -60,6 +60,9 @@
   /// Ends the session at its next idle moment, and an open transaction now.
   void CloseWhenIdle() { closing_ = true; }
   void Close(TimePoint now);
+  /// Ends the session and tells the caller that its open transaction, if any,
+  /// was rolled back. A statement that runs is answered first.
+  void Shutdown(TimePoint now);
   /// Rolls back a transaction without a statement since `limit`.
   void EndIdleTransaction(TimePoint now);
 
@@ -104,6 +107,8 @@
   std::shared_ptr<StatementJob> job_;
   bool busy_ = false;
   bool closing_ = false;
+  /// The transaction was ended here; the caller has not been told yet.
+  bool abort_untold_ = false;
   TimePoint received_;
   TimePoint last_active_;
 };
--- a/src/core/session/endpoint_state.cc
+++ b/src/core/session/endpoint_state.cc
@@ -10,6 +10,8 @@
 constexpr double kResponseWeight = 0.2;
 // A mean without new responses loses half of its weight in that time.
 constexpr Duration kResponseHalfLife = std::chrono::seconds(1);
+// Pause after a refusal for its log; doubles four times.
+constexpr Duration kFirstBehindPause = std::chrono::milliseconds(20);
 // Entries that lapsed while the registry was away come back within 2 s.
 constexpr Duration kMissingGrace = std::chrono::milliseconds(2500);
 // A primary that leaves serves until its successor does, well before the time
@@ -38,6 +40,18 @@
                                               (1 - weight) * baseline);
 }
 
+void EndpointState::NoteBehind(LogPosition required, TimePoint now) {
+  const unsigned doublings = std::min(behind_count++, 4U);
+  behind_until = now + kFirstBehindPause * (1 << doublings);
+  behind_position = required;
+}
+
+bool EndpointState::IsProbablyBehind(LogPosition required,
+                                     TimePoint now) const {
+  return now < behind_until && required >= behind_position &&
+         position < required;
+}
+
 bool EndpointState::AcceptsWork(TimePoint now) const {
   if (missing_since != TimePoint::max() &&
       now - missing_since > kMissingGrace) {
--- a/src/core/session/endpoint_state.h
+++ b/src/core/session/endpoint_state.h
@@ -35,6 +35,16 @@
   /// it has answered, or nothing was asked.
   TimePoint failing_since = TimePoint::max();
   LogPosition position;
+  /// It refused reads that need `behind_position`; not asked for it again
+  /// before.
+  TimePoint behind_until;
+  LogPosition behind_position;
+  unsigned behind_count = 0;
+
+  /// Notes that the log has not reached the position.
+  void NoteBehind(LogPosition required, TimePoint now);
+  /// True when the log has probably not reached the position yet.
+  bool IsProbablyBehind(LogPosition required, TimePoint now) const;
 
   /// Notes the time of one statement on the endpoint.
   void ObserveResponse(Duration response, TimePoint now);
--- a/src/core/session/session_router.cc
+++ b/src/core/session/session_router.cc
@@ -223,8 +223,7 @@
                              TimePoint now) {
   std::optional<LogPosition> required;
   if (!job->needs_primary) required = RequiredPosition(*job, service);
-  EndpointState* endpoint =
-      ChooseEndpoint(*job, service, required.has_value(), now);
+  EndpointState* endpoint = ChooseEndpoint(*job, service, required, now);
   if (endpoint == nullptr) return false;
   const ConnectionId id = ChooseConnection(*endpoint, *job);
   if (id == 0) {
@@ -243,10 +242,10 @@
 
 // Prefers endpoints with a free connection by expected response; without one,
 // the endpoint to which a connection may be opened.
-EndpointState* SessionRouter::ChooseEndpoint(const StatementJob& job,
-                                             const Service& service,
-                                             bool replicas_allowed,
-                                             TimePoint now) {
+EndpointState* SessionRouter::ChooseEndpoint(
+    const StatementJob& job, const Service& service,
+    std::optional<LogPosition> required, TimePoint now) {
+  const bool replicas_allowed = required.has_value();
   const PrimaryRight* right = rights_.Valid(job.service, now);
   EndpointState* best = nullptr;
   EndpointState* openable = nullptr;
@@ -262,6 +261,10 @@
         (endpoint.leaving_since != TimePoint::max() && !is_primary)) {
       continue;
     }
+    if (!is_primary && endpoint.IsProbablyBehind(*required, now)) {
+      WakeAt(endpoint.behind_until);
+      continue;
+    }
     const auto avoided = job.avoided.find(name);
     if (avoided != job.avoided.end() && avoided->second > now) {
       WakeAt(avoided->second);
@@ -520,6 +523,10 @@
     return;
   }
   const EndpointName name = connection.endpoint;
+  if (reply.code == ReplyCode::kBehind) {
+    endpoints_.at(name).NoteBehind(step.min_position.value_or(LogPosition{}),
+                                   now);
+  }
   const bool held = connection.in_transaction;
   const bool usable =
       IsNotRun(reply.code) && !held && reply.state == TransactionState::kIdle;
@@ -545,7 +552,14 @@
     Detach(id, ended, now);
     return;
   }
-  endpoint.ObserveResponse(now - connection.sent, now);
+  const std::optional<LogPosition> required =
+      connection.steps.back().min_position;
+  if (reply.code == ReplyCode::kBehind) {
+    endpoint.NoteBehind(required.value_or(LogPosition{}), now);
+  } else {
+    endpoint.ObserveResponse(now - connection.sent, now);
+    if (required) endpoint.behind_count = 0;
+  }
   const bool first_in_transaction = connection.job->begin.has_value();
   const bool in_transaction =
       connection.in_transaction && !connection.job->commits;
--- a/src/core/session/session_router.h
+++ b/src/core/session/session_router.h
@@ -134,7 +134,8 @@
   std::optional<LogPosition> RequiredPosition(const StatementJob& job,
                                               const Service& service) const;
   EndpointState* ChooseEndpoint(const StatementJob& job, const Service& service,
-                                bool replicas_allowed, TimePoint now);
+                                std::optional<LogPosition> required,
+                                TimePoint now);
   ConnectionId ChooseConnection(const EndpointState& endpoint,
                                 const StatementJob& job) const;
   bool MayOpen(const EndpointState& endpoint, const Service& service,
--- a/src/proxy/session_proxy.cc
+++ b/src/proxy/session_proxy.cc
@@ -31,7 +31,7 @@
 constexpr Duration kBalancerTime = milliseconds(2600);
 // Parts of the grace time after which open transactions are ended and the
 // process stops.
-constexpr double kTransactionPart = 0.5;
+constexpr double kTransactionPart = 0.8;
 constexpr double kStopPart = 0.9;
 constexpr Duration kDrainInterval = milliseconds(50);
 constexpr std::size_t kFlushLogBytes = 4096;
@@ -437,13 +437,15 @@
       open = true;
       continue;
     }
-    if (session->IsIdle() ||
-        (session->InTransaction() && elapsed > part(kTransactionPart))) {
+    if (session->IsIdle()) {
       session->Close(now);
-      continue;
+    } else if (elapsed > part(kTransactionPart)) {
+      session->Shutdown(now);
+      open = open || !session->disconnected();
+    } else {
+      session->CloseWhenIdle();
+      open = true;
     }
-    session->CloseWhenIdle();
-    open = true;
   }
   if ((open || elapsed < kBalancerTime) && elapsed < part(kStopPart)) return;
   stopping_ = true;
