--- a/src/core/failover/failover_manager.cc
+++ b/src/core/failover/failover_manager.cc
@@ -337,6 +337,18 @@
                    own_version_, [](const StoreReply& /*reply*/) {});
 }
 
+std::size_t FailoverManager::vm_count() const {
+  if (!mirror_.listed()) return 0;
+  std::size_t count = 1;
+  for (const auto& [vm, entry] : vms_) {
+    const MemberTable::Member* member = parts_.membership.table().Find(vm);
+    const bool dead =
+        member != nullptr && member->record.state == VmState::kDead;
+    if (!entry.leaving && !dead) ++count;
+  }
+  return count;
+}
+
 void FailoverManager::Tick(TimePoint now) {
   mirror_.Tick(now);
   if (now < next_round_) return;
--- a/src/core/failover/failover_manager.h
+++ b/src/core/failover/failover_manager.h
@@ -53,6 +53,10 @@
   bool is_holder(TimePoint now) const { return duty_.IsHolder(now); }
   const VmName& holder() const { return holder_; }
 
+  /// Number of VMs, with this one, that may use endpoints: those that the store
+  /// lists and that are not known to be dead. Zero before the first list.
+  std::size_t vm_count() const;
+
   void Tick(TimePoint now);
   TimePoint NextTick() const;
 
--- a/src/core/session/session_router.cc
+++ b/src/core/session/session_router.cc
@@ -94,8 +94,18 @@
 }
 
 void SessionRouter::SetConnectionLimit(const ServiceName& service,
-                                       std::uint32_t limit) {
+                                       std::uint32_t limit, TimePoint now) {
   services_[service].connection_limit = std::max(limit, 1U);
+  for (auto& [name, endpoint] : endpoints_) {
+    if (endpoint.record.service == service) CloseExcess(endpoint, now);
+  }
+}
+
+void SessionRouter::CloseExcess(EndpointState& endpoint, TimePoint now) {
+  const std::size_t limit = services_[endpoint.record.service].connection_limit;
+  while (endpoint.connections.size() > limit && !endpoint.idle.empty()) {
+    CloseConnection(*endpoint.idle.begin(), now);
+  }
 }
 
 void SessionRouter::GrantRight(const ServiceName& service,
@@ -623,6 +633,7 @@
   } else if (!connection.in_transaction) {
     connection.holder.reset();
     endpoint.idle.insert(id);
+    CloseExcess(endpoint, now);
   }
   return job;
 }
--- a/src/core/session/session_router.h
+++ b/src/core/session/session_router.h
@@ -53,8 +53,10 @@
   void SetEndpoint(const EndpointRecord& record, TimePoint now);
   /// The registry has no record of the endpoint any more.
   void RemoveEndpoint(const EndpointName& endpoint, TimePoint now);
-  /// Sets how many connections this VM may have to each endpoint of a service.
-  void SetConnectionLimit(const ServiceName& service, std::uint32_t limit);
+  /// Sets how many connections this VM may have to each endpoint of a service;
+  /// idle ones beyond it are closed.
+  void SetConnectionLimit(const ServiceName& service, std::uint32_t limit,
+                          TimePoint now);
 
   /// Takes a right; what waits for a primary may run then.
   void GrantRight(const ServiceName& service, const PrimaryRight& right,
@@ -140,6 +142,7 @@
                                 const StatementJob& job) const;
   bool MayOpen(const EndpointState& endpoint, const Service& service,
                TimePoint now) const;
+  void CloseExcess(EndpointState& endpoint, TimePoint now);
   void OpenConnection(EndpointState& endpoint, TimePoint now);
   void Start(ConnectionId id, const JobPtr& job,
              std::optional<LogPosition> required, TimePoint now);
--- a/src/proxy/session_proxy.cc
+++ b/src/proxy/session_proxy.cc
@@ -277,7 +277,7 @@
 
 // A version never goes back; the highest one that was seen is in force.
 bool SessionProxy::ApplyRoutes(const std::string& text, std::string_view source,
-                               TimePoint /*now*/) {
+                               TimePoint now) {
   try {
     RouteTable table = parts_.documents.DecodeRoutes(text);
     if (table.version <= routes_.version) return false;
@@ -293,23 +293,23 @@
         {{"source", source}, {"error", error.what()}});
     return false;
   }
-  UpdateConnectionLimits();
+  UpdateConnectionLimits(now);
   if (cluster_ != nullptr) cluster_->failover.SetRoutes(routes_);
   return true;
 }
 
 // Each endpoint's connections are shared evenly between the live VMs.
-void SessionProxy::UpdateConnectionLimits() {
-  std::uint32_t vms = 1;
-  if (cluster_ != nullptr) {
-    vms = static_cast<std::uint32_t>(
-        std::max<std::size_t>(1, cluster_->membership.table().Owners().size()));
-  }
+void SessionProxy::UpdateConnectionLimits(TimePoint now) {
+  const std::size_t vms =
+      cluster_ == nullptr ? 0 : cluster_->failover.vm_count();
   for (const auto& [service, limits] : routes_.services) {
     const std::uint32_t shared = limits.connections > kReservedConnections
                                      ? limits.connections - kReservedConnections
                                      : 1;
-    router_.SetConnectionLimit(service, std::max(1U, shared / vms));
+    // Until the other VMs are known there may be many.
+    const std::uint32_t limit =
+        vms == 0 ? 1 : shared / static_cast<std::uint32_t>(vms);
+    router_.SetConnectionLimit(service, std::max(1U, limit), now);
   }
 }
 
@@ -365,10 +365,8 @@
   if (cluster_ != nullptr) {
     cluster_->membership.Tick(now);
     cluster_->failover.Tick(now);
-    if (cluster_->membership.revision() != seen_members_) {
-      seen_members_ = cluster_->membership.revision();
-      UpdateConnectionLimits();
-    }
+    const std::size_t vms = cluster_->failover.vm_count();
+    if (std::exchange(seen_vms_, vms) != vms) UpdateConnectionLimits(now);
     next = std::min(
         {next, cluster_->membership.NextTick(), cluster_->failover.NextTick()});
   }
--- a/src/proxy/session_proxy.h
+++ b/src/proxy/session_proxy.h
@@ -74,7 +74,7 @@
   void OnRegistered(ObjectVersion version);
   bool ApplyRoutes(const std::string& text, std::string_view source,
                    TimePoint now);
-  void UpdateConnectionLimits();
+  void UpdateConnectionLimits(TimePoint now);
   void OnRound();
   void ResetSilentLinks();
   void TickSessions(TimePoint now);
@@ -106,7 +106,7 @@
   TimePoint drain_started_ = TimePoint::max();
   bool stopping_ = false;
   TimePoint armed_for_ = TimePoint::max();
-  std::uint64_t seen_members_ = 0;
+  std::size_t seen_vms_ = 0;
 };
 
 }  // namespace carawayhaven
