Some VMs of a data centre run the sessions; the others relay

Two VMs of a data centre, or one of eight, run the sessions now; one of a data centre watches routes and records for the others, which learn them with their rights.

--- a/src/core/failover/duty_election.cc
+++ b/src/core/failover/duty_election.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "carawayhaven/exceptions.h"
+
 namespace carawayhaven {
 
 DutyElection::DutyElection(PlatformStore& store, VmName self, Clock clock)
@@ -94,6 +96,8 @@
         if (written) {
           election.OnConfirmed(sent);
           election.OnRecord(record, reply.object.version, election.clock_());
+        } else if (reply.status == StoreStatus::kConflict) {
+          election.OnConflict(reply.object);
         }
         if (done == nullptr) return;
         // The mirror may have told of a later holder meanwhile.
@@ -103,4 +107,12 @@
       });
 }
 
+void DutyElection::OnConflict(const StoredObject& object) {
+  try {
+    OnRecord(ParseDutyRecord(object.value), object.version, clock_());
+  } catch (const DecodeError&) {
+    // The mirror reports an object that cannot be read.
+  }
+}
+
 }  // namespace carawayhaven
--- a/src/core/failover/duty_election.h
+++ b/src/core/failover/duty_election.h
@@ -68,6 +68,8 @@
  private:
   bool IsOwn(const DutyRecord& record) const;
   void Write(const DutyRecord& record, TokenCallback done);
+  /// A write was refused because `object` stands.
+  void OnConflict(const StoredObject& object);
 
   PlatformStore& store_;
   VmName self_;
--- a/src/core/failover/failover_manager.cc
+++ b/src/core/failover/failover_manager.cc
@@ -310,7 +310,7 @@
   if (asked == asked_.end()) return;
   const TimePoint sent = asked->second;
   asked_.erase(asked);
-  if (reply.holder == vm && !mirror_.reachable()) NoteHolder(vm, now);
+  if (reply.holder == vm) NoteHolder(vm, now);
   const std::optional<DutyRecord>& predecessor = duty_.predecessor();
   if (duty_.IsHolder(now) && predecessor && predecessor->holder == vm &&
       reply.holder != vm) {
@@ -337,22 +337,15 @@
                    own_version_, [](const StoreReply& /*reply*/) {});
 }
 
-std::size_t FailoverManager::vm_count() const {
-  if (!mirror_.listed()) return 0;
-  std::size_t count = 1;
-  for (const auto& [vm, entry] : vms_) {
-    const MemberTable::Member* member = parts_.membership.table().Find(vm);
-    const bool dead =
-        member != nullptr && member->record.state == VmState::kDead;
-    if (!entry.leaving && !dead) ++count;
-  }
-  return count;
+bool FailoverManager::NeedsStore(TimePoint now) const {
+  return watcher_ || duty_.IsHolder(now) || now - granted_at_ > kHolderGone;
 }
 
 void FailoverManager::Tick(TimePoint now) {
-  mirror_.Tick(now);
+  if (!mirror_.listed() || (active_ && NeedsStore(now))) mirror_.Tick(now);
   if (now < next_round_) return;
-  next_round_ = now + kRoundInterval;
+  next_round_ = now + (active_ ? kRoundInterval : kAskInterval);
+  if (!active_) return;
   ReviewPredecessor(now);
   for (const auto& [service, keeper] : keepers_) keeper->Tick(now);
   GrantOwn(now);
@@ -367,8 +360,6 @@
   AskStoreForRights(now);
 }
 
-TimePoint FailoverManager::NextTick() const {
-  return std::min(mirror_.NextTick(), next_round_);
-}
+TimePoint FailoverManager::NextTick() const { return next_round_; }
 
 }  // namespace carawayhaven
--- a/src/core/failover/failover_manager.h
+++ b/src/core/failover/failover_manager.h
@@ -53,9 +53,16 @@
   bool is_holder(TimePoint now) const { return duty_.IsHolder(now); }
   const VmName& holder() const { return holder_; }
 
-  /// Number of VMs, with this one, that may use endpoints: those that the store
-  /// lists and that are not known to be dead. Zero before the first list.
-  std::size_t vm_count() const;
+  /// Says whether this VM runs sessions; only such VMs ask for rights and stand
+  /// for the duty.
+  void SetActive(bool active) { active_ = active; }
+  /// Says whether this VM watches the store for the others.
+  void SetWatcher(bool watcher) { watcher_ = watcher; }
+  /// True when this VM must learn from the store what others learn from peers:
+  /// it watches for them, holds the duty, or no peer that holds rights answers.
+  bool NeedsStore(TimePoint now) const;
+  /// True after the first complete list of the proxy's own objects.
+  bool listed() const { return mirror_.listed(); }
 
   void Tick(TimePoint now);
   TimePoint NextTick() const;
@@ -88,6 +95,8 @@
   std::map<VmName, ObjectVersion> vm_versions_;
   VmName holder_;
   bool leaving_ = false;
+  bool active_ = true;
+  bool watcher_ = true;
   ObjectVersion own_version_;
   std::uint64_t config_version_ = 0;
   TimePoint next_take_over_;
--- a/src/core/failover/primary_keeper.cc
+++ b/src/core/failover/primary_keeper.cc
@@ -169,6 +169,16 @@
       best = probe.get();
     }
   }
+  // The probes may find no free connection while callers' statements run there.
+  if (best == nullptr && record_ && record_->phase == PrimaryPhase::kServing) {
+    primary_ = record_->primary;
+    const TimePoint alive = AliveAt();
+    if (alive > entered_) {
+      term_ = record_->term;
+      Enter(State::kServing, "recorded_and_used", now - alive, now);
+      return;
+    }
+  }
   // Without the recorded primary's answer another that leads may be an old one.
   const bool expected =
       best != nullptr && (!record_ || record_->primary == best->record().name);
--- /dev/null
+++ b/src/core/membership/session_placement.cc
@@ -0,0 +1,68 @@
+#include "core/membership/session_placement.h"
+
+#include <algorithm>
+#include <map>
+
+#include "core/membership/rendezvous.h"
+
+namespace carawayhaven {
+namespace {
+
+constexpr char kPlacementKey[] = "sessions";
+
+}  // namespace
+
+std::size_t SessionPlacement::CountFor(std::size_t vms) {
+  return std::min(vms,
+                  std::max(kLeastVms, (vms + kVmsForEach - 1) / kVmsForEach));
+}
+
+std::vector<VmName> SessionPlacement::VmsIn(
+    const DataCentreName& data_centre) const {
+  const std::vector<VmName>& owners = table_.OwnersIn(data_centre);
+  return RendezvousOrder(kPlacementKey, owners, CountFor(owners.size()));
+}
+
+bool SessionPlacement::RunsHere() const {
+  const std::vector<VmName> vms = VmsIn(table_.self().data_centre);
+  return std::find(vms.begin(), vms.end(), table_.self().vm) != vms.end();
+}
+
+std::vector<VmName> SessionPlacement::Targets(std::size_t count) const {
+  const VmName& self = table_.self().vm;
+  std::vector<VmName> vms = VmsIn(table_.self().data_centre);
+  std::erase(vms, self);
+  std::vector<VmName> targets = RendezvousOrder(self, vms, count);
+  if (targets.size() >= count) return targets;
+  std::map<DataCentreName, bool> others;
+  for (const auto& [vm, member] : table_.members()) {
+    others[member.record.data_centre] = true;
+  }
+  others.erase(table_.self().data_centre);
+  std::vector<VmName> remote;
+  for (const auto& [data_centre, known] : others) {
+    const std::vector<VmName> there = VmsIn(data_centre);
+    remote.insert(remote.end(), there.begin(), there.end());
+  }
+  for (const VmName& vm :
+       RendezvousOrder(self, remote, count - targets.size())) {
+    targets.push_back(vm);
+  }
+  return targets;
+}
+
+std::size_t SessionPlacement::TotalCount() const {
+  std::map<DataCentreName, std::size_t> vms;
+  ++vms[table_.self().data_centre];
+  for (const auto& [vm, member] : table_.members()) {
+    const VmState state = member.record.state;
+    if (state == VmState::kAlive || state == VmState::kSuspected) {
+      ++vms[member.record.data_centre];
+    }
+  }
+  std::size_t count = 0;
+  for (const auto& [data_centre, here] : vms) count += CountFor(here);
+  return count;
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/src/core/membership/session_placement.h
@@ -0,0 +1,48 @@
+#ifndef CARAWAYHAVEN_CORE_MEMBERSHIP_SESSION_PLACEMENT_H_
+#define CARAWAYHAVEN_CORE_MEMBERSHIP_SESSION_PLACEMENT_H_
+
+#include <cstddef>
+#include <vector>
+
+#include "core/membership/member_table.h"
+
+namespace carawayhaven {
+
+/// Decides which VMs run callers' sessions. An endpoint accepts fewer
+/// connections than a large deployment has VMs, and each VM that uses endpoints
+/// costs calls to the store, so some VMs of each data centre run the sessions
+/// and the others relay theirs. In a small data centre all VMs run sessions.
+/// Not thread-safe.
+class SessionPlacement {
+ public:
+  // Below that a lost VM would take half of a data centre's sessions along.
+  static constexpr std::size_t kLeastVms = 2;
+  // VMs of a data centre that share one VM for sessions. With 87 VMs and 53
+  // connections an endpoint this leaves four connections to each of 12 VMs.
+  static constexpr std::size_t kVmsForEach = 8;
+
+  /// `table` must outlive the placement.
+  explicit SessionPlacement(const MemberTable& table) : table_(table) {}
+
+  /// Number of VMs that run sessions in a data centre with `vms` VMs.
+  static std::size_t CountFor(std::size_t vms);
+
+  /// True when this VM runs sessions.
+  bool RunsHere() const;
+
+  /// Returns the VMs that this VM relays to, the preferred first. Those of its
+  /// own data centre come before all others.
+  std::vector<VmName> Targets(std::size_t count) const;
+
+  /// Number of VMs that run sessions in all data centres, at least one.
+  std::size_t TotalCount() const;
+
+ private:
+  std::vector<VmName> VmsIn(const DataCentreName& data_centre) const;
+
+  const MemberTable& table_;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_CORE_MEMBERSHIP_SESSION_PLACEMENT_H_
--- a/src/core/session/session_router.cc
+++ b/src/core/session/session_router.cc
@@ -108,6 +108,13 @@
   }
 }
 
+void SessionRouter::CloseIdleConnections(TimePoint now) {
+  for (auto& [name, endpoint] : endpoints_) {
+    const std::set<ConnectionId> idle = endpoint.idle;
+    for (const ConnectionId id : idle) CloseConnection(id, now);
+  }
+}
+
 void SessionRouter::GrantRight(const ServiceName& service,
                                const PrimaryRight& right, TimePoint now) {
   const bool was_valid = rights_.Valid(service, now) != nullptr;
--- a/src/core/session/session_router.h
+++ b/src/core/session/session_router.h
@@ -58,6 +58,9 @@
   void SetConnectionLimit(const ServiceName& service, std::uint32_t limit,
                           TimePoint now);
 
+  /// Closes all connections that no session uses.
+  void CloseIdleConnections(TimePoint now);
+
   /// Takes a right; what waits for a primary may run then.
   void GrantRight(const ServiceName& service, const PrimaryRight& right,
                   TimePoint now);
--- a/src/proxy/caller_listener.h
+++ b/src/proxy/caller_listener.h
@@ -3,6 +3,9 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
+#include <string>
+#include <vector>
 
 #include "core/session/caller_channel.h"
 #include "core/session/caller_session.h"
@@ -17,6 +20,11 @@
   /// Returns a new session that answers on `channel`, which stays valid until
   /// the session's OnDisconnected.
   virtual std::shared_ptr<CallerSession> NewSession(CallerChannel& channel) = 0;
+
+  /// Returns where a new session should run instead of here, the preferred
+  /// address ("IP:port") first; empty when it should run here, and nothing when
+  /// sessions cannot be served now.
+  virtual std::optional<std::vector<std::string>> RelayAddresses() = 0;
 };
 
 /// Accepts callers. Not thread-safe.
@@ -27,6 +35,9 @@
   /// Sets who makes sessions; null refuses callers.
   virtual void SetSessionSource(SessionSource* source) = 0;
   virtual std::size_t session_count() const = 0;
+  /// Closes relayed sessions between two operations. Returns how many relayed
+  /// sessions are left.
+  virtual std::size_t CloseIdleRelays() = 0;
   /// Sends what was answered; to be called at the end of each round.
   virtual void Flush() = 0;
 };
--- a/src/proxy/session_proxy.cc
+++ b/src/proxy/session_proxy.cc
@@ -9,6 +9,7 @@
 
 #include "carawayhaven/exceptions.h"
 #include "core/config/config_digest_source.h"
+#include "core/membership/session_placement.h"
 #include "net/address.h"
 #include "net/event_loop.h"
 #include "proxy/logging.h"
@@ -36,6 +37,13 @@
 constexpr Duration kDrainInterval = milliseconds(50);
 constexpr std::size_t kFlushLogBytes = 4096;
 constexpr char kRoutesTeam[] = "routes";
+constexpr char kWatchKey[] = "watch";
+// VMs of a data centre that watch the store's slow objects for the others.
+constexpr std::size_t kWatchersInDataCentre = 1;
+constexpr std::size_t kRelayTargets = 2;
+// A VM that no longer runs sessions goes on to follow the store for a while,
+// since a false suspicion of a peer moves sessions for a moment.
+constexpr Duration kPlacementLinger = std::chrono::seconds(5);
 
 }  // namespace
 
@@ -183,7 +191,8 @@
                                         proxy.parts_.promotions, proxy.router_,
                                         membership, peers, proxy.log_,
                                         proxy.random_, &EventLoop::Now},
-                 proxy.settings_.vm, proxy.entry_, version) {}
+                 proxy.settings_.vm, proxy.entry_, version),
+        placement(membership.table()) {}
 
   // The routes have one version, which is compared with each request for
   // rights, so heartbeats need no digest.
@@ -196,6 +205,7 @@
   PeerTransport peers;
   Membership membership;
   FailoverManager failover;
+  SessionPlacement placement;
   std::set<VmName> silent;
 };
 
@@ -223,6 +233,7 @@
   routes_mirror_ = std::make_unique<RoutesMirror>(*this);
   endpoints_mirror_ = std::make_unique<EndpointsMirror>(*this);
   parts_.callers.SetSessionSource(this);
+  parts_.relayed_callers.SetSessionSource(this);
   parts_.loop.OnRoundEnd([this] { OnRound(); });
   RegisterVm();
   OnRound();
@@ -235,6 +246,7 @@
 SessionProxy::~SessionProxy() {
   parts_.loop.OnRoundEnd(nullptr);
   parts_.callers.SetSessionSource(nullptr);
+  parts_.relayed_callers.SetSessionSource(nullptr);
 }
 
 // The entry's version numbers this process for its peers: unlike the wall clock
@@ -300,8 +312,7 @@
 
 // Each endpoint's connections are shared evenly between the live VMs.
 void SessionProxy::UpdateConnectionLimits(TimePoint now) {
-  const std::size_t vms =
-      cluster_ == nullptr ? 0 : cluster_->failover.vm_count();
+  const std::size_t vms = seen_vms_;
   for (const auto& [service, limits] : routes_.services) {
     const std::uint32_t shared = limits.connections > kReservedConnections
                                      ? limits.connections - kReservedConnections
@@ -318,9 +329,13 @@
   if (const auto* request = std::get_if<RightRequestMessage>(&message)) {
     cluster_->failover.OnRightRequest(vm, *request, now);
     if (request->config_version < routes_.version) {
+      SendRoutes(vm);
+    } else if (request->config_version > routes_.version) {
       cluster_->peers.Send(
-          vm, ConfigUpdateMessage{kRoutesTeam, routes_.version, routes_text_});
+          vm, ConfigRequestMessage{{{kRoutesTeam, routes_.version}}});
     }
+  } else if (std::holds_alternative<ConfigRequestMessage>(message)) {
+    SendRoutes(vm);
   } else if (const auto* reply = std::get_if<RightReplyMessage>(&message)) {
     cluster_->failover.OnRightReply(vm, *reply, now);
   } else if (const auto* update = std::get_if<ConfigUpdateMessage>(&message)) {
@@ -330,6 +345,12 @@
   }
 }
 
+void SessionProxy::SendRoutes(const VmName& vm) {
+  if (routes_.version == 0) return;
+  cluster_->peers.Send(
+      vm, ConfigUpdateMessage{kRoutesTeam, routes_.version, routes_text_});
+}
+
 void SessionProxy::OnPeerLost(const VmName& vm, TimePoint now) {
   cluster_->membership.OnPeerLost(vm, now);
 }
@@ -350,23 +371,75 @@
   }
 }
 
+bool SessionProxy::RunsSessions() const {
+  return active_ && routes_.version > 0 && !router_.endpoints().empty() &&
+         endpoints_mirror_->mirror.confirmed_at() >= active_since_;
+}
+
 bool SessionProxy::IsReady() const {
-  return drain_started_ == TimePoint::max() && routes_.version > 0 &&
-         cluster_ != nullptr && !router_.endpoints().empty();
+  if (drain_started_ != TimePoint::max() || cluster_ == nullptr ||
+      !cluster_->failover.listed()) {
+    return false;
+  }
+  return RunsSessions() || !cluster_->placement.Targets(1).empty();
+}
+
+std::string SessionProxy::RelayAddressOf(const std::string& peer_address) {
+  const Address address = ParseAddress(peer_address);
+  return address.ip + ':' + std::to_string(address.port + 1);
+}
+
+std::optional<std::vector<std::string>> SessionProxy::RelayAddresses() {
+  if (cluster_ == nullptr || !cluster_->failover.listed()) return std::nullopt;
+  std::vector<std::string> addresses;
+  if (cluster_->placement.RunsHere() && RunsSessions()) return addresses;
+  for (const VmName& vm : cluster_->placement.Targets(kRelayTargets)) {
+    const MemberTable::Member* member = cluster_->membership.table().Find(vm);
+    if (member != nullptr) {
+      addresses.push_back(RelayAddressOf(member->record.address));
+    }
+  }
+  if (addresses.empty() && !RunsSessions()) return std::nullopt;
+  return addresses;
+}
+
+void SessionProxy::UpdatePlacement(TimePoint now) {
+  FailoverManager& failover = cluster_->failover;
+  if (!failover.listed()) return;
+  const std::size_t vms = cluster_->placement.TotalCount();
+  if (std::exchange(seen_vms_, vms) != vms) UpdateConnectionLimits(now);
+  if (cluster_->placement.RunsHere()) placed_here_at_ = now;
+  const bool active = (placed_here_at_ != TimePoint{} &&
+                       now - placed_here_at_ < kPlacementLinger) ||
+                      failover.is_holder(now) ||
+                      parts_.relayed_callers.session_count() > 0;
+  if (std::exchange(active_, active) != active) {
+    Log(LogLevel::kInfo, "session_placement",
+        {{"runs_sessions", active}, {"session_vms", vms}});
+    if (active) active_since_ = now;
+    if (!active) router_.CloseIdleConnections(now);
+  }
+  failover.SetActive(active);
+  failover.SetWatcher(cluster_->membership.IsFirstInDataCentre(
+      kWatchKey, kWatchersInDataCentre));
 }
 
 void SessionProxy::OnRound() {
   const TimePoint now = EventLoop::Now();
   if (armed_for_ <= now) armed_for_ = TimePoint::max();
-  routes_mirror_->mirror.Tick(now);
-  endpoints_mirror_->mirror.Tick(now);
-  TimePoint next = std::min(routes_mirror_->mirror.NextTick(),
-                            endpoints_mirror_->mirror.NextTick());
+  TimePoint next = next_sweep_;
+  const bool follows = active_ && drain_started_ == TimePoint::max();
+  if (follows) {
+    endpoints_mirror_->mirror.Tick(now);
+    next = std::min(next, endpoints_mirror_->mirror.NextTick());
+  }
+  if (follows && (cluster_ == nullptr || cluster_->failover.NeedsStore(now))) {
+    routes_mirror_->mirror.Tick(now);
+    next = std::min(next, routes_mirror_->mirror.NextTick());
+  }
   if (cluster_ != nullptr) {
     cluster_->membership.Tick(now);
     cluster_->failover.Tick(now);
-    const std::size_t vms = cluster_->failover.vm_count();
-    if (std::exchange(seen_vms_, vms) != vms) UpdateConnectionLimits(now);
     next = std::min(
         {next, cluster_->membership.NextTick(), cluster_->failover.NextTick()});
   }
@@ -374,7 +447,10 @@
   if (now >= next_sweep_) {
     next_sweep_ = now + kSweepInterval;
     TickSessions(now);
-    if (cluster_ != nullptr) ResetSilentLinks();
+    if (cluster_ != nullptr) {
+      ResetSilentLinks();
+      UpdatePlacement(now);
+    }
   }
   if (drain_started_ != TimePoint::max()) {
     TickDrain(now);
@@ -383,6 +459,7 @@
   next = std::min({next, router_.NextTick(), next_sweep_});
   parts_.flush_link();
   parts_.callers.Flush();
+  parts_.relayed_callers.Flush();
   if (parts_.log_output.pending() >= kFlushLogBytes || next == next_sweep_) {
     parts_.log_output.Flush();
   }
@@ -445,6 +522,9 @@
       open = true;
     }
   }
+  if (elapsed >= kBalancerTime && parts_.callers.CloseIdleRelays() > 0) {
+    open = true;
+  }
   if ((open || elapsed < kBalancerTime) && elapsed < part(kStopPart)) return;
   stopping_ = true;
   Log(LogLevel::kInfo, "proxy_stopped",
--- a/src/proxy/session_proxy.h
+++ b/src/proxy/session_proxy.h
@@ -35,6 +35,8 @@
   /// Sends what was queued on the link; called at the end of each round.
   std::function<void()> flush_link;
   CallerListener& callers;
+  /// Accepts sessions that peers relay.
+  CallerListener& relayed_callers;
   const PlatformDocuments& documents;
   BoundedOutput& log_output;
 };
@@ -58,6 +60,11 @@
   void OnReload();
 
   std::shared_ptr<CallerSession> NewSession(CallerChannel& channel) override;
+  std::optional<std::vector<std::string>> RelayAddresses() override;
+
+  /// Address on which a proxy accepts sessions from its peers: the port after
+  /// the one for their messages.
+  static std::string RelayAddressOf(const std::string& peer_address);
 
  private:
   class RoutesMirror;
@@ -70,6 +77,7 @@
                      TimePoint now) override;
   void OnPeerLost(const VmName& vm, TimePoint now) override;
 
+  void SendRoutes(const VmName& vm);
   void RegisterVm();
   void OnRegistered(ObjectVersion version);
   bool ApplyRoutes(const std::string& text, std::string_view source,
@@ -77,6 +85,9 @@
   void UpdateConnectionLimits(TimePoint now);
   void OnRound();
   void ResetSilentLinks();
+  void UpdatePlacement(TimePoint now);
+  /// True when sessions may run here with routes that are not outdated.
+  bool RunsSessions() const;
   void TickSessions(TimePoint now);
   void TickDrain(TimePoint now);
   bool IsReady() const;
@@ -103,6 +114,11 @@
   VmEntry entry_;
   ObjectVersion entry_version_ = 0;
   TimePoint next_sweep_;
+  /// This VM follows the store and may run sessions.
+  bool active_ = true;
+  TimePoint active_since_;
+  /// When the placement last wanted sessions here.
+  TimePoint placed_here_at_;
   TimePoint drain_started_ = TimePoint::max();
   bool stopping_ = false;
   TimePoint armed_for_ = TimePoint::max();
