--- a/src/core/failover/failover_manager.cc
+++ b/src/core/failover/failover_manager.cc
@@ -22,6 +22,10 @@
 // a right does not lapse between two answers.
 constexpr Duration kStoreAskAfter = milliseconds(400);
 constexpr Duration kStoreAskInterval = milliseconds(350);
+constexpr Duration kAlonePatience = std::chrono::seconds(4);
+// A VM that lost the duty does not take it back at once, so that two sides of a
+// partition do not take it from each other all the time.
+constexpr Duration kYieldPause = std::chrono::seconds(4);
 constexpr Duration kTakeOverRetry = milliseconds(300);
 // Answers to older requests are of no use.
 constexpr Duration kForgetRequest = std::chrono::seconds(2);
@@ -192,7 +196,12 @@
     if (vm != duty_.record().holder) ++rank;
   }
   const bool vacant = duty_.record().holder.empty() || duty_.record().resigned;
-  const Duration patience = vacant ? Duration{0} : kHolderGone;
+  // A VM that no peer answers leaves the duty to those that reach each other.
+  const bool alone = now - peer_answered_at_ > kHolderGone &&
+                     !parts_.membership.table().members().empty();
+  const Duration patience = alone    ? kAlonePatience
+                            : vacant ? Duration{0}
+                                     : kHolderGone;
   if (now - granted_at_ < patience + rank * kCandidateStagger) return;
   next_take_over_ = now + kTakeOverRetry;
   duty_.TryTakeOver(now);
@@ -271,8 +280,10 @@
   RightReplyMessage reply;
   reply.correlation = request.correlation;
   reply.holder = holder_;
+  reply.holder_age = now - granted_at_;
   if (duty_.IsHolder(now)) {
     reply.holder = self_;
+    reply.holder_age = Duration{0};
     for (const PrimaryReport& report : request.reports) {
       const auto keeper = keepers_.find(report.service);
       if (keeper != keepers_.end()) keeper->second->OnReport(vm, report, now);
@@ -310,7 +321,9 @@
   if (asked == asked_.end()) return;
   const TimePoint sent = asked->second;
   asked_.erase(asked);
+  peer_answered_at_ = now;
   if (reply.holder == vm) NoteHolder(vm, now);
+  granted_at_ = std::max(granted_at_, sent - reply.holder_age);
   const std::optional<DutyRecord>& predecessor = duty_.predecessor();
   if (duty_.IsHolder(now) && predecessor && predecessor->holder == vm &&
       reply.holder != vm) {
@@ -318,7 +331,6 @@
   }
   for (const GrantedRight& right : reply.rights) {
     const TimePoint expires = sent + right.time_left;
-    granted_at_ = std::max(granted_at_, expires - DutyElection::kRightDuration);
     if (expires <= now) continue;
     parts_.router.GrantRight(right.service,
                              {right.endpoint, right.term, expires}, now);
@@ -353,6 +365,7 @@
   const bool lost = std::exchange(was_holder_, holds) && !holds;
   if ((lost && duty_.record().holder != self_) ||
       std::exchange(yield_again_, false)) {
+    next_take_over_ = now + kYieldPause;
     Yield();
   }
   ConsiderTakeOver(now);
--- a/src/core/failover/failover_manager.h
+++ b/src/core/failover/failover_manager.h
@@ -100,11 +100,13 @@
   ObjectVersion own_version_;
   std::uint64_t config_version_ = 0;
   TimePoint next_take_over_;
+  /// When a peer last answered a request for rights.
+  TimePoint peer_answered_at_;
   CorrelationId next_correlation_ = 1;
   std::map<CorrelationId, TimePoint> asked_;
   TimePoint next_ask_;
   TimePoint next_round_;
-  /// When a holder last granted a right that reached this VM.
+  /// When a holder was last alive, as far as this VM knows.
   TimePoint granted_at_;
   std::map<ServiceName, PrimaryRecord> records_;
   std::map<ServiceName, ObjectVersion> record_versions_;
--- a/src/core/failover/failover_records.cc
+++ b/src/core/failover/failover_records.cc
@@ -39,6 +39,7 @@
 std::string FormatRecord(const PrimaryRecord& record) {
   return json{{"primary", record.primary},
               {"term", record.term},
+              {"writes", record.writes},
               {"phase", kPhaseNames[static_cast<std::size_t>(record.phase)]}}
       .dump();
 }
@@ -68,9 +69,10 @@
     if (found == kPhaseNames.end()) {
       throw DecodeError(error_messages::kMalformedOwnObject);
     }
-    return PrimaryRecord{
-        object.at("primary").get<std::string>(), object.at("term").get<Term>(),
-        static_cast<PrimaryPhase>(found - kPhaseNames.begin())};
+    return PrimaryRecord{object.at("primary").get<std::string>(),
+                         object.at("term").get<Term>(),
+                         static_cast<PrimaryPhase>(found - kPhaseNames.begin()),
+                         object.at("writes").get<std::uint64_t>()};
   });
 }
 
--- a/src/core/failover/failover_records.h
+++ b/src/core/failover/failover_records.h
@@ -41,8 +41,10 @@
   EndpointName primary;
   Term term = 0;
   PrimaryPhase phase = PrimaryPhase::kServing;
-
-  friend bool operator==(const PrimaryRecord&, const PrimaryRecord&) = default;
+  /// Rises with each write: a write that changed nothing would leave the
+  /// version as it is, and an earlier write without an answer could still be
+  /// done after it.
+  std::uint64_t writes = 0;
 };
 
 /// A VM's entry; peers find each other by it.
--- a/src/core/failover/primary_keeper.cc
+++ b/src/core/failover/primary_keeper.cc
@@ -18,6 +18,11 @@
 // The same when other VMs than this one cannot reach it.
 constexpr Duration kMostFailTime = milliseconds(1000);
 constexpr Duration kReportAge = milliseconds(1500);
+// An answer about replication counts for this long.
+constexpr Duration kStatusAge = milliseconds(2000);
+// A report may have been on its way for this long, which makes the answer that
+// it tells of look newer than it is.
+constexpr Duration kReportTransit = milliseconds(250);
 // Replicas that have not answered by then are not candidates.
 constexpr Duration kChoiceTime = milliseconds(500);
 // A replica that takes over on purpose has this long to receive the whole log.
@@ -47,6 +52,7 @@
   if (version <= record_version_) return;
   record_version_ = version;
   record_ = record;
+  record_writes_ = std::max(record_writes_, record.writes);
 }
 
 void PrimaryKeeper::OnReport(const VmName& vm, const PrimaryReport& report,
@@ -170,7 +176,8 @@
     }
   }
   // The probes may find no free connection while callers' statements run there.
-  if (best == nullptr && record_ && record_->phase == PrimaryPhase::kServing) {
+  if (best == nullptr && record_ && record_->phase == PrimaryPhase::kServing &&
+      !SaysReplica(record_->primary, now)) {
     primary_ = record_->primary;
     const TimePoint alive = AliveAt();
     if (alive > entered_) {
@@ -231,6 +238,14 @@
   return count >= 2 && 2 * failing > count;
 }
 
+bool PrimaryKeeper::SaysReplica(const EndpointName& endpoint,
+                                TimePoint now) const {
+  const auto found = probes_.find(endpoint);
+  return found != probes_.end() && found->second->status() &&
+         !found->second->status()->is_primary &&
+         now - found->second->answered_at() < kStatusAge;
+}
+
 bool PrimaryKeeper::Leaves() const {
   const EndpointState* endpoint = Find(primary_);
   return endpoint == nullptr || endpoint->leaving_since != TimePoint::max() ||
@@ -259,7 +274,7 @@
     term_ = std::max(term_, probe.status()->term);
   }
   if (!recorded_ && !busy_ && now >= retry_at_) {
-    WriteRecord({primary_, term_, PrimaryPhase::kServing}, now);
+    WriteRecord({primary_, term_, PrimaryPhase::kServing, 0}, now);
   }
   const TimePoint alive = std::max(AliveAt(), entered_);
   if (!MostVmsFail(now)) {
@@ -287,17 +302,32 @@
   }
   const TimePoint alive = AliveAt();
   const bool most_fail = MostVmsFail(now);
-  if (endpoint != nullptr && !Leaves() && !most_fail && alive > entered_) {
+  const bool replica = SaysReplica(primary_, now);
+  if (endpoint != nullptr && !Leaves() && !most_fail && !replica &&
+      alive > entered_ + kReportTransit) {
     Enter(State::kSearching, "answers_again", now - alive, now);
     return;
   }
-  const bool expired =
-      now >= stopped_at_ + DutyElection::kRightDuration + DutyElection::kMargin;
+  // VMs that no peer reaches take their right from the record, so it has to be
+  // withdrawn as well.
+  if (!recorded_) {
+    if (!busy_ && now >= retry_at_) {
+      WriteRecord({primary_, term_, PrimaryPhase::kStopping, 0}, now);
+    }
+    return;
+  }
+  const bool expired = now >= std::max(stopped_at_, recorded_at_) +
+                                  DutyElection::kRightDuration +
+                                  DutyElection::kMargin;
   if (!expired || !environment_.duty.MayPromote(now)) return;
-  if (!Leaves() && !most_fail && now - alive < kDeadAfter) return;
+  if (!Leaves() && !most_fail && !replica && now - alive < kDeadAfter) return;
   handover_position_.reset();
   chosen_.clear();
-  Enter(State::kChoosing, Leaves() ? "leaving" : "dead", now - alive, now);
+  Enter(State::kChoosing,
+        Leaves()  ? "leaving"
+        : replica ? "leads_no_more"
+                  : "dead",
+        now - alive, now);
 }
 
 // Compares the replicas. The old primary is told to step down where it can be
@@ -351,12 +381,14 @@
   Enter(State::kPromoting, "longest_log", now - best->asked_at(), now);
 }
 
-void PrimaryKeeper::WriteRecord(const PrimaryRecord& record, TimePoint now) {
-  if (record_ == record) {
+void PrimaryKeeper::WriteRecord(PrimaryRecord record, TimePoint now) {
+  if (record.phase == PrimaryPhase::kServing && record_ &&
+      record_->phase == record.phase && record_->primary == record.primary &&
+      record_->term == record.term) {
     recorded_ = true;
-    recorded_at_ = now;
     return;
   }
+  record.writes = ++record_writes_;
   busy_ = true;
   const std::uint64_t attempt = ++attempt_;
   retry_at_ = now + kRetryPause;
@@ -369,8 +401,9 @@
                            PrimaryKeeper& keeper = **self;
                            const bool written =
                                reply.status == StoreStatus::kOk;
-                           if (written)
+                           if (written) {
                              keeper.OnRecord(record, reply.object.version);
+                           }
                            if (attempt != keeper.attempt_) return;
                            keeper.busy_ = false;
                            keeper.next_ = {};
@@ -386,7 +419,7 @@
   if (busy_ || now < retry_at_) return;
   if (!environment_.duty.MayPromote(now)) return;
   if (!recorded_) {
-    WriteRecord({chosen_, term_, PrimaryPhase::kPromoting}, now);
+    WriteRecord({chosen_, term_, PrimaryPhase::kPromoting, 0}, now);
     return;
   }
   busy_ = true;
--- a/src/core/failover/primary_keeper.h
+++ b/src/core/failover/primary_keeper.h
@@ -80,7 +80,7 @@
   void Stopped(TimePoint now);
   void Choose(TimePoint now);
   /// Writes the record unless it is so already; `recorded_` tells the result.
-  void WriteRecord(const PrimaryRecord& record, TimePoint now);
+  void WriteRecord(PrimaryRecord record, TimePoint now);
   void Promote(TimePoint now);
   void OnPromoted(PromotionResult result, std::uint64_t attempt);
   void Confirm(TimePoint now);
@@ -88,6 +88,8 @@
   TimePoint AliveAt() const;
   bool MostVmsFail(TimePoint now) const;
   bool Leaves() const;
+  /// True when the endpoint said lately that it does not lead.
+  bool SaysReplica(const EndpointName& endpoint, TimePoint now) const;
   const EndpointState* Find(const EndpointName& name) const;
 
   KeeperEnvironment environment_;
@@ -99,6 +101,7 @@
   Term term_ = 0;
   std::optional<PrimaryRecord> record_;
   ObjectVersion record_version_ = 0;
+  std::uint64_t record_writes_ = 0;
   std::map<EndpointName, std::unique_ptr<EndpointProbe>> probes_;
   TimePoint next_ask_;
   std::map<VmName, Report> reports_;
--- a/src/core/membership/session_placement.cc
+++ b/src/core/membership/session_placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 #include "core/membership/rendezvous.h"
 
@@ -28,22 +29,40 @@
   return std::find(vms.begin(), vms.end(), table_.self().vm) != vms.end();
 }
 
-std::vector<VmName> SessionPlacement::Targets(std::size_t count) const {
-  const VmName& self = table_.self().vm;
-  std::vector<VmName> vms = VmsIn(table_.self().data_centre);
-  std::erase(vms, self);
-  std::vector<VmName> targets = RendezvousOrder(self, vms, count);
-  if (targets.size() >= count) return targets;
-  std::map<DataCentreName, bool> others;
+bool SessionPlacement::IsFirstHere() const {
+  const std::vector<VmName> vms = VmsIn(table_.self().data_centre);
+  return !vms.empty() && vms.front() == table_.self().vm;
+}
+
+std::vector<VmName> SessionPlacement::RemoteVms() const {
+  std::set<DataCentreName> others;
   for (const auto& [vm, member] : table_.members()) {
-    others[member.record.data_centre] = true;
+    others.insert(member.record.data_centre);
   }
   others.erase(table_.self().data_centre);
   std::vector<VmName> remote;
-  for (const auto& [data_centre, known] : others) {
+  for (const DataCentreName& data_centre : others) {
     const std::vector<VmName> there = VmsIn(data_centre);
     remote.insert(remote.end(), there.begin(), there.end());
   }
+  return remote;
+}
+
+std::vector<VmName> SessionPlacement::AllSessionVms() const {
+  std::vector<VmName> vms = VmsIn(table_.self().data_centre);
+  std::erase(vms, table_.self().vm);
+  const std::vector<VmName> remote = RemoteVms();
+  vms.insert(vms.end(), remote.begin(), remote.end());
+  return vms;
+}
+
+std::vector<VmName> SessionPlacement::Targets(std::size_t count) const {
+  const VmName& self = table_.self().vm;
+  std::vector<VmName> vms = VmsIn(table_.self().data_centre);
+  std::erase(vms, self);
+  std::vector<VmName> targets = RendezvousOrder(self, vms, count);
+  if (targets.size() >= count) return targets;
+  const std::vector<VmName> remote = RemoteVms();
   for (const VmName& vm :
        RendezvousOrder(self, remote, count - targets.size())) {
     targets.push_back(vm);
--- a/src/core/membership/session_placement.h
+++ b/src/core/membership/session_placement.h
@@ -30,14 +30,21 @@
   /// True when this VM runs sessions.
   bool RunsHere() const;
 
+  /// True for one of the VMs of this data centre that run sessions.
+  bool IsFirstHere() const;
+
   /// Returns the VMs that this VM relays to, the preferred first. Those of its
   /// own data centre come before all others.
   std::vector<VmName> Targets(std::size_t count) const;
 
+  /// Returns the VMs that run sessions in all data centres, without this one.
+  std::vector<VmName> AllSessionVms() const;
+
   /// Number of VMs that run sessions in all data centres, at least one.
   std::size_t TotalCount() const;
 
  private:
+  std::vector<VmName> RemoteVms() const;
   std::vector<VmName> VmsIn(const DataCentreName& data_centre) const;
 
   const MemberTable& table_;
--- a/src/core/peer_message.h
+++ b/src/core/peer_message.h
@@ -141,8 +141,10 @@
 /// The answer to a RightRequestMessage.
 struct RightReplyMessage {
   CorrelationId correlation = 0;
-  /// The VM that grants rights, as the sender knows it.
+  /// The VM that grants rights, as the sender knows it, and the time since the
+  /// sender last heard of it.
   VmName holder;
+  Duration holder_age{0};
   std::vector<GrantedRight> rights;
 };
 
--- a/src/core/session/caller_session.cc
+++ b/src/core/session/caller_session.cc
@@ -259,9 +259,9 @@
   if (in_transaction && writes) wrote_ = true;
   job_ = job;
   if (connection_ != 0) {
-    router_.SubmitOn(connection_, std::move(job), now);
+    router_.SubmitOn(connection_, job, now);
   } else {
-    router_.Submit(std::move(job), now);
+    router_.Submit(job, now);
   }
 }
 
--- a/src/core/session/session_router.cc
+++ b/src/core/session/session_router.cc
@@ -140,7 +140,8 @@
   return count;
 }
 
-void SessionRouter::Submit(std::shared_ptr<StatementJob> job, TimePoint now) {
+void SessionRouter::Submit(const std::shared_ptr<StatementJob>& job,
+                           TimePoint now) {
   Service& service = services_[job->service];
   service.retries.OnRequest();
   if (service.queue.empty() && TryStart(job, service, now)) return;
@@ -148,7 +149,8 @@
   Dispatch(job->service, now);
 }
 
-void SessionRouter::SubmitOn(ConnectionId id, std::shared_ptr<StatementJob> job,
+void SessionRouter::SubmitOn(ConnectionId id,
+                             const std::shared_ptr<StatementJob>& job,
                              TimePoint now) {
   job->bound = id;
   if (!connections_.contains(id)) {
@@ -616,7 +618,7 @@
     ReviewHeldAnswers(now);
     return;
   }
-  Finish(job, std::move(result), now);
+  Finish(job, result, now);
 }
 
 SessionRouter::JobPtr SessionRouter::Detach(ConnectionId id, bool keep,
@@ -720,10 +722,11 @@
                                kAssumedRunTime *
                                    static_cast<int>(service.queue.size()) /
                                    slots);
-  Finish(job, std::move(result), now);
+  Finish(job, result, now);
 }
 
-void SessionRouter::Finish(const JobPtr& job, JobResult result, TimePoint now) {
+void SessionRouter::Finish(const JobPtr& job, const JobResult& result,
+                           TimePoint now) {
   if (std::exchange(job->done, true)) return;
   if (result.end == JobResult::End::kAnswered) {
     Observe(RoutingDecision::Kind::kAnswered, *job, result.endpoint,
@@ -750,7 +753,7 @@
     settled.splice(settled.end(), held_, entry++);
   }
   for (HeldAnswer& held : settled) {
-    Finish(held.job, std::move(held.result), now);
+    Finish(held.job, held.result, now);
   }
 }
 
--- a/src/core/session/session_router.h
+++ b/src/core/session/session_router.h
@@ -69,10 +69,10 @@
                    LogPosition position);
 
   /// Runs a statement on any suitable connection.
-  void Submit(std::shared_ptr<StatementJob> job, TimePoint now);
+  void Submit(const std::shared_ptr<StatementJob>& job, TimePoint now);
   /// Runs a statement on the connection of its transaction.
-  void SubmitOn(ConnectionId connection, std::shared_ptr<StatementJob> job,
-                TimePoint now);
+  void SubmitOn(ConnectionId connection,
+                const std::shared_ptr<StatementJob>& job, TimePoint now);
   /// Ends the transaction on the connection by a rollback.
   void RollBack(ConnectionId connection, TimePoint now);
   /// Gives up a job whose caller is gone.
@@ -162,7 +162,7 @@
   void OnNoAnswer(const JobPtr& job, const EndpointName& endpoint,
                   JobResult::End end, TimePoint now);
   void Refuse(const JobPtr& job, ReplyCode reason, TimePoint now);
-  void Finish(const JobPtr& job, JobResult result, TimePoint now);
+  void Finish(const JobPtr& job, const JobResult& result, TimePoint now);
   void ReviewHeldAnswers(TimePoint now);
   void TickConnections(TimePoint now);
   void TickQueues(TimePoint now);
--- a/src/proxy/session_proxy.cc
+++ b/src/proxy/session_proxy.cc
@@ -37,9 +37,7 @@
 constexpr Duration kDrainInterval = milliseconds(50);
 constexpr std::size_t kFlushLogBytes = 4096;
 constexpr char kRoutesTeam[] = "routes";
-constexpr char kWatchKey[] = "watch";
-// VMs of a data centre that watch the store's slow objects for the others.
-constexpr std::size_t kWatchersInDataCentre = 1;
+constexpr std::string_view kFromStore = "store";
 constexpr std::size_t kRelayTargets = 2;
 // A VM that no longer runs sessions goes on to follow the store for a while,
 // since a false suspicion of a peer moves sessions for a moment.
@@ -58,7 +56,7 @@
 
   void OnObject(const StoredObject& object, TimePoint now) override {
     if (object.path != proxy_.parts_.documents.routes_path()) return;
-    proxy_.ApplyRoutes(object.value, "store", now);
+    proxy_.ApplyRoutes(object.value, kFromStore, now);
   }
   void OnObjectRemoved(std::string_view /*path*/, TimePoint /*now*/) override {}
   void OnMirrorConfirmed(TimePoint /*sent*/, TimePoint /*now*/) override {}
@@ -186,7 +184,7 @@
         membership(
             MembershipOptions{proxy.settings_.vm, proxy.settings_.data_centre,
                               proxy.settings_.peer_address, version},
-            peers, digests, proxy.random_),
+            peers, digest, proxy.random_),
         failover(FailoverManager::Parts{proxy.parts_.link, proxy.parts_.store,
                                         proxy.parts_.promotions, proxy.router_,
                                         membership, peers, proxy.log_,
@@ -194,14 +192,14 @@
                  proxy.settings_.vm, proxy.entry_, version),
         placement(membership.table()) {}
 
-  // The routes have one version, which is compared with each request for
-  // rights, so heartbeats need no digest.
-  struct NoDigest : ConfigDigestSource {
-    const ConfigDigest& digest() const override { return none; }
-    ConfigDigest none;
+  // The routes have one version; heartbeats carry it as their digest, so that
+  // a VM with older ones notices.
+  struct RoutesDigest : ConfigDigestSource {
+    const ConfigDigest& digest() const override { return value; }
+    ConfigDigest value;
   };
 
-  NoDigest digests;
+  RoutesDigest digest;
   PeerTransport peers;
   Membership membership;
   FailoverManager failover;
@@ -275,6 +273,7 @@
   entry_version_ = version;
   Log(LogLevel::kInfo, "vm_registered", {{"version", version}});
   cluster_ = std::make_unique<Cluster>(*this, version);
+  cluster_->digest.value.count = routes_.version;
   if (routes_.version > 0) cluster_->failover.SetRoutes(routes_);
 }
 
@@ -306,7 +305,14 @@
     return false;
   }
   UpdateConnectionLimits(now);
-  if (cluster_ != nullptr) cluster_->failover.SetRoutes(routes_);
+  if (cluster_ == nullptr) return true;
+  cluster_->failover.SetRoutes(routes_);
+  cluster_->digest.value.count = routes_.version;
+  // Those that run sessions go over to a new version together, as a caller's
+  // sessions may run on several of them.
+  if (source == kFromStore) {
+    for (const VmName& vm : cluster_->placement.AllSessionVms()) SendRoutes(vm);
+  }
   return true;
 }
 
@@ -331,8 +337,7 @@
     if (request->config_version < routes_.version) {
       SendRoutes(vm);
     } else if (request->config_version > routes_.version) {
-      cluster_->peers.Send(
-          vm, ConfigRequestMessage{{{kRoutesTeam, routes_.version}}});
+      AskForRoutes(vm);
     }
   } else if (std::holds_alternative<ConfigRequestMessage>(message)) {
     SendRoutes(vm);
@@ -341,10 +346,20 @@
   } else if (const auto* update = std::get_if<ConfigUpdateMessage>(&message)) {
     ApplyRoutes(update->text, vm, now);
   } else {
+    const auto* heartbeat = std::get_if<HeartbeatMessage>(&message);
+    if (heartbeat != nullptr && active_ &&
+        heartbeat->digest.count > routes_.version) {
+      AskForRoutes(vm);
+    }
     cluster_->membership.OnPeerMessage(vm, message, now);
   }
 }
 
+void SessionProxy::AskForRoutes(const VmName& vm) {
+  cluster_->peers.Send(vm,
+                       ConfigRequestMessage{{{kRoutesTeam, routes_.version}}});
+}
+
 void SessionProxy::SendRoutes(const VmName& vm) {
   if (routes_.version == 0) return;
   cluster_->peers.Send(
@@ -420,8 +435,8 @@
     if (!active) router_.CloseIdleConnections(now);
   }
   failover.SetActive(active);
-  failover.SetWatcher(cluster_->membership.IsFirstInDataCentre(
-      kWatchKey, kWatchersInDataCentre));
+  // One VM of a data centre watches the store's slow objects for the others.
+  failover.SetWatcher(cluster_->placement.IsFirstHere());
 }
 
 void SessionProxy::OnRound() {
--- a/src/proxy/session_proxy.h
+++ b/src/proxy/session_proxy.h
@@ -78,6 +78,7 @@
   void OnPeerLost(const VmName& vm, TimePoint now) override;
 
   void SendRoutes(const VmName& vm);
+  void AskForRoutes(const VmName& vm);
   void RegisterVm();
   void OnRegistered(ObjectVersion version);
   bool ApplyRoutes(const std::string& text, std::string_view source,
--- a/src/wire/peer_codec.cc
+++ b/src/wire/peer_codec.cc
@@ -173,7 +173,8 @@
     const auto holder = String(reply.holder);
     const auto vector = builder_.CreateVector(rights);
     return {wire::Payload_RightReply,
-            wire::CreateRightReply(builder_, reply.correlation, holder, vector)
+            wire::CreateRightReply(builder_, reply.correlation, holder,
+                                   reply.holder_age.count(), vector)
                 .Union()};
   }
 
@@ -297,7 +298,10 @@
 }
 
 RightReplyMessage DecodeRightReply(const wire::RightReply& reply) {
-  RightReplyMessage message{reply.correlation(), Text(reply.holder()), {}};
+  RightReplyMessage message{reply.correlation(),
+                            Text(reply.holder()),
+                            DecodeDuration(reply.holder_age_us()),
+                            {}};
   for (const wire::GrantedRight* right : *reply.rights()) {
     message.rights.push_back(
         {Text(right->service()), Text(right->endpoint()), right->term(),
--- /dev/null
+++ b/test/failover/failover_test.cc
@@ -0,0 +1,138 @@
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <string>
+
+#include "failover/failover_world.h"
+
+namespace carawayhaven {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class FailoverWithFiveVms : public ::testing::Test {
+ protected:
+  FailoverWithFiveVms() { world_.RunFor(seconds(3)); }
+
+  void ExpectPromisesKept() {
+    EXPECT_EQ(world_.violations(), std::vector<std::string>());
+  }
+
+  FailoverWorld world_{5, 1};
+};
+
+TEST_F(FailoverWithFiveVms, NothingFailsOneVmHoldsTheDutyAndWorkIsDone) {
+  world_.RunFor(seconds(5));
+  EXPECT_EQ(world_.Holders().size(), 1U);
+  EXPECT_EQ(world_.promotions(), 0U);
+  EXPECT_GT(world_.acknowledged(), 50U);
+  EXPECT_GT(world_.replica_reads(), 50U);
+  ExpectPromisesKept();
+}
+
+TEST_F(FailoverWithFiveVms, PrimaryCrashesAnotherLeadsWithinFourSeconds) {
+  world_.CrashEndpoint(0, seconds(20));
+  world_.RunFor(seconds(4));
+  EXPECT_NE(world_.Primary(), 0U);
+  const std::size_t before = world_.acknowledged();
+  world_.RunFor(seconds(2));
+  EXPECT_GT(world_.acknowledged(), before);
+  ExpectPromisesKept();
+}
+
+TEST_F(FailoverWithFiveVms, PrimaryLeavesAnotherLeadsBeforeItsTimeIsOver) {
+  world_.MarkLeaving(0);
+  world_.RunFor(seconds(4));
+  EXPECT_NE(world_.Primary(), 0U);
+  ExpectPromisesKept();
+}
+
+TEST_F(FailoverWithFiveVms, StoreIsDownForFiveSecondsWritesGoOn) {
+  world_.StopStore(seconds(5));
+  world_.RunFor(seconds(2));
+  const std::size_t before = world_.acknowledged();
+  world_.RunFor(seconds(3));
+  EXPECT_GT(world_.acknowledged(), before + 20);
+  EXPECT_EQ(world_.promotions(), 0U);
+  ExpectPromisesKept();
+}
+
+TEST_F(FailoverWithFiveVms, HolderCrashesWritesGoOnWithinTwoSeconds) {
+  world_.CrashVm(world_.Holders().at(0), seconds(20));
+  world_.RunFor(seconds(2));
+  const std::size_t before = world_.acknowledged();
+  world_.RunFor(seconds(1));
+  EXPECT_GT(world_.acknowledged(), before);
+  EXPECT_EQ(world_.Holders().size(), 1U);
+  ExpectPromisesKept();
+}
+
+TEST_F(FailoverWithFiveVms, VmIsCutFromPeersItTakesItsRightFromTheStore) {
+  const std::size_t cut = (world_.Holders().at(0) + 1) % 5;
+  for (std::size_t vm = 0; vm < 5; ++vm) {
+    if (vm != cut) world_.CrashVm(vm, seconds(30));
+  }
+  world_.CutVmFromPeers(cut, seconds(30));
+  world_.RunFor(seconds(2));
+  const std::size_t before = world_.acknowledged();
+  world_.RunFor(seconds(2));
+  EXPECT_GT(world_.acknowledged(), before);
+  ExpectPromisesKept();
+}
+
+TEST_F(FailoverWithFiveVms, PausedHolderWakesItUsesNoRightThatHasExpired) {
+  const std::size_t holder = world_.Holders().at(0);
+  world_.PauseVm(holder, seconds(5));
+  world_.RunFor(milliseconds(500));
+  world_.CrashEndpoint(0, seconds(2));
+  world_.RunFor(seconds(20));
+  ExpectPromisesKept();
+}
+
+TEST_F(FailoverWithFiveVms, AllVmsRestartTheRecordedPrimaryIsUsed) {
+  world_.CrashEndpoint(0, seconds(6));
+  world_.RunFor(seconds(5));
+  ASSERT_EQ(world_.promotions(), 1U);
+  for (std::size_t vm = 0; vm < 5; ++vm) world_.CrashVm(vm, seconds(1));
+  world_.RunFor(seconds(4));
+  const std::size_t before = world_.acknowledged();
+  world_.RunFor(seconds(1));
+  EXPECT_GT(world_.acknowledged(), before);
+  EXPECT_EQ(world_.promotions(), 1U);
+  ExpectPromisesKept();
+}
+
+// Pauses, cuts, crashes, a store that fails and answers that are lost, in an
+// order that the seed draws. CARAWAYHAVEN_FAILOVER_SEEDS and
+// CARAWAYHAVEN_FAILOVER_FIRST_SEED choose others.
+TEST(FailoverWithRandomFaults, AnyOrderOfFaultsKeepsThePromises) {
+  const auto number = [](const char* name, int fallback) {
+    const char* text = std::getenv(name);
+    return text == nullptr ? fallback : std::atoi(text);
+  };
+  const int first = number("CARAWAYHAVEN_FAILOVER_FIRST_SEED", 1);
+  const int count = number("CARAWAYHAVEN_FAILOVER_SEEDS", 100);
+  std::size_t promotions = 0;
+  for (int seed = first; seed < first + count; ++seed) {
+    FailoverWorld world(5, static_cast<std::uint64_t>(seed));
+    world.RunFor(seconds(2));
+    for (int fault = 0; fault < 12; ++fault) {
+      world.InjectFault();
+      world.RunFor(milliseconds(700));
+    }
+    world.Heal();
+    world.RunFor(seconds(18));
+    const std::size_t before = world.acknowledged();
+    world.RunFor(seconds(2));
+    EXPECT_GT(world.acknowledged(), before) << "no recovery, seed " << seed;
+    EXPECT_EQ(world.violations(), std::vector<std::string>())
+        << "seed " << seed;
+    promotions += world.promotions();
+    if (::testing::Test::HasFailure()) break;
+  }
+  EXPECT_GT(promotions, 0U);
+}
+
+}  // namespace
+}  // namespace carawayhaven
--- /dev/null
+++ b/test/failover/failover_world.h
@@ -0,0 +1,116 @@
+#ifndef CARAWAYHAVEN_TEST_FAILOVER_FAILOVER_WORLD_H_
+#define CARAWAYHAVEN_TEST_FAILOVER_FAILOVER_WORLD_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/failover/failover_manager.h"
+#include "membership/simulation.h"
+
+namespace carawayhaven {
+
+/// Some VMs, one service with three endpoints, the store and the promotion
+/// service in virtual time. Callers on all VMs read and write all the while;
+/// what they are told is checked against what the endpoints did.
+class FailoverWorld {
+ public:
+  FailoverWorld(std::size_t vms, std::uint64_t seed);
+  ~FailoverWorld();
+
+  void RunFor(Duration duration) { simulation_.RunFor(duration); }
+  /// Starts one fault of a random kind that ends by itself.
+  void InjectFault();
+  /// Ends all faults.
+  void Heal();
+
+  void CrashVm(std::size_t vm, Duration down);
+  void PauseVm(std::size_t vm, Duration duration);
+  void CutVmFromStore(std::size_t vm, Duration duration);
+  void CutVmFromPeers(std::size_t vm, Duration duration);
+  void StopStore(Duration duration);
+  void CrashEndpoint(std::size_t endpoint, Duration down);
+  /// Cuts the endpoint from the other endpoints and from some VMs.
+  void IsolateEndpoint(std::size_t endpoint, std::set<std::size_t> vms,
+                       Duration duration);
+  void MarkLeaving(std::size_t endpoint);
+
+  /// Index of the endpoint that leads the highest term.
+  std::size_t Primary() const;
+  Term term() const { return leading_term_; }
+  /// The VM that believes to hold the duty, or nothing.
+  std::vector<std::size_t> Holders() const;
+
+  /// What was broken, in words; empty while all promises hold.
+  const std::vector<std::string>& violations() const { return violations_; }
+  std::size_t promotions() const { return promotions_; }
+  std::size_t acknowledged() const { return acknowledged_.size(); }
+  std::size_t reads() const { return reads_; }
+  std::size_t replica_reads() const { return replica_reads_; }
+
+ private:
+  struct Endpoint;
+  struct Vm;
+  class Link;
+  class Store;
+  class Promotions;
+  class Peers;
+  class Owner;
+  friend class Link;
+  friend class Store;
+  friend class Promotions;
+  friend class Peers;
+  friend class Owner;
+
+  struct Commit {
+    std::string id;
+    TimePoint acknowledged;
+  };
+
+  void StartVm(std::size_t vm);
+  /// Runs a step of a VM's process when it is not paused, and then its timers.
+  void OnVm(std::size_t vm, std::uint64_t process, std::function<void()> step);
+  void Wake(std::size_t vm);
+  void Call(std::size_t vm);
+  void Replicate(std::size_t from, const std::string& id, Term term);
+  void TakeEffect(std::size_t endpoint);
+  void Follow(std::size_t endpoint);
+  void Broken(const std::string& what);
+  Duration Delay();
+  double Chance();
+
+  Simulation simulation_;
+  std::mt19937_64 random_;
+  std::vector<std::unique_ptr<Endpoint>> endpoints_;
+  std::vector<std::unique_ptr<Vm>> vms_;
+  std::vector<std::unique_ptr<Vm>> ended_;
+  std::map<std::string, StoredObject> objects_;
+  ObjectVersion revision_ = 0;
+  struct PendingWatch {
+    std::size_t vm;
+    std::uint64_t process;
+    std::string prefix;
+    ObjectVersion after;
+    StoreCallback callback;
+  };
+  std::vector<PendingWatch> watches_;
+  TimePoint store_down_until_;
+  Term leading_term_ = 1;
+  std::size_t leader_ = 0;
+  std::uint64_t last_token_ = 0;
+  std::vector<Commit> acknowledged_;
+  std::set<std::string> rolled_back_;
+  std::vector<std::string> violations_;
+  std::size_t promotions_ = 0;
+  std::size_t reads_ = 0;
+  std::size_t replica_reads_ = 0;
+  std::uint64_t next_id_ = 1;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_TEST_FAILOVER_FAILOVER_WORLD_H_
--- /dev/null
+++ b/test/failover/fake_failover_world.cc
@@ -0,0 +1,773 @@
+#include <algorithm>
+#include <utility>
+
+#include "core/config/config_digest_source.h"
+#include "failover/failover_world.h"
+
+namespace carawayhaven {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr char kService[] = "registro";
+constexpr Duration kAge = milliseconds(1500);
+constexpr Duration kPromoteTime = milliseconds(300);
+constexpr Duration kReplicaLag = milliseconds(20);
+// An old primary that reaches its successor gives way after this time.
+constexpr Duration kGiveWay = seconds(1);
+
+class Silent : public RouterObserver, public FailoverObserver {
+ public:
+  void OnRouting(const RoutingDecision& /*decision*/) override {}
+  void OnEndpointReachable(std::string_view /*endpoint*/, bool /*reachable*/,
+                           ReplyCode /*code*/) override {}
+  void OnHolderChanged(const VmName& /*holder*/, bool /*self*/) override {}
+  void OnPrimaryState(const ServiceName& /*service*/,
+                      std::string_view /*state*/,
+                      const EndpointName& /*endpoint*/, Term /*term*/,
+                      std::string_view /*why*/, Duration /*age*/) override {}
+  void OnStoreReachable(std::string_view /*prefix*/,
+                        bool /*reachable*/) override {}
+  void OnMalformedObject(std::string_view /*path*/,
+                         std::string_view /*error*/) override {}
+};
+
+struct NoDigest : ConfigDigestSource {
+  const ConfigDigest& digest() const override { return none; }
+  ConfigDigest none;
+};
+
+}  // namespace
+
+struct FailoverWorld::Endpoint {
+  EndpointRecord record;
+  bool primary = false;
+  Term term = 1;
+  std::vector<std::string> log;
+  TimePoint down_until;
+  TimePoint isolated_until;
+  std::set<std::size_t> cut_vms;
+  std::uint64_t process = 1;
+
+  LogPosition position() const { return {term, log.size()}; }
+};
+
+class FailoverWorld::Link : public SessionLink {
+ public:
+  Link(FailoverWorld& world, std::size_t vm) : world_(world), vm_(vm) {}
+
+  ConnectionId Open(std::string_view address, std::string_view /*service*/,
+                    std::string_view /*endpoint*/,
+                    SessionLinkEvents& events) override;
+  bool Send(ConnectionId connection,
+            const EndpointStatement& statement) override;
+  void Close(ConnectionId connection) override { sessions_.erase(connection); }
+
+ private:
+  struct Session {
+    std::size_t endpoint = 0;
+    std::uint64_t process = 0;
+    SessionLinkEvents* events = nullptr;
+    bool open = false;
+  };
+
+  bool Reaches(const Endpoint& endpoint) const;
+  void Deliver(ConnectionId connection, std::function<void(Session&)> event);
+  StatementReply Run(Endpoint& endpoint, std::size_t index,
+                     const EndpointStatement& statement);
+
+  FailoverWorld& world_;
+  std::size_t vm_;
+  ConnectionId next_ = 1;
+  std::map<ConnectionId, Session> sessions_;
+};
+
+class FailoverWorld::Store : public PlatformStore {
+ public:
+  Store(FailoverWorld& world, std::size_t vm) : world_(world), vm_(vm) {}
+
+  void Get(std::string_view /*path*/, StoreCallback callback) override {
+    callback(StoreReply{});
+  }
+  void Put(std::string_view path, std::string_view value,
+           ObjectVersion expected, StoreCallback callback) override;
+  void Watch(std::string_view prefix, ObjectVersion after,
+             StoreCallback callback) override;
+
+ private:
+  void Answer(StoreReply reply, const StoreCallback& callback, Duration delay);
+  bool Reaches() const;
+
+  FailoverWorld& world_;
+  std::size_t vm_;
+};
+
+class FailoverWorld::Promotions : public PromotionService {
+ public:
+  Promotions(FailoverWorld& world, std::size_t vm) : world_(world), vm_(vm) {}
+
+  void Promote(const ServiceName& service, const EndpointName& endpoint,
+               const VmName& holder, std::uint64_t token,
+               Callback done) override;
+
+ private:
+  FailoverWorld& world_;
+  std::size_t vm_;
+};
+
+class FailoverWorld::Peers : public PeerLink {
+ public:
+  Peers(FailoverWorld& world, std::size_t vm) : world_(world), vm_(vm) {}
+
+  bool Send(const VmName& to, const PeerMessage& message) override;
+  void SetAddress(const VmName& /*vm*/, std::string_view /*a*/) override {}
+
+ private:
+  FailoverWorld& world_;
+  std::size_t vm_;
+};
+
+struct FailoverWorld::Vm {
+  Vm(FailoverWorld& world, std::size_t index, std::uint64_t number,
+     ObjectVersion version)
+      : name("vm-" + std::to_string(index)),
+        process(number),
+        random(world.random_()),
+        link(world, index),
+        store(world, index),
+        promotions(world, index),
+        peers(world, index),
+        router(link, silent,
+               [](const DataCentreName& /*dc*/) { return milliseconds(5); }),
+        membership(MembershipOptions{name, DataCentre(index), "10.0.0.1:7000",
+                                     version},
+                   peers, digest, random),
+        failover(
+            FailoverManager::Parts{
+                link, store, promotions, router, membership, peers, silent,
+                random, [&world] { return world.simulation_.now(); }},
+            name, VmEntry{DataCentre(index), "10.0.0.1:7000", "p", 0, false},
+            version) {}
+
+  static DataCentreName DataCentre(std::size_t index) {
+    return "dc-" + std::to_string(index % 3);
+  }
+
+  VmName name;
+  std::uint64_t process;
+  std::mt19937_64 random;
+  Silent silent;
+  NoDigest digest;
+  Link link;
+  Store store;
+  Promotions promotions;
+  Peers peers;
+  SessionRouter router;
+  Membership membership;
+  FailoverManager failover;
+  bool running = true;
+  TimePoint paused_until;
+  TimePoint store_cut_until;
+  TimePoint peers_cut_until;
+  TimePoint woken = TimePoint::max();
+};
+
+// A caller's statement; checks what it is told.
+class FailoverWorld::Owner : public JobOwner {
+ public:
+  Owner(FailoverWorld& world, std::string id, bool write)
+      : world_(world), id_(std::move(id)), write_(write) {}
+
+  const SessionContext& context() const override { return context_; }
+  void OnTransactionLost(TimePoint /*now*/) override {}
+  void OnJobDone(const JobResult& result, TimePoint now) override {
+    const bool ok = result.end == JobResult::End::kAnswered &&
+                    result.reply.code == ReplyCode::kOk;
+    if (!write_) {
+      if (ok) ++world_.reads_;
+      return;
+    }
+    if (result.end == JobResult::End::kNotRun) {
+      for (const auto& endpoint : world_.endpoints_) {
+        if (std::count(endpoint->log.begin(), endpoint->log.end(), id_) > 0) {
+          world_.Broken("write " + id_ + " was said not to have run");
+        }
+      }
+    }
+    if (!ok) return;
+    const Endpoint& leader = *world_.endpoints_[world_.leader_];
+    if (std::count(leader.log.begin(), leader.log.end(), id_) == 0) {
+      world_.Broken("write " + id_ + " was acknowledged by an old primary");
+    }
+    world_.acknowledged_.push_back({id_, now});
+  }
+
+ private:
+  FailoverWorld& world_;
+  std::string id_;
+  bool write_;
+  SessionContext context_;
+};
+
+bool FailoverWorld::Link::Reaches(const Endpoint& endpoint) const {
+  const TimePoint now = world_.simulation_.now();
+  return endpoint.down_until <= now &&
+         (endpoint.isolated_until <= now || !endpoint.cut_vms.contains(vm_));
+}
+
+void FailoverWorld::Link::Deliver(ConnectionId connection,
+                                  std::function<void(Session&)> event) {
+  const std::uint64_t process = world_.vms_[vm_]->process;
+  world_.simulation_.After(
+      world_.Delay(), [this, connection, process, event = std::move(event)] {
+        world_.OnVm(vm_, process, [this, connection, event] {
+          const auto found = sessions_.find(connection);
+          if (found == sessions_.end()) return;
+          Session session = found->second;
+          event(session);
+          const auto again = sessions_.find(connection);
+          if (again != sessions_.end()) again->second.open = session.open;
+        });
+      });
+}
+
+ConnectionId FailoverWorld::Link::Open(std::string_view address,
+                                       std::string_view /*service*/,
+                                       std::string_view /*endpoint*/,
+                                       SessionLinkEvents& events) {
+  const ConnectionId id = next_++;
+  std::size_t index = 0;
+  while (world_.endpoints_[index]->record.address != address) ++index;
+  sessions_[id] = {index, world_.endpoints_[index]->process, &events, false};
+  Endpoint& endpoint = *world_.endpoints_[index];
+  if (endpoint.down_until > world_.simulation_.now()) {
+    Deliver(id, [this, id](Session& session) {
+      sessions_.erase(id);
+      session.events->OnSessionClosed(id, ReplyCode::kOther,
+                                      world_.simulation_.now());
+    });
+    return id;
+  }
+  if (!Reaches(endpoint)) return id;
+  Deliver(id, [this, id, &endpoint](Session& session) {
+    session.open = true;
+    sessions_[id].open = true;
+    StatementReply reply;
+    reply.position = endpoint.position();
+    session.events->OnSessionOpened(id, reply, world_.simulation_.now());
+  });
+  return id;
+}
+
+bool FailoverWorld::Link::Send(ConnectionId connection,
+                               const EndpointStatement& statement) {
+  const auto found = sessions_.find(connection);
+  if (found == sessions_.end() || !found->second.open) return false;
+  const std::size_t index = found->second.endpoint;
+  const std::uint64_t process = found->second.process;
+  world_.simulation_.After(
+      world_.Delay(), [this, connection, index, process, statement] {
+        Endpoint& endpoint = *world_.endpoints_[index];
+        if (endpoint.process != process || !Reaches(endpoint)) return;
+        const StatementReply reply = Run(endpoint, index, statement);
+        if (!Reaches(endpoint)) return;
+        Deliver(connection, [this, connection, reply](Session& session) {
+          session.events->OnReply(connection, reply, world_.simulation_.now());
+        });
+      });
+  return true;
+}
+
+StatementReply FailoverWorld::Link::Run(Endpoint& endpoint, std::size_t index,
+                                        const EndpointStatement& statement) {
+  StatementReply reply;
+  if (statement.min_position && endpoint.position() < *statement.min_position) {
+    reply.code = ReplyCode::kBehind;
+  } else if (statement.kind == EndpointStatementKind::kStatus ||
+             statement.kind == EndpointStatementKind::kStepDown) {
+    if (statement.kind == EndpointStatementKind::kStepDown &&
+        endpoint.primary && statement.term > endpoint.term) {
+      endpoint.primary = false;
+    }
+    reply.replication =
+        ReplicationStatus{endpoint.primary, endpoint.term, endpoint.position()};
+  } else if (statement.text.starts_with("WRITE")) {
+    if (!endpoint.primary) {
+      reply.code = ReplyCode::kNotPrimary;
+    } else {
+      endpoint.log.push_back(statement.id);
+      world_.Replicate(index, statement.id, endpoint.term);
+    }
+  } else {
+    // "READ primary|aged SUBMITTED": what the log has to hold follows from when
+    // the caller sent it.
+    const bool aged = statement.text.starts_with("READ aged");
+    const Duration submitted(std::stoll(
+        statement.text.substr(statement.text.find_last_of(' ') + 1)));
+    const TimePoint needed_until =
+        TimePoint(submitted) - (aged ? kAge : Duration{0});
+    if (!endpoint.primary) ++world_.replica_reads_;
+    for (const Commit& commit : world_.acknowledged_) {
+      if (commit.acknowledged >= needed_until ||
+          world_.rolled_back_.contains(commit.id)) {
+        continue;
+      }
+      if (std::count(endpoint.log.begin(), endpoint.log.end(), commit.id) ==
+          0) {
+        world_.Broken("read on a log without " + commit.id + " at " +
+                      endpoint.record.name);
+        break;
+      }
+    }
+  }
+  reply.position = endpoint.position();
+  return reply;
+}
+
+bool FailoverWorld::Store::Reaches() const {
+  const TimePoint now = world_.simulation_.now();
+  return world_.store_down_until_ <= now &&
+         world_.vms_[vm_]->store_cut_until <= now;
+}
+
+void FailoverWorld::Store::Answer(StoreReply reply,
+                                  const StoreCallback& callback,
+                                  Duration delay) {
+  const std::uint64_t process = world_.vms_[vm_]->process;
+  world_.simulation_.After(delay, [world = &world_, vm = vm_, process,
+                                   reply = std::move(reply), callback] {
+    world->OnVm(vm, process, [reply, callback] { callback(reply); });
+  });
+}
+
+void FailoverWorld::Store::Put(std::string_view path_view,
+                               std::string_view value, ObjectVersion expected,
+                               StoreCallback callback) {
+  if (!Reaches()) {
+    Answer({}, callback, seconds(1));
+    return;
+  }
+  // An answer may be lost, and the write may be done much later.
+  const double luck = world_.Chance();
+  const bool answered = luck >= 0.05;
+  const Duration late = luck < 0.02 ? Duration(seconds(2)) : Duration{0};
+  if (!answered) Answer({}, callback, seconds(1));
+  world_.simulation_.After(
+      world_.Delay() + late,
+      [this, path = std::string(path_view), value = std::string(value),
+       expected, callback, answered] {
+        StoredObject& object = world_.objects_[path];
+        StoreReply reply;
+        if (object.version != expected) {
+          reply.status = StoreStatus::kConflict;
+          reply.object = object;
+          if (object.version == 0) world_.objects_.erase(path);
+        } else {
+          object = {path, value, ++world_.revision_, false};
+          reply.status = StoreStatus::kOk;
+          reply.object = object;
+          const auto watches = std::exchange(world_.watches_, {});
+          for (const PendingWatch& watch : watches) {
+            if (!path.starts_with(watch.prefix)) {
+              world_.watches_.push_back(watch);
+              continue;
+            }
+            Vm& vm = *world_.vms_[watch.vm];
+            if (vm.process == watch.process) {
+              vm.store.Watch(watch.prefix, watch.after, watch.callback);
+            }
+          }
+        }
+        if (answered) Answer(reply, callback, world_.Delay());
+      });
+}
+
+void FailoverWorld::Store::Watch(std::string_view prefix, ObjectVersion after,
+                                 StoreCallback callback) {
+  if (!Reaches()) {
+    Answer({}, callback, seconds(1));
+    return;
+  }
+  StoreReply reply;
+  reply.status = StoreStatus::kOk;
+  reply.revision = world_.revision_;
+  reply.complete = after == 0;
+  for (const auto& [path, object] : world_.objects_) {
+    if (path.starts_with(prefix) && object.version > after) {
+      reply.objects.push_back(object);
+    }
+  }
+  if (after == 0 || !reply.objects.empty()) {
+    Answer(std::move(reply), callback, world_.Delay());
+    return;
+  }
+  const std::uint64_t process = world_.vms_[vm_]->process;
+  world_.watches_.push_back(
+      {vm_, process, std::string(prefix), after, callback});
+  // A watch without news ends; the reply counts from when it was asked.
+  world_.simulation_.After(
+      milliseconds(2500),
+      [this, process, prefix = std::string(prefix), after, callback] {
+        const auto found = std::find_if(
+            world_.watches_.begin(), world_.watches_.end(),
+            [&](const PendingWatch& watch) {
+              return watch.vm == vm_ && watch.process == process &&
+                     watch.after == after && watch.prefix == prefix;
+            });
+        if (found == world_.watches_.end()) return;
+        world_.watches_.erase(found);
+        StoreReply quiet;
+        if (Reaches()) {
+          quiet.status = StoreStatus::kOk;
+          quiet.revision = world_.revision_;
+        }
+        Answer(quiet, callback, world_.Delay());
+      });
+}
+
+void FailoverWorld::Promotions::Promote(const ServiceName& /*service*/,
+                                        const EndpointName& endpoint,
+                                        const VmName& /*holder*/,
+                                        std::uint64_t token, Callback done) {
+  const std::uint64_t process = world_.vms_[vm_]->process;
+  const bool answered = world_.Chance() >= 0.05;
+  world_.simulation_.After(
+      world_.Delay(), [this, endpoint, token, done, process, answered] {
+        if (token <= world_.last_token_) {
+          world_.Broken("promotion with token " + std::to_string(token) +
+                        " after " + std::to_string(world_.last_token_));
+        }
+        world_.last_token_ = std::max(world_.last_token_, token);
+        std::size_t index = 0;
+        while (world_.endpoints_[index]->record.name != endpoint) ++index;
+        const bool runs =
+            world_.endpoints_[index]->down_until <= world_.simulation_.now();
+        if (runs && index != world_.leader_) {
+          world_.simulation_.After(kPromoteTime, [world = &world_, index] {
+            world->TakeEffect(index);
+          });
+        }
+        const PromotionResult result = !answered ? PromotionResult::kUnknown
+                                       : runs    ? PromotionResult::kAccepted
+                                                 : PromotionResult::kRefused;
+        world_.simulation_.After(
+            answered ? world_.Delay() : Duration(seconds(1)),
+            [world = &world_, vm = vm_, process, done, result] {
+              world->OnVm(vm, process, [done, result] { done(result); });
+            });
+      });
+}
+
+bool FailoverWorld::Peers::Send(const VmName& to, const PeerMessage& message) {
+  std::size_t target = 0;
+  while (target < world_.vms_.size() && world_.vms_[target]->name != to) {
+    ++target;
+  }
+  if (target == world_.vms_.size()) return false;
+  if (target == vm_) return true;
+  // Delivered late at times: a right must not become longer by that.
+  const Duration delay =
+      world_.Delay() +
+      (world_.Chance() < 0.02 ? Duration(milliseconds(900)) : Duration{0});
+  const VmName from = world_.vms_[vm_]->name;
+  world_.simulation_.After(delay, [world = &world_, from, target, vm = vm_,
+                                   message] {
+    Vm& peer = *world->vms_[target];
+    const TimePoint now = world->simulation_.now();
+    if (peer.peers_cut_until > now || world->vms_[vm]->peers_cut_until > now) {
+      return;
+    }
+    world->OnVm(target, peer.process, [world, &peer, from, message] {
+      const TimePoint received = world->simulation_.now();
+      if (const auto* request = std::get_if<RightRequestMessage>(&message)) {
+        peer.failover.OnRightRequest(from, *request, received);
+      } else if (const auto* reply = std::get_if<RightReplyMessage>(&message)) {
+        peer.failover.OnRightReply(from, *reply, received);
+      } else {
+        peer.membership.OnPeerMessage(from, message, received);
+      }
+    });
+  });
+  return true;
+}
+
+FailoverWorld::FailoverWorld(std::size_t vms, std::uint64_t seed)
+    : random_(seed) {
+  for (std::size_t i = 0; i < 3; ++i) {
+    auto endpoint = std::make_unique<Endpoint>();
+    endpoint->record.name = "db-" + std::to_string(i);
+    endpoint->record.service = kService;
+    endpoint->record.address = "10.1.0." + std::to_string(i + 1) + ":5000";
+    endpoint->record.data_centre = "dc-" + std::to_string(i);
+    endpoint->record.slots = 3;
+    endpoint->record.claims_primary = i == 0;
+    endpoint->primary = i == 0;
+    endpoints_.push_back(std::move(endpoint));
+  }
+  vms_.resize(vms);
+  for (std::size_t i = 0; i < vms; ++i) StartVm(i);
+  for (std::size_t i = 0; i < vms; ++i) Call(i);
+}
+
+FailoverWorld::~FailoverWorld() = default;
+
+void FailoverWorld::StartVm(std::size_t index) {
+  const std::string path =
+      std::string(kVmPrefix) + "vm-" + std::to_string(index);
+  objects_[path] = {path,
+                    FormatRecord(VmEntry{Vm::DataCentre(index), "10.0.0.1:7000",
+                                         "p", 0, false}),
+                    ++revision_, false};
+  if (vms_[index] != nullptr) ended_.push_back(std::move(vms_[index]));
+  vms_[index] = std::make_unique<Vm>(*this, index, ++next_id_, revision_);
+  Vm& vm = *vms_[index];
+  RouteTable routes;
+  routes.version = 1;
+  routes.services[kService] = {};
+  vm.failover.SetRoutes(routes);
+  vm.router.SetConnectionLimit(kService, 4, simulation_.now());
+  for (const auto& endpoint : endpoints_) {
+    vm.router.SetEndpoint(endpoint->record, simulation_.now());
+  }
+  Wake(index);
+}
+
+void FailoverWorld::OnVm(std::size_t index, std::uint64_t process,
+                         std::function<void()> step) {
+  Vm& vm = *vms_[index];
+  if (vm.process != process || !vm.running) return;
+  if (vm.paused_until > simulation_.now()) {
+    simulation_.At(vm.paused_until, [this, index, process, step] {
+      OnVm(index, process, step);
+    });
+    return;
+  }
+  step();
+  Wake(index);
+}
+
+void FailoverWorld::Wake(std::size_t index) {
+  Vm& vm = *vms_[index];
+  const TimePoint now = simulation_.now();
+  vm.membership.Tick(now);
+  vm.failover.Tick(now);
+  vm.router.Tick(now);
+  const TimePoint next =
+      std::max(now + milliseconds(1),
+               std::min({vm.membership.NextTick(), vm.failover.NextTick(),
+                         vm.router.NextTick()}));
+  if (next >= vm.woken && vm.woken > now) return;
+  vm.woken = next;
+  simulation_.At(next, [this, index, process = vm.process, next] {
+    if (vms_[index]->process != process || vms_[index]->woken != next) return;
+    OnVm(index, process, [] {});
+  });
+}
+
+// Statements of callers: writes, reads of current data, reads with an age.
+void FailoverWorld::Call(std::size_t index) {
+  simulation_.After(milliseconds(20 + random_() % 40), [this, index] {
+    Call(index);
+    Vm& vm = *vms_[index];
+    const double choice = Chance();
+    const std::string id = std::to_string(next_id_++);
+    const TimePoint sent = simulation_.now();
+    OnVm(index, vm.process, [this, &vm, choice, id, sent] {
+      auto job = std::make_shared<StatementJob>();
+      const bool write = choice < 0.3;
+      const bool aged = choice > 0.6;
+      job->owner = std::make_shared<Owner>(*this, id, write);
+      job->statement.id = id;
+      job->statement.kind =
+          write ? StatementKind::kWrite : StatementKind::kRead;
+      job->statement.text =
+          write ? "WRITE " + id
+                : std::string(aged ? "READ aged " : "READ primary ") +
+                      std::to_string(sent.time_since_epoch().count());
+      job->service = kService;
+      job->needs_primary = !aged;
+      job->max_age = kAge;
+      job->has_effect = write;
+      job->received = simulation_.now();
+      job->deadline = job->received + seconds(1);
+      vm.router.Submit(job, simulation_.now());
+    });
+  });
+}
+
+void FailoverWorld::Replicate(std::size_t from, const std::string& id,
+                              Term term) {
+  for (std::size_t i = 0; i < endpoints_.size(); ++i) {
+    if (i == from) continue;
+    simulation_.After(kReplicaLag, [this, from, i, id, term] {
+      const TimePoint now = simulation_.now();
+      Endpoint& source = *endpoints_[from];
+      Endpoint& replica = *endpoints_[i];
+      if (source.isolated_until > now || replica.isolated_until > now ||
+          source.down_until > now || replica.down_until > now ||
+          replica.primary || replica.term != term) {
+        return;
+      }
+      // A replica that missed entries receives them with the next one.
+      replica.log = source.log;
+    });
+  }
+}
+
+void FailoverWorld::TakeEffect(std::size_t index) {
+  Endpoint& chosen = *endpoints_[index];
+  if (chosen.down_until > simulation_.now() || index == leader_) return;
+  ++promotions_;
+  leader_ = index;
+  chosen.term = ++leading_term_;
+  chosen.primary = true;
+  for (const Commit& commit : acknowledged_) {
+    if (std::count(chosen.log.begin(), chosen.log.end(), commit.id) == 0) {
+      rolled_back_.insert(commit.id);
+    }
+  }
+  for (std::size_t i = 0; i < endpoints_.size(); ++i) {
+    if (i != index) Follow(i);
+  }
+}
+
+// An endpoint learns of the new primary once it can reach it; an old primary
+// gives way a second later.
+void FailoverWorld::Follow(std::size_t index) {
+  const TimePoint now = simulation_.now();
+  Endpoint& endpoint = *endpoints_[index];
+  Endpoint& leader = *endpoints_[leader_];
+  if (index == leader_ || endpoint.term == leading_term_) return;
+  if (endpoint.isolated_until > now || leader.isolated_until > now ||
+      endpoint.down_until > now || leader.down_until > now) {
+    simulation_.After(milliseconds(50), [this, index] { Follow(index); });
+    return;
+  }
+  const Duration delay = endpoint.primary ? kGiveWay : Duration{0};
+  simulation_.After(delay, [this, index] {
+    Endpoint& late = *endpoints_[index];
+    if (index == leader_) return;
+    late.primary = false;
+    late.term = leading_term_;
+    late.log = endpoints_[leader_]->log;
+  });
+}
+
+void FailoverWorld::CrashVm(std::size_t vm, Duration down) {
+  vms_[vm]->running = false;
+  vms_[vm]->process = 0;
+  simulation_.After(down, [this, vm] {
+    if (!vms_[vm]->running) StartVm(vm);
+  });
+}
+
+void FailoverWorld::PauseVm(std::size_t vm, Duration duration) {
+  vms_[vm]->paused_until = simulation_.now() + duration;
+}
+void FailoverWorld::CutVmFromStore(std::size_t vm, Duration duration) {
+  vms_[vm]->store_cut_until = simulation_.now() + duration;
+}
+void FailoverWorld::CutVmFromPeers(std::size_t vm, Duration duration) {
+  vms_[vm]->peers_cut_until = simulation_.now() + duration;
+}
+void FailoverWorld::StopStore(Duration duration) {
+  store_down_until_ = simulation_.now() + duration;
+}
+
+void FailoverWorld::CrashEndpoint(std::size_t index, Duration down) {
+  Endpoint& endpoint = *endpoints_[index];
+  endpoint.down_until = simulation_.now() + down;
+  ++endpoint.process;
+}
+
+void FailoverWorld::IsolateEndpoint(std::size_t index,
+                                    std::set<std::size_t> vms,
+                                    Duration duration) {
+  Endpoint& endpoint = *endpoints_[index];
+  endpoint.isolated_until = simulation_.now() + duration;
+  endpoint.cut_vms = std::move(vms);
+}
+
+void FailoverWorld::MarkLeaving(std::size_t index) {
+  EndpointRecord& record = endpoints_[index]->record;
+  record.leaving = true;
+  for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
+    vms_[vm]->router.SetEndpoint(record, simulation_.now());
+  }
+}
+
+void FailoverWorld::InjectFault() {
+  const std::size_t vm = random_() % vms_.size();
+  const Duration time = milliseconds(200 + random_() % 4000);
+  switch (random_() % 8) {
+    case 0:
+      CrashVm(vm, time);
+      break;
+    case 1:
+      PauseVm(vm, time);
+      break;
+    case 2:
+      CutVmFromStore(vm, time * 2);
+      break;
+    case 3:
+      CutVmFromPeers(vm, time * 2);
+      break;
+    case 4:
+      StopStore(time);
+      break;
+    case 5:
+      CrashEndpoint(leader_, time);
+      break;
+    default: {
+      std::set<std::size_t> cut;
+      for (std::size_t i = 0; i < vms_.size(); ++i) {
+        if (Chance() < 0.5) cut.insert(i);
+      }
+      IsolateEndpoint(leader_, cut, time);
+    }
+  }
+}
+
+void FailoverWorld::Heal() {
+  const TimePoint now = simulation_.now();
+  store_down_until_ = now;
+  for (const auto& endpoint : endpoints_) {
+    endpoint->down_until = std::min(endpoint->down_until, now);
+    endpoint->isolated_until = std::min(endpoint->isolated_until, now);
+  }
+  for (const auto& vm : vms_) {
+    vm->paused_until = std::min(vm->paused_until, now);
+    vm->store_cut_until = now;
+    vm->peers_cut_until = now;
+  }
+}
+
+std::size_t FailoverWorld::Primary() const { return leader_; }
+
+std::vector<std::size_t> FailoverWorld::Holders() const {
+  std::vector<std::size_t> holders;
+  for (std::size_t i = 0; i < vms_.size(); ++i) {
+    if (vms_[i]->running && vms_[i]->failover.is_holder(simulation_.now())) {
+      holders.push_back(i);
+    }
+  }
+  return holders;
+}
+
+void FailoverWorld::Broken(const std::string& what) {
+  violations_.push_back(
+      std::to_string(
+          std::chrono::duration<double>(simulation_.now().time_since_epoch() -
+                                        std::chrono::hours(1))
+              .count()) +
+      " s: " + what);
+}
+
+Duration FailoverWorld::Delay() { return milliseconds(1 + random_() % 15); }
+
+double FailoverWorld::Chance() {
+  return std::uniform_real_distribution<double>(0, 1)(random_);
+}
+
+}  // namespace carawayhaven
