--- a/src/core/failover/duty_election.cc
+++ b/src/core/failover/duty_election.cc
@@ -24,6 +24,7 @@
   const bool was_own = IsOwn(record_);
   const DutyRecord previous = std::exchange(record_, record);
   const bool existed = version_ != 0;
+  const TimePoint previous_learned = std::exchange(learned_, now);
   version_ = version;
   if (!IsOwn(record_) || was_own) return;
   // A process that ended, or that was this VM's, grants nothing any more.
@@ -32,7 +33,8 @@
   promote_from_ = now + kRightDuration + kMargin;
   predecessor_.reset();
   if (!stopped) {
-    promote_from_ += kAuthority;
+    promote_from_ = std::max(promote_from_, previous_learned + kAuthority +
+                                                kRightDuration + kMargin);
     predecessor_ = previous;
   }
 }
@@ -42,17 +44,13 @@
   version_ = 0;
 }
 
-void DutyElection::OnConfirmed(TimePoint sent) {
-  confirmed_ = std::max(confirmed_, sent);
-}
-
 bool DutyElection::IsHolder(TimePoint now) const {
   return !resigned_ && IsOwn(record_) && now < confirmed_ + kAuthority;
 }
 
 void DutyElection::TryTakeOver(TimePoint /*now*/) {
   if (writing_ || incarnation_ == 0 || resigned_) return;
-  DutyRecord record{self_, incarnation_, false, record_.promotions};
+  DutyRecord record{self_, incarnation_, false, record_.writes + 1};
   Write(record, nullptr);
 }
 
@@ -63,16 +61,28 @@
 
 void DutyElection::TakeToken(TokenCallback done) {
   DutyRecord record = record_;
-  ++record.promotions;
+  ++record.writes;
   Write(record, std::move(done));
 }
 
+void DutyElection::Renew(TimePoint now) {
+  if (writing_ || resigned_ || !IsOwn(record_) ||
+      now - confirmed_ < kRenewInterval || now < next_renewal_) {
+    return;
+  }
+  next_renewal_ = now + kRenewRetry;
+  DutyRecord record = record_;
+  ++record.writes;
+  Write(record, nullptr);
+}
+
 void DutyElection::Resign(TimePoint now) {
   const bool held = IsHolder(now);
   resigned_ = true;
   if (!held) return;
   DutyRecord record = record_;
   record.resigned = true;
+  ++record.writes;
   writing_ = false;
   Write(record, nullptr);
 }
@@ -94,7 +104,7 @@
         election.writing_ = false;
         const bool written = reply.status == StoreStatus::kOk;
         if (written) {
-          election.OnConfirmed(sent);
+          election.confirmed_ = std::max(election.confirmed_, sent);
           election.OnRecord(record, reply.object.version, election.clock_());
         } else if (reply.status == StoreStatus::kConflict) {
           election.OnConflict(reply.object);
--- a/src/core/failover/duty_election.h
+++ b/src/core/failover/duty_election.h
@@ -13,17 +13,21 @@
 
 /// Decides which VM grants rights to primaries and promotes endpoints: the one
 /// that the duty object names. A VM becomes the holder by a conditional write,
-/// and stays it while the store has confirmed that within kAuthority; a
-/// successor waits that time out before it promotes, unless it knows that the
-/// predecessor has stopped. Not thread-safe.
+/// and stays it for kAuthority after its last write. A successor waits until
+/// the authority of the last write that it saw of its predecessor has ended
+/// before it promotes, unless it knows that the predecessor has stopped. Not
+/// thread-safe.
 class DutyElection {
  public:
   using Clock = std::function<TimePoint()>;
   /// Version of the duty object after a write, or nothing when it failed.
   using TokenCallback = std::function<void(std::optional<ObjectVersion>)>;
 
-  // Outages of the store up to this long do not end the holder's duty.
-  static constexpr Duration kAuthority = std::chrono::seconds(10);
+  // Outages of the store do not end the holder's duty as long as they are
+  // shorter than this, less kRenewInterval.
+  static constexpr Duration kAuthority = std::chrono::seconds(9);
+  static constexpr Duration kRenewInterval = std::chrono::seconds(2);
+  static constexpr Duration kRenewRetry = std::chrono::milliseconds(300);
   // Validity of a granted right. A primary is replaced no sooner than this
   // after its last right was granted.
   static constexpr Duration kRightDuration = std::chrono::milliseconds(1000);
@@ -39,9 +43,6 @@
   /// Takes the duty object as the store had it when a call at `sent` was made.
   void OnRecord(const DutyRecord& record, ObjectVersion version, TimePoint now);
   void OnRecordRemoved(TimePoint now);
-  /// The store had no newer duty object when a call was sent at `sent`.
-  void OnConfirmed(TimePoint sent);
-
   /// True while this process may grant rights.
   bool IsHolder(TimePoint now) const;
   const VmName& holder() const { return record_.holder; }
@@ -62,6 +63,9 @@
   /// new version is a fencing token for one promotion.
   void TakeToken(TokenCallback done);
 
+  /// Extends the holder's authority when it is time to.
+  void Renew(TimePoint now);
+
   /// Stops to hold the duty and tells the others.
   void Resign(TimePoint now);
 
@@ -77,7 +81,11 @@
   std::uint64_t incarnation_ = 0;
   DutyRecord record_;
   ObjectVersion version_ = 0;
+  /// When the last successful write was sent.
   TimePoint confirmed_;
+  /// When this VM learned of `record_`.
+  TimePoint learned_;
+  TimePoint next_renewal_;
   TimePoint promote_from_ = TimePoint::max();
   std::optional<DutyRecord> predecessor_;
   bool writing_ = false;
--- a/src/core/failover/failover_manager.cc
+++ b/src/core/failover/failover_manager.cc
@@ -102,7 +102,6 @@
 }
 
 void FailoverManager::OnMirrorConfirmed(TimePoint sent, TimePoint now) {
-  duty_.OnConfirmed(sent);
   std::vector<ListedVm> listed;
   for (const auto& [vm, entry] : vms_) {
     listed.push_back({vm, entry.data_centre, entry.address, entry.leaving});
@@ -358,6 +357,7 @@
   if (now < next_round_) return;
   next_round_ = now + (active_ ? kRoundInterval : kAskInterval);
   if (!active_) return;
+  duty_.Renew(now);
   ReviewPredecessor(now);
   for (const auto& [service, keeper] : keepers_) keeper->Tick(now);
   GrantOwn(now);
--- a/src/core/failover/failover_records.cc
+++ b/src/core/failover/failover_records.cc
@@ -32,7 +32,7 @@
   return json{{"holder", record.holder},
               {"incarnation", record.incarnation},
               {"resigned", record.resigned},
-              {"promotions", record.promotions}}
+              {"writes", record.writes}}
       .dump();
 }
 
@@ -58,7 +58,7 @@
     return DutyRecord{object.at("holder").get<std::string>(),
                       object.at("incarnation").get<std::uint64_t>(),
                       object.at("resigned").get<bool>(),
-                      object.at("promotions").get<std::uint64_t>()};
+                      object.at("writes").get<std::uint64_t>()};
   });
 }
 
--- a/src/core/failover/failover_records.h
+++ b/src/core/failover/failover_records.h
@@ -23,8 +23,8 @@
   std::uint64_t incarnation = 0;
   /// The holder has stopped to grant rights.
   bool resigned = false;
-  /// Rises with each promotion, so that each has a version of its own.
-  std::uint64_t promotions = 0;
+  /// Rises with each write, so that each has a version of its own.
+  std::uint64_t writes = 0;
 };
 
 enum class PrimaryPhase : std::uint8_t {
--- a/test/failover/fake_failover_world.cc
+++ b/test/failover/fake_failover_world.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <unordered_set>
 #include <utility>
 
 #include "core/config/config_digest_source.h"
@@ -45,6 +46,17 @@
   bool primary = false;
   Term term = 1;
   std::vector<std::string> log;
+  std::unordered_set<std::string> entries;
+
+  bool Holds(const std::string& id) const { return entries.contains(id); }
+  void Append(const std::string& id) {
+    log.push_back(id);
+    entries.insert(id);
+  }
+  void Copy(const Endpoint& other) {
+    log = other.log;
+    entries = other.entries;
+  }
   TimePoint down_until;
   TimePoint isolated_until;
   std::set<std::size_t> cut_vms;
@@ -190,14 +202,14 @@
     }
     if (result.end == JobResult::End::kNotRun) {
       for (const auto& endpoint : world_.endpoints_) {
-        if (std::count(endpoint->log.begin(), endpoint->log.end(), id_) > 0) {
+        if (endpoint->Holds(id_)) {
           world_.Broken("write " + id_ + " was said not to have run");
         }
       }
     }
     if (!ok) return;
     const Endpoint& leader = *world_.endpoints_[world_.leader_];
-    if (std::count(leader.log.begin(), leader.log.end(), id_) == 0) {
+    if (!leader.Holds(id_)) {
       world_.Broken("write " + id_ + " was acknowledged by an old primary");
     }
     world_.acknowledged_.push_back({id_, now});
@@ -296,7 +308,7 @@
     if (!endpoint.primary) {
       reply.code = ReplyCode::kNotPrimary;
     } else {
-      endpoint.log.push_back(statement.id);
+      endpoint.Append(statement.id);
       world_.Replicate(index, statement.id, endpoint.term);
     }
   } else {
@@ -313,8 +325,7 @@
           world_.rolled_back_.contains(commit.id)) {
         continue;
       }
-      if (std::count(endpoint.log.begin(), endpoint.log.end(), commit.id) ==
-          0) {
+      if (!endpoint.Holds(commit.id)) {
         world_.Broken("read on a log without " + commit.id + " at " +
                       endpoint.record.name);
         break;
@@ -610,7 +621,7 @@
         return;
       }
       // A replica that missed entries receives them with the next one.
-      replica.log = source.log;
+      replica.Copy(source);
     });
   }
 }
@@ -623,7 +634,7 @@
   chosen.term = ++leading_term_;
   chosen.primary = true;
   for (const Commit& commit : acknowledged_) {
-    if (std::count(chosen.log.begin(), chosen.log.end(), commit.id) == 0) {
+    if (!chosen.Holds(commit.id)) {
       rolled_back_.insert(commit.id);
     }
   }
@@ -650,7 +661,7 @@
     if (index == leader_) return;
     late.primary = false;
     late.term = leading_term_;
-    late.log = endpoints_[leader_]->log;
+    late.Copy(*endpoints_[leader_]);
   });
 }
 
