--- a/src/core/config/object_mirror.cc
+++ b/src/core/config/object_mirror.cc
@@ -35,6 +35,11 @@
       });
 }
 
+void ObjectMirror::ListAgain(TimePoint now) {
+  revision_ = 0;
+  if (next_ != TimePoint::max()) next_ = now;
+}
+
 void ObjectMirror::OnReply(const StoreReply& reply, TimePoint sent) {
   const TimePoint now = clock_();
   if (reply.status == StoreStatus::kHistoryLost) {
--- a/src/core/config/object_mirror.h
+++ b/src/core/config/object_mirror.h
@@ -43,6 +43,9 @@
   void Tick(TimePoint now);
   TimePoint NextTick() const { return next_; }
 
+  /// Lists all objects with the next call, instead of waiting for changes.
+  void ListAgain(TimePoint now);
+
   /// True after the first complete list.
   bool listed() const { return listed_; }
   bool reachable() const { return reachable_; }
--- a/src/core/failover/duty_election.cc
+++ b/src/core/failover/duty_election.cc
@@ -55,7 +55,8 @@
 }
 
 void DutyElection::OnSuperseded(ObjectVersion version) {
-  superseded_by_ = std::max(superseded_by_, version);
+  // While a write is under way the newer version may be its own.
+  if (!writing_) superseded_by_ = std::max(superseded_by_, version);
 }
 
 void DutyElection::OnRecordRemoved(TimePoint /*now*/) {
--- a/src/core/failover/failover_manager.cc
+++ b/src/core/failover/failover_manager.cc
@@ -69,9 +69,11 @@
   const std::string_view path = object.path;
   try {
     if (path == kDutyPath) {
-      duty_.OnRecord(ParseDutyRecord(object.value), object.version, now);
       // A new holder needs time to reach everybody.
-      granted_at_ = std::max(granted_at_, now);
+      if (object.version > duty_.version()) {
+        granted_at_ = std::max(granted_at_, now);
+      }
+      duty_.OnRecord(ParseDutyRecord(object.value), object.version, now);
       NoteHolder(duty_.record().resigned ? VmName() : duty_.record().holder,
                  now);
     } else if (path.starts_with(kPrimaryPrefix)) {
@@ -122,12 +124,12 @@
   }
 }
 
-// For a VM that reaches the store and no peer that holds rights.
+// For a VM that reaches the store and no peer that holds rights, and for a new
+// holder, which must know what its predecessor has recorded.
 void FailoverManager::AskStoreForRights(TimePoint now) {
-  if (asking_store_ || now < next_store_ask_ || duty_.IsHolder(now) ||
-      now - granted_at_ < kStoreAskAfter) {
-    return;
-  }
+  const bool needed = duty_.IsHolder(now) ? records_read_at_ < held_since_
+                                          : now - granted_at_ >= kStoreAskAfter;
+  if (!needed || asking_store_ || now < next_store_ask_) return;
   asking_store_ = true;
   next_store_ask_ = now + kStoreAskInterval;
   parts_.store.Watch(
@@ -140,10 +142,9 @@
         if (reply.status != StoreStatus::kOk) return;
         const TimePoint answered = manager.parts_.clock();
         for (const StoredObject& object : reply.objects) {
-          if (object.path.starts_with(kPrimaryPrefix)) {
-            manager.OnObject(object, answered);
-          }
+          manager.OnObject(object, answered);
         }
+        manager.records_read_at_ = std::max(manager.records_read_at_, sent);
         manager.GrantRecorded(sent, answered);
       });
 }
@@ -364,10 +365,17 @@
   if (!active_) return;
   duty_.Renew(now);
   ReviewPredecessors(now);
-  for (const auto& [service, keeper] : keepers_) keeper->Tick(now);
-  GrantOwn(now);
   const bool holds = duty_.IsHolder(now);
-  const bool lost = std::exchange(was_holder_, holds) && !holds;
+  const bool held = std::exchange(was_holder_, holds);
+  const bool lost = held && !holds;
+  if (holds && !held) {
+    held_since_ = now;
+    next_store_ask_ = now;
+  }
+  if (!holds || records_read_at_ >= held_since_) {
+    for (const auto& [service, keeper] : keepers_) keeper->Tick(now);
+  }
+  GrantOwn(now);
   if ((lost && duty_.record().holder != self_) ||
       std::exchange(yield_again_, false)) {
     next_take_over_ = now + kYieldPause;
--- a/src/core/failover/failover_manager.h
+++ b/src/core/failover/failover_manager.h
@@ -111,6 +111,10 @@
   std::map<ServiceName, PrimaryRecord> records_;
   std::map<ServiceName, ObjectVersion> record_versions_;
   TimePoint next_store_ask_;
+  /// When the last answered call for all own objects was sent.
+  TimePoint records_read_at_;
+  /// When this VM last became the holder.
+  TimePoint held_since_;
   bool asking_store_ = false;
   bool was_holder_ = false;
   bool yielding_ = false;
--- a/src/proxy/caller_listener.h
+++ b/src/proxy/caller_listener.h
@@ -25,6 +25,9 @@
   /// address ("IP:port") first; empty when it should run here, and nothing when
   /// sessions cannot be served now.
   virtual std::optional<std::vector<std::string>> RelayAddresses() = 0;
+
+  /// True when a session that a peer relays can run here.
+  virtual bool AcceptsRelayed() const = 0;
 };
 
 /// Accepts callers. Not thread-safe.
--- a/src/proxy/session_proxy.cc
+++ b/src/proxy/session_proxy.cc
@@ -390,6 +390,7 @@
 
 bool SessionProxy::RunsSessions() const {
   return active_ && routes_.version > 0 && !router_.endpoints().empty() &&
+         routes_mirror_->mirror.confirmed_at() >= active_since_ &&
          endpoints_mirror_->mirror.confirmed_at() >= active_since_;
 }
 
@@ -433,7 +434,12 @@
   if (std::exchange(active_, active) != active) {
     Log(LogLevel::kInfo, "session_placement",
         {{"runs_sessions", active}, {"session_vms", vms}});
-    if (active) active_since_ = now;
+    if (active) {
+      // What was known before may be outdated.
+      active_since_ = now;
+      routes_mirror_->mirror.ListAgain(now);
+      endpoints_mirror_->mirror.ListAgain(now);
+    }
     if (!active) router_.CloseIdleConnections(now);
   }
   failover.SetActive(active);
@@ -450,7 +456,9 @@
     endpoints_mirror_->mirror.Tick(now);
     next = std::min(next, endpoints_mirror_->mirror.NextTick());
   }
-  if (follows && (cluster_ == nullptr || cluster_->failover.NeedsStore(now))) {
+  const bool confirmed = routes_mirror_->mirror.confirmed_at() >= active_since_;
+  if (follows && (cluster_ == nullptr || !confirmed ||
+                  cluster_->failover.NeedsStore(now))) {
     routes_mirror_->mirror.Tick(now);
     next = std::min(next, routes_mirror_->mirror.NextTick());
   }
--- a/src/proxy/session_proxy.h
+++ b/src/proxy/session_proxy.h
@@ -61,6 +61,7 @@
 
   std::shared_ptr<CallerSession> NewSession(CallerChannel& channel) override;
   std::optional<std::vector<std::string>> RelayAddresses() override;
+  bool AcceptsRelayed() const override { return RunsSessions(); }
 
   /// Address on which a proxy accepts sessions from its peers: the port after
   /// the one for their messages.
--- a/test/failover/failover_test.cc
+++ b/test/failover/failover_test.cc
@@ -138,7 +138,8 @@
         RegressionSeed{84, "a new holder took an old primary for the leader"},
         RegressionSeed{5780, "the same with the store down"},
         RegressionSeed{6948,
-                       "a successor's successor did not wait for the first"}));
+                       "a successor's successor did not wait for the first"},
+        RegressionSeed{9029, "a new holder did not know the last order"}));
 
 // Pauses, cuts, crashes, a store that fails and answers that are lost, in an
 // order that the seed draws. CARAWAYHAVEN_FAILOVER_SEEDS and
