--- a/test/session/fake_session_link.h
+++ b/test/session/fake_session_link.h
@@ -55,7 +55,8 @@
   /// Answers the oldest statement on a session to that endpoint. Returns it, or
   /// nothing when there is none.
   std::optional<EndpointStatement> Answer(const std::string& endpoint,
-                                          StatementReply reply, TimePoint now) {
+                                          const StatementReply& reply,
+                                          TimePoint now) {
     for (const ConnectionId id : Ids()) {
       const auto found = sessions.find(id);
       if (found == sessions.end() || found->second.endpoint != endpoint ||
