--- a/test/failover/failover_world.h
+++ b/test/failover/failover_world.h
@@ -73,7 +73,8 @@
 
   void StartVm(std::size_t vm);
   /// Runs a step of a VM's process when it is not paused, and then its timers.
-  void OnVm(std::size_t vm, std::uint64_t process, std::function<void()> step);
+  void OnVm(std::size_t vm, std::uint64_t process,
+            const std::function<void()>& step);
   void Wake(std::size_t vm);
   void Call(std::size_t vm);
   void Replicate(std::size_t from, const std::string& id, Term term);
--- a/test/failover/fake_failover_world.cc
+++ b/test/failover/fake_failover_world.cc
@@ -545,7 +545,7 @@
 }
 
 void FailoverWorld::OnVm(std::size_t index, std::uint64_t process,
-                         std::function<void()> step) {
+                         const std::function<void()>& step) {
   Vm& vm = *vms_[index];
   if (vm.process != process || !vm.running) return;
   if (vm.paused_until > simulation_.now()) {
