--- a/src/core/session/caller_session.cc
+++ b/src/core/session/caller_session.cc
@@ -70,7 +70,7 @@
 void CallerSession::OnDisconnected(TimePoint now) {
   channel_ = nullptr;
   waiting_.clear();
-  if (job_ != nullptr) router_.Abandon(job_, now);
+  if (job_ != nullptr) router_.Abandon(std::exchange(job_, nullptr), now);
   EndTransaction(TransactionState::kIdle, now);
 }
 
--- a/src/core/session/session_router.cc
+++ b/src/core/session/session_router.cc
@@ -57,8 +57,15 @@
                              Distance distance)
     : link_(link), observer_(observer), distance_(std::move(distance)) {}
 
+// A job and its session refer to each other until the job ends.
 SessionRouter::~SessionRouter() {
-  for (const auto& [id, connection] : connections_) link_.Close(id);
+  for (const auto& [id, connection] : connections_) {
+    if (connection.job != nullptr) connection.job->owner.reset();
+    link_.Close(id);
+  }
+  for (const auto& [name, service] : services_) {
+    for (const JobPtr& job : service.queue) job->owner.reset();
+  }
 }
 
 void SessionRouter::SetEndpoint(const EndpointRecord& record, TimePoint now) {
@@ -181,6 +188,7 @@
 void SessionRouter::Abandon(const std::shared_ptr<StatementJob>& job,
                             TimePoint /*now*/) {
   job->done = true;
+  job->owner.reset();
 }
 
 // Urgent routes first; within a priority by time of arrival.
