Router: endpoints by service, one way to close idle connections, no dead state

Each statement looked at the endpoints of all services to find those of its own; a service now keeps its own. Three loops that closed idle connections are one. Counters that repeated the observer's decisions, and fields that nobody read, are gone; the route of a statement is looked up in one place.

--- a/src/core/session/caller_session.cc
+++ b/src/core/session/caller_session.cc
@@ -173,18 +173,23 @@
   AnswerSelf(ReplyCode::kOk, "", now);
 }
 
+bool CallerSession::TakeRoute(TimePoint now) {
+  const auto route = routes_().databases.find(database_);
+  if (route == routes_().databases.end()) {
+    AnswerSelf(ReplyCode::kUnknownDatabase, kNoSuchDatabase, now);
+    return false;
+  }
+  route_ = route->second;
+  return true;
+}
+
 // The transaction opens at the endpoint with its first statement.
 void CallerSession::RunBegin(TimePoint now) {
   if (state_ != TransactionState::kIdle) {
     AnswerSelf(ReplyCode::kMalformed, kNestedTransaction, now);
     return;
   }
-  const auto route = routes_().databases.find(database_);
-  if (route == routes_().databases.end()) {
-    AnswerSelf(ReplyCode::kUnknownDatabase, kNoSuchDatabase, now);
-    return;
-  }
-  route_ = route->second;
+  if (!TakeRoute(now)) return;
   state_ = TransactionState::kOpen;
   read_only_ = current_.kind == StatementKind::kBeginReadOnly;
   wrote_ = false;
@@ -224,14 +229,7 @@
     AnswerSelf(ReplyCode::kUnknownStatement, kUnknownName, now);
     return;
   }
-  if (!in_transaction) {
-    const auto route = routes_().databases.find(database_);
-    if (route == routes_().databases.end()) {
-      AnswerSelf(ReplyCode::kUnknownDatabase, kNoSuchDatabase, now);
-      return;
-    }
-    route_ = route->second;
-  }
+  if (!in_transaction && !TakeRoute(now)) return;
   const bool writes = HasEffect(current_);
   auto job = std::make_shared<StatementJob>();
   job->owner = shared_from_this();
@@ -247,7 +245,6 @@
   }
   job->received = received_;
   job->deadline = received_ + route_.statement_timeout;
-  job->objective = route_.objective;
   job->priority = route_.priority;
   job->commits = commits;
   job->has_effect = commits ? wrote_ : writes;
--- a/src/core/session/caller_session.h
+++ b/src/core/session/caller_session.h
@@ -79,6 +79,8 @@
   void RunBegin(TimePoint now);
   void RunRollback(TimePoint now);
   void RunOnEndpoint(TimePoint now);
+  /// Takes the database's route as it is now; answers when there is none.
+  bool TakeRoute(TimePoint now);
   bool HasEffect(const CallerStatement& statement) const;
   StatementReply ReplyFor(const JobResult& result, std::string* cause);
   void AnswerSelf(ReplyCode code, std::string_view message, TimePoint now);
--- a/src/core/session/session_router.cc
+++ b/src/core/session/session_router.cc
@@ -66,11 +66,16 @@
   for (const auto& [name, service] : services_) {
     for (const JobPtr& job : service.queue) job->owner.reset();
   }
+  for (const HeldAnswer& held : held_) held.job->owner.reset();
 }
 
 void SessionRouter::SetEndpoint(const EndpointRecord& record, TimePoint now) {
   auto [entry, is_new] = endpoints_.try_emplace(record.name, record);
   EndpointState& endpoint = entry->second;
+  if (endpoint.record.service != record.service) {
+    services_[endpoint.record.service].endpoints.erase(record.name);
+  }
+  services_[record.service].endpoints[record.name] = &endpoint;
   const bool restarted = !is_new && endpoint.record.started_ms != 0 &&
                          record.started_ms != endpoint.record.started_ms;
   const bool moved = endpoint.record.address != record.address;
@@ -86,8 +91,7 @@
     endpoint.position = {};
   }
   if (restarted || moved || (record.leaving && !record.claims_primary)) {
-    const std::set<ConnectionId> idle = endpoint.idle;
-    for (const ConnectionId id : idle) CloseConnection(id, now);
+    CloseIdle(endpoint, 0, now);
   }
   Dispatch(record.service, now);
 }
@@ -102,24 +106,22 @@
 
 void SessionRouter::SetConnectionLimit(const ServiceName& service,
                                        std::uint32_t limit, TimePoint now) {
-  services_[service].connection_limit = std::max(limit, 1U);
-  for (auto& [name, endpoint] : endpoints_) {
-    if (endpoint.record.service == service) CloseExcess(endpoint, now);
+  Service& limited = services_[service];
+  limited.connection_limit = std::max(limit, 1U);
+  for (const auto& [name, endpoint] : limited.endpoints) {
+    CloseIdle(*endpoint, limited.connection_limit, now);
   }
 }
 
-void SessionRouter::CloseExcess(EndpointState& endpoint, TimePoint now) {
-  const std::size_t limit = services_[endpoint.record.service].connection_limit;
+void SessionRouter::CloseIdle(EndpointState& endpoint, std::size_t limit,
+                              TimePoint now) {
   while (endpoint.connections.size() > limit && !endpoint.idle.empty()) {
     CloseConnection(*endpoint.idle.begin(), now);
   }
 }
 
 void SessionRouter::CloseIdleConnections(TimePoint now) {
-  for (auto& [name, endpoint] : endpoints_) {
-    const std::set<ConnectionId> idle = endpoint.idle;
-    for (const ConnectionId id : idle) CloseConnection(id, now);
-  }
+  for (auto& [name, endpoint] : endpoints_) CloseIdle(endpoint, 0, now);
 }
 
 void SessionRouter::GrantRight(const ServiceName& service,
@@ -180,7 +182,6 @@
   connection.steps = {EndpointStatement{}};
   connection.steps.front().kind = EndpointStatementKind::kRollback;
   connection.step = 0;
-  connection.started = now;
   connection.give_up_at = now + kLateAnswerGrace;
   SendStep(id, now);
 }
@@ -278,8 +279,8 @@
   EndpointState* openable = nullptr;
   double best_score = std::numeric_limits<double>::max();
   double openable_score = std::numeric_limits<double>::max();
-  for (auto& [name, endpoint] : endpoints_) {
-    if (endpoint.record.service != job.service) continue;
+  for (const auto& [name, state] : service.endpoints) {
+    EndpointState& endpoint = *state;
     const bool is_primary = right != nullptr && right->endpoint == name;
     if (job.needs_primary ? !is_primary : !is_primary && !replicas_allowed) {
       continue;
@@ -345,7 +346,6 @@
                  endpoint.record.name, *this);
   Connection& connection = connections_[id];
   connection.endpoint = endpoint.record.name;
-  connection.started = now;
   connection.give_up_at = now + kOpenTimeout;
   endpoint.connections.insert(id);
   ++endpoint.opening;
@@ -369,7 +369,6 @@
   connection.job = job;
   connection.steps = PlanSetup(context, connection.context, prepared);
   connection.step = 0;
-  connection.started = now;
   if (job->begin) {
     EndpointStatement& begin = connection.steps.emplace_back();
     begin.kind = *job->begin;
@@ -388,18 +387,11 @@
   }
   connection.give_up_at = job->deadline + kLateAnswerGrace;
   connection.hedge_at = TimePoint::max();
-  ++stats_.sent;
-  if (job->first_sent == TimePoint{}) job->first_sent = now;
-  RoutingDecision decision;
-  decision.kind = RoutingDecision::Kind::kSent;
-  decision.job = job.get();
-  decision.endpoint = connection.endpoint;
   const EndpointStatement& first_with_position =
       job->begin ? connection.steps[connection.steps.size() - 2] : last;
-  decision.required = first_with_position.min_position.value_or(LogPosition{});
-  decision.elapsed = now - job->received;
-  decision.right_left = RightLeft(*job, now);
-  observer_.OnRouting(decision);
+  Observe(RoutingDecision::Kind::kSent, *job, connection.endpoint,
+          ReplyCode::kOk, now,
+          first_with_position.min_position.value_or(LogPosition{}));
   WakeAt(job->deadline);
   SendStep(id, now);
 }
@@ -446,7 +438,6 @@
   Connection& connection = found->second;
   EndpointState& endpoint = endpoints_.at(connection.endpoint);
   connection.open = true;
-  connection.last_answer = now;
   connection.give_up_at = TimePoint::max();
   --endpoint.opening;
   if (std::exchange(endpoint.failed_opens, 0U) > 0) {
@@ -501,9 +492,8 @@
   Connection& connection = found->second;
   EndpointState& endpoint = endpoints_.at(connection.endpoint);
   const ServiceName service = endpoint.record.service;
-  connection.last_answer = now;
   endpoint.NoteAnswer(now);
-  NotePosition(connection, reply, now);
+  NotePosition(connection, reply);
   if (connection.step >= connection.steps.size()) {
     // An answer to nothing: the two ends disagree about the connection.
     CloseConnection(id, now);
@@ -516,8 +506,7 @@
 }
 
 void SessionRouter::NotePosition(const Connection& connection,
-                                 const StatementReply& reply,
-                                 TimePoint /*now*/) {
+                                 const StatementReply& reply) {
   if (!reply.position) return;
   EndpointState& endpoint = endpoints_.at(connection.endpoint);
   endpoint.position = *reply.position;
@@ -650,7 +639,8 @@
   } else if (!connection.in_transaction) {
     connection.holder.reset();
     endpoint.idle.insert(id);
-    CloseExcess(endpoint, now);
+    CloseIdle(endpoint, services_[endpoint.record.service].connection_limit,
+              now);
   }
   return job;
 }
@@ -678,7 +668,6 @@
     return;
   }
   ++job->attempts;
-  ++stats_.retried;
   job->last_refusal = code;
   job->may_have_run = false;
   Duration pause = kUnreachablePause;
@@ -698,7 +687,6 @@
                                JobResult::End end, TimePoint now) {
   if (job->done || job->running > 0) return;
   const bool lost = end == JobResult::End::kLost;
-  ++(lost ? stats_.lost : stats_.timed_out);
   Observe(
       lost ? RoutingDecision::Kind::kLost : RoutingDecision::Kind::kTimedOut,
       *job, endpoint, ReplyCode::kOther, now);
@@ -713,15 +701,14 @@
 }
 
 void SessionRouter::Refuse(const JobPtr& job, ReplyCode reason, TimePoint now) {
-  ++stats_.refused;
   Observe(RoutingDecision::Kind::kRefused, *job, "", reason, now);
   JobResult result;
   result.end = JobResult::End::kNotRun;
   result.reason = reason;
   const Service& service = services_[job->service];
   std::uint32_t slots = 1;
-  for (const auto& [name, endpoint] : endpoints_) {
-    if (endpoint.record.service == job->service) slots += endpoint.record.slots;
+  for (const auto& [name, endpoint] : service.endpoints) {
+    slots += endpoint->record.slots;
   }
   result.retry_after =
       job->needs_primary && rights_.Valid(job->service, now) == nullptr
@@ -817,7 +804,6 @@
       } else {
         WakeAt(connection.give_up_at);
       }
-      ++stats_.timed_out;
       Observe(RoutingDecision::Kind::kTimedOut, *job, name, ReplyCode::kTimeout,
               now);
       Finish(job, Unanswered(JobResult::End::kTimedOut, name), now);
@@ -828,7 +814,6 @@
     WakeAt(job->deadline);
     if (services_[job->service].retries.TryTake(now)) {
       ++job->attempts;
-      ++stats_.hedged;
       job->avoided[name] = now + kUnreachablePause;
       Observe(RoutingDecision::Kind::kHedged, *job, name, ReplyCode::kTimeout,
               now);
@@ -870,11 +855,12 @@
 
 void SessionRouter::Observe(RoutingDecision::Kind kind, const StatementJob& job,
                             std::string_view endpoint, ReplyCode code,
-                            TimePoint now) {
+                            TimePoint now, LogPosition required) {
   RoutingDecision decision;
   decision.kind = kind;
   decision.job = &job;
   decision.endpoint = endpoint;
+  decision.required = required;
   decision.code = code;
   decision.elapsed = now - job.received;
   decision.right_left = RightLeft(job, now);
--- a/src/core/session/session_router.h
+++ b/src/core/session/session_router.h
@@ -21,15 +21,9 @@
 
 namespace carawayhaven {
 
-/// Counters since the start.
+/// Counters since the start, beside the decisions that the observer is told.
 struct RouterStats {
-  std::uint64_t sent = 0;
   std::uint64_t sent_to_replica = 0;
-  std::uint64_t hedged = 0;
-  std::uint64_t retried = 0;
-  std::uint64_t refused = 0;
-  std::uint64_t lost = 0;
-  std::uint64_t timed_out = 0;
   std::uint64_t connections_opened = 0;
 };
 
@@ -110,9 +104,7 @@
     std::shared_ptr<JobOwner> holder;
     std::vector<EndpointStatement> steps;
     std::size_t step = 0;
-    TimePoint started;
     TimePoint sent;
-    TimePoint last_answer;
     /// When the read on it is repeated elsewhere; max() when it is not.
     TimePoint hedge_at = TimePoint::max();
     /// When the connection is given up without an answer.
@@ -122,6 +114,7 @@
   };
   struct Service {
     std::list<JobPtr> queue;
+    std::map<EndpointName, EndpointState*> endpoints;
     std::uint32_t connection_limit = 1;
     PositionHistory positions;
     RetryBudget retries;
@@ -145,7 +138,8 @@
                                 const StatementJob& job) const;
   bool MayOpen(const EndpointState& endpoint, const Service& service,
                TimePoint now) const;
-  void CloseExcess(EndpointState& endpoint, TimePoint now);
+  /// Closes idle connections until no more than `limit` connections are left.
+  void CloseIdle(EndpointState& endpoint, std::size_t limit, TimePoint now);
   void OpenConnection(EndpointState& endpoint, TimePoint now);
   void Start(ConnectionId id, const JobPtr& job,
              std::optional<LogPosition> required, TimePoint now);
@@ -166,10 +160,10 @@
   void ReviewHeldAnswers(TimePoint now);
   void TickConnections(TimePoint now);
   void TickQueues(TimePoint now);
-  void NotePosition(const Connection& connection, const StatementReply& reply,
-                    TimePoint now);
+  void NotePosition(const Connection& connection, const StatementReply& reply);
   void Observe(RoutingDecision::Kind kind, const StatementJob& job,
-               std::string_view endpoint, ReplyCode code, TimePoint now);
+               std::string_view endpoint, ReplyCode code, TimePoint now,
+               LogPosition required = {});
   Duration RightLeft(const StatementJob& job, TimePoint now) const;
   void WakeAt(TimePoint time) { next_tick_ = std::min(next_tick_, time); }
 
--- a/src/core/session/statement_job.h
+++ b/src/core/session/statement_job.h
@@ -65,8 +65,6 @@
   /// When the statement, or the begin of its transaction, was received.
   TimePoint received;
   TimePoint deadline;
-  /// Time in which the caller expects the operation.
-  Duration objective{0};
   std::uint32_t priority = 0;
   /// It is the first of a transaction, which has to be opened.
   std::optional<EndpointStatementKind> begin;
@@ -85,7 +83,6 @@
   /// It was sent to an endpoint, and no refusal has come back.
   bool may_have_run = false;
   TimePoint not_before;
-  TimePoint first_sent;
   ReplyCode last_refusal = ReplyCode::kBusy;
   /// Until when each endpoint is passed over, after it refused the job.
   std::map<EndpointName, TimePoint> avoided;
