--- a/src/core/failover/duty_election.cc
+++ b/src/core/failover/duty_election.cc
@@ -59,7 +59,7 @@
   if (!writing_) superseded_by_ = std::max(superseded_by_, version);
 }
 
-void DutyElection::OnRecordRemoved(TimePoint /*now*/) {
+void DutyElection::OnRecordRemoved() {
   record_ = {};
   version_ = 0;
 }
@@ -69,7 +69,7 @@
          now < confirmed_ + kAuthority;
 }
 
-void DutyElection::TryTakeOver(TimePoint /*now*/) {
+void DutyElection::TryTakeOver() {
   if (writing_ || incarnation_ == 0 || resigned_) return;
   DutyRecord record{self_, incarnation_, false, record_.writes + 1,
                     UnsettledAfterTakeOver()};
--- a/src/core/failover/duty_election.h
+++ b/src/core/failover/duty_election.h
@@ -42,20 +42,20 @@
   /// Sets this process's number; before, it cannot hold the duty.
   void SetIncarnation(std::uint64_t incarnation) { incarnation_ = incarnation; }
 
-  /// Takes the duty object as the store had it when a call at `sent` was made.
+  /// Takes a version of the duty object; an older one than the known changes
+  /// nothing.
   void OnRecord(const DutyRecord& record, ObjectVersion version, TimePoint now);
-  void OnRecordRemoved(TimePoint now);
+  void OnRecordRemoved();
   /// True while this process may grant rights.
   bool IsHolder(TimePoint now) const;
-  const VmName& holder() const { return record_.holder; }
   const DutyRecord& record() const { return record_; }
 
   /// Tries to become the holder. No effect while a write is under way.
-  void TryTakeOver(TimePoint now);
+  void TryTakeOver();
 
   /// True when no right that an earlier holder granted can be valid any more.
   bool MayPromote(TimePoint now) const;
-  /// The process is known to grant nothing after `now`.
+  /// The process is known to grant nothing after `now`. Removes no tenure.
   void OnTenureEnded(const DutyTenure& tenure, TimePoint now);
   /// Earlier holders that may still grant rights.
   const std::map<DutyTenure, TimePoint>& unsettled() const {
--- a/src/core/failover/failover_manager.cc
+++ b/src/core/failover/failover_manager.cc
@@ -77,14 +77,8 @@
       NoteHolder(duty_.record().resigned ? VmName() : duty_.record().holder,
                  now);
     } else if (path.starts_with(kPrimaryPrefix)) {
-      const ServiceName service(path.substr(kPrimaryPrefix.size()));
-      const PrimaryRecord record = ParsePrimaryRecord(object.value);
-      KeeperOf(service).OnRecord(record, object.version);
-      ObjectVersion& version = record_versions_[service];
-      if (object.version > version) {
-        version = object.version;
-        records_[service] = record;
-      }
+      KeeperOf(ServiceName(path.substr(kPrimaryPrefix.size())))
+          .OnRecord(ParsePrimaryRecord(object.value), object.version);
     } else if (path.starts_with(kVmPrefix)) {
       const VmName vm(path.substr(kVmPrefix.size()));
       vm_versions_[vm] = object.version;
@@ -95,9 +89,10 @@
   }
 }
 
-void FailoverManager::OnObjectRemoved(std::string_view path, TimePoint now) {
+void FailoverManager::OnObjectRemoved(std::string_view path,
+                                      TimePoint /*now*/) {
   if (path == kDutyPath) {
-    duty_.OnRecordRemoved(now);
+    duty_.OnRecordRemoved();
   } else if (path.starts_with(kVmPrefix)) {
     vms_.erase(VmName(path.substr(kVmPrefix.size())));
   }
@@ -117,9 +112,10 @@
 void FailoverManager::GrantRecorded(TimePoint sent, TimePoint now) {
   const TimePoint expires = sent + DutyElection::kRightDuration;
   if (expires <= now) return;
-  for (const auto& [service, record] : records_) {
-    if (record.phase != PrimaryPhase::kServing) continue;
-    parts_.router.GrantRight(service, {record.primary, record.term, expires},
+  for (const auto& [service, keeper] : keepers_) {
+    const std::optional<PrimaryRecord>& record = keeper->record();
+    if (!record || record->phase != PrimaryPhase::kServing) continue;
+    parts_.router.GrantRight(service, {record->primary, record->term, expires},
                              now);
   }
 }
@@ -204,13 +200,12 @@
                                      : kHolderGone;
   if (now - granted_at_ < patience + rank * kCandidateStagger) return;
   next_take_over_ = now + kTakeOverRetry;
-  duty_.TryTakeOver(now);
+  duty_.TryTakeOver();
 }
 
 // A predecessor whose process has ended grants nothing any more.
 void FailoverManager::ReviewPredecessors(TimePoint now) {
-  const std::map<DutyTenure, TimePoint> unsettled = duty_.unsettled();
-  for (const auto& [tenure, settled] : unsettled) {
+  for (const auto& [tenure, settled] : duty_.unsettled()) {
     const auto version = vm_versions_.find(tenure.holder);
     if (version != vm_versions_.end() && version->second > tenure.incarnation) {
       duty_.OnTenureEnded(tenure, now);
@@ -219,18 +214,23 @@
 }
 
 void FailoverManager::GrantOwn(TimePoint now) {
+  if (!duty_.IsHolder(now)) return;
+  granted_at_ = now;
   for (const auto& [service, keeper] : keepers_) {
-    const std::optional<GrantedRight> right = keeper->Grantable(now);
-    if (!right) continue;
-    granted_at_ = now;
-    parts_.router.GrantRight(
-        service, {right->endpoint, right->term, now + right->time_left}, now);
-    if (right->position.term > 0) {
-      parts_.router.AddPosition(service, now - right->position_age,
-                                right->position);
-    }
+    if (const auto right = keeper->Grantable(now)) TakeRight(*right, now, now);
+  }
+}
+
+void FailoverManager::TakeRight(const GrantedRight& right, TimePoint from,
+                                TimePoint now) {
+  const TimePoint expires = from + right.time_left;
+  if (expires <= now) return;
+  parts_.router.GrantRight(right.service, {right.endpoint, right.term, expires},
+                           now);
+  if (right.position.term > 0) {
+    parts_.router.AddPosition(right.service, from - right.position_age,
+                              right.position);
   }
-  if (duty_.IsHolder(now)) granted_at_ = now;
 }
 
 std::vector<PrimaryReport> FailoverManager::Reports(TimePoint now) const {
@@ -328,22 +328,12 @@
   peer_answered_at_ = now;
   if (reply.holder == vm && !duty_.IsHolder(now)) NoteHolder(vm, now);
   granted_at_ = std::max(granted_at_, sent - reply.holder_age);
-  const std::map<DutyTenure, TimePoint> unsettled = duty_.unsettled();
-  for (const auto& [tenure, settled] : unsettled) {
+  for (const auto& [tenure, settled] : duty_.unsettled()) {
     if (tenure.holder == vm && reply.holder != vm) {
       duty_.OnTenureEnded(tenure, now);
     }
   }
-  for (const GrantedRight& right : reply.rights) {
-    const TimePoint expires = sent + right.time_left;
-    if (expires <= now) continue;
-    parts_.router.GrantRight(right.service,
-                             {right.endpoint, right.term, expires}, now);
-    if (right.position.term > 0) {
-      parts_.router.AddPosition(right.service, sent - right.position_age,
-                                right.position);
-    }
-  }
+  for (const GrantedRight& right : reply.rights) TakeRight(right, sent, now);
 }
 
 void FailoverManager::Leave(TimePoint now) {
--- a/src/core/failover/failover_manager.h
+++ b/src/core/failover/failover_manager.h
@@ -51,7 +51,6 @@
   void Leave(TimePoint now);
 
   bool is_holder(TimePoint now) const { return duty_.IsHolder(now); }
-  const VmName& holder() const { return holder_; }
 
   /// Says whether this VM runs sessions; only such VMs ask for rights and stand
   /// for the duty.
@@ -81,6 +80,8 @@
   void GrantRecorded(TimePoint sent, TimePoint now);
   void Yield();
   void GrantOwn(TimePoint now);
+  /// Takes a right whose times count from `from`.
+  void TakeRight(const GrantedRight& right, TimePoint from, TimePoint now);
   std::vector<PrimaryReport> Reports(TimePoint now) const;
   void NoteHolder(const VmName& holder, TimePoint now);
   PrimaryKeeper& KeeperOf(const ServiceName& service);
@@ -108,8 +109,6 @@
   TimePoint next_round_;
   /// When a holder was last alive, as far as this VM knows.
   TimePoint granted_at_;
-  std::map<ServiceName, PrimaryRecord> records_;
-  std::map<ServiceName, ObjectVersion> record_versions_;
   TimePoint next_store_ask_;
   /// When the last answered call for all own objects was sent.
   TimePoint records_read_at_;
--- a/src/core/failover/primary_keeper.h
+++ b/src/core/failover/primary_keeper.h
@@ -41,6 +41,8 @@
 
   /// Takes the service's record from the store.
   void OnRecord(const PrimaryRecord& record, ObjectVersion version);
+  /// The newest record that is known, or nothing.
+  const std::optional<PrimaryRecord>& record() const { return record_; }
   /// Takes another VM's view of the primary.
   void OnReport(const VmName& vm, const PrimaryReport& report, TimePoint now);
   /// Sets how many replicas hold each acknowledged commit.
