Share the set-up of raw sockets, the followers of the store and the test for a lost VM

StreamTransport repeated what PeerTransport does to listen and to connect, the two followers of the store repeated each other, and three places asked whether a VM is suspected or dead. The text of a version of the routes that is in force already is not parsed again.

--- a/src/core/peer_message.h
+++ b/src/core/peer_message.h
@@ -43,6 +43,11 @@
 
 enum class VmState : std::uint8_t { kAlive, kLeaving, kSuspected, kDead };
 
+/// True when a VM in that state does not answer.
+inline bool IsLost(VmState state) {
+  return state == VmState::kSuspected || state == VmState::kDead;
+}
+
 /// What one proxy says of another (or of itself).
 struct VmRecord {
   VmName vm;
--- a/src/net/peer_transport.cc
+++ b/src/net/peer_transport.cc
@@ -2,11 +2,10 @@
 
 #include <utility>
 
-#include "carawayhaven/error_messages.h"
-#include "carawayhaven/exceptions.h"
 #include "net/address.h"
 #include "net/event_loop.h"
 #include "net/peer_connection.h"
+#include "net/raw_socket.h"
 #include "net/socket_owner.h"
 #include "wire/peer_codec.h"
 
@@ -26,21 +25,7 @@
       protocols_{{{kProtocolName, &PeerTransport::HandleEvent, 0,
                    kReceiveBufferBytes, 0, this, 0},
                   {nullptr, nullptr, 0, 0, 0, nullptr, 0}}} {
-  const Address address = ParseAddress(self_.address);
-  lws_context_creation_info info{};
-  info.port = address.port;
-  info.iface = address.ip.c_str();
-  info.protocols = protocols_.data();
-  info.vhost_name = kProtocolName;
-  info.options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND |
-                 LWS_SERVER_OPTION_ADOPT_APPLY_LISTEN_ACCEPT_CONFIG;
-  info.listen_accept_role = "raw-skt";
-  info.listen_accept_protocol = kProtocolName;
-  vhost_ = lws_create_vhost(loop.context(), &info);
-  if (vhost_ == nullptr) {
-    throw NetworkError(error_messages::kListenFailed +
-                       std::to_string(address.port));
-  }
+  vhost_ = CreateRawVhost(loop, protocols_.data(), ParseAddress(self_.address));
 }
 
 PeerTransport::~PeerTransport() = default;
@@ -82,18 +67,9 @@
     const std::string& address_text) {
   auto connection = std::make_shared<PeerConnection>(*this, true);
   loop_.Post([this, connection, address_text] {
-    const Address address = ParseAddress(address_text);
-    lws_client_connect_info info{};
-    info.context = loop_.context();
-    info.vhost = vhost_;
-    info.address = address.ip.c_str();
-    info.host = info.address;
-    info.port = address.port;
-    info.method = "RAW";
-    info.local_protocol_name = kProtocolName;
-    info.opaque_user_data = connection.get();
     connection->Attach(nullptr);
-    if (lws_client_connect_via_info(&info) == nullptr) {
+    if (!ConnectRaw(loop_, vhost_, protocols_.data(),
+                    ParseAddress(address_text), connection.get())) {
       connection->HandleClose();
     }
   });
--- a/src/net/stream_transport.cc
+++ b/src/net/stream_transport.cc
@@ -6,10 +6,9 @@
 
 #include <utility>
 
-#include "carawayhaven/error_messages.h"
-#include "carawayhaven/exceptions.h"
 #include "net/address.h"
 #include "net/event_loop.h"
+#include "net/raw_socket.h"
 #include "net/socket_owner.h"
 #include "net/stream_events.h"
 
@@ -20,20 +19,10 @@
 
 }  // namespace
 
-StreamTransport::StreamTransport(EventLoop& loop, std::string name,
-                                 Duration user_timeout)
-    : loop_(loop),
-      name_(std::move(name)),
-      user_timeout_(user_timeout),
-      protocols_{{{name_.c_str(), &StreamTransport::HandleEvent, 0,
-                   kReceiveBufferBytes, 0, this, 0},
-                  {nullptr, nullptr, 0, 0, 0, nullptr, 0}}} {
-  CreateVhost(nullptr);
-}
-
 StreamTransport::StreamTransport(EventLoop& loop, std::string name,
                                  Duration user_timeout,
-                                 const std::string& address, Accept accept)
+                                 const std::optional<std::string>& address,
+                                 Accept accept)
     : loop_(loop),
       name_(std::move(name)),
       user_timeout_(user_timeout),
@@ -41,29 +30,9 @@
       protocols_{{{name_.c_str(), &StreamTransport::HandleEvent, 0,
                    kReceiveBufferBytes, 0, this, 0},
                   {nullptr, nullptr, 0, 0, 0, nullptr, 0}}} {
-  CreateVhost(&address);
-}
-
-void StreamTransport::CreateVhost(const std::string* address_text) {
-  lws_context_creation_info info{};
-  info.port = CONTEXT_PORT_NO_LISTEN;
-  Address address;
-  if (address_text != nullptr) {
-    address = ParseAddress(*address_text);
-    info.port = address.port;
-    info.iface = address.ip.c_str();
-  }
-  info.protocols = protocols_.data();
-  info.vhost_name = name_.c_str();
-  info.options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND |
-                 LWS_SERVER_OPTION_ADOPT_APPLY_LISTEN_ACCEPT_CONFIG;
-  info.listen_accept_role = "raw-skt";
-  info.listen_accept_protocol = name_.c_str();
-  vhost_ = lws_create_vhost(loop_.context(), &info);
-  if (vhost_ == nullptr) {
-    throw NetworkError(error_messages::kListenFailed +
-                       std::to_string(address.port));
-  }
+  std::optional<Address> listen;
+  if (address) listen = ParseAddress(*address);
+  vhost_ = CreateRawVhost(loop_, protocols_.data(), listen);
 }
 
 std::shared_ptr<StreamConnection> StreamTransport::Connect(
@@ -72,19 +41,10 @@
   connection->SetEvents(&events);
   loop_.Post([this, connection, address_text] {
     if (connection->closing_) return;
-    const Address address = ParseAddress(address_text);
-    lws_client_connect_info info{};
-    info.context = loop_.context();
-    info.vhost = vhost_;
-    info.address = address.ip.c_str();
-    info.host = info.address;
-    info.port = address.port;
-    info.method = "RAW";
-    info.local_protocol_name = name_.c_str();
-    info.opaque_user_data = connection.get();
-    info.pwsi = &connection->wsi_;
     connection->self_ = connection;
-    if (lws_client_connect_via_info(&info) == nullptr) {
+    if (!ConnectRaw(loop_, vhost_, protocols_.data(),
+                    ParseAddress(address_text), connection.get(),
+                    &connection->wsi_)) {
       connection->HandleClose();
     }
   });
--- a/src/net/stream_transport.h
+++ b/src/net/stream_transport.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,12 +26,12 @@
   /// Called with each accepted connection; it sets the events.
   using Accept = std::function<void(std::shared_ptr<StreamConnection>)>;
 
-  /// For outgoing connections only. Bytes that the peer's host does not
-  /// acknowledge for `user_timeout` end a connection.
-  StreamTransport(EventLoop& loop, std::string name, Duration user_timeout);
-  /// Also listens on `address`. Throws NetworkError when that fails.
+  /// Listens when there is an address; `accept` is needed then. Bytes that the
+  /// peer's host does not acknowledge for `user_timeout` end a connection.
+  /// Throws NetworkError when it cannot listen.
   StreamTransport(EventLoop& loop, std::string name, Duration user_timeout,
-                  const std::string& address, Accept accept);
+                  const std::optional<std::string>& address = std::nullopt,
+                  Accept accept = nullptr);
   StreamTransport(const StreamTransport&) = delete;
   StreamTransport& operator=(const StreamTransport&) = delete;
 
@@ -47,7 +48,6 @@
 
   static int HandleEvent(lws* wsi, lws_callback_reasons reason, void* user,
                          void* in, size_t length);
-  void CreateVhost(const std::string* address);
   void SetSocketOptions(lws* wsi) const;
 
   EventLoop& loop_;
--- a/src/proxy/proxy_process.cc
+++ b/src/proxy/proxy_process.cc
@@ -315,7 +315,7 @@
 void ProxyProcess::GiveUpLostVms(TimePoint now) {
   for (const auto& [vm, member] : membership_.table().members()) {
     const VmState state = member.record.state;
-    const bool lost = state == VmState::kSuspected || state == VmState::kDead;
+    const bool lost = IsLost(state);
     if (!lost) {
       lost_vms_.erase(vm);
     } else if (lost_vms_.insert(vm).second) {
@@ -331,7 +331,7 @@
     const auto [logged, is_new] =
         logged_peers_.try_emplace(vm, VmState::kAlive);
     if (std::exchange(logged->second, state) == state) continue;
-    const bool lost = state == VmState::kSuspected || state == VmState::kDead;
+    const bool lost = IsLost(state);
     Log(lost ? LogLevel::kWarning : LogLevel::kInfo, "peer_state_changed",
         {{"vm", vm}, {"state", VmStateName(state)}});
   }
--- a/src/proxy/session_proxy.cc
+++ b/src/proxy/session_proxy.cc
@@ -1,7 +1,5 @@
 #include "proxy/session_proxy.h"
 
-#include <unistd.h>
-
 #include <algorithm>
 #include <utility>
 #include <variant>
@@ -45,41 +43,48 @@
 
 }  // namespace
 
-// Follows the operator's configuration.
-class SessionProxy::RoutesMirror : public ObjectMirrorEvents {
+// Follows the objects of others below a prefix of the store.
+class SessionProxy::StoreFollower : public ObjectMirrorEvents {
  public:
-  explicit RoutesMirror(SessionProxy& proxy)
+  StoreFollower(SessionProxy& proxy, std::string_view prefix)
       : proxy_(proxy),
-        mirror(proxy.parts_.store,
-               std::string(proxy.parts_.documents.routes_prefix()),
-               &EventLoop::Now, proxy.random_, *this) {}
+        prefix_(prefix),
+        mirror_(proxy.parts_.store, prefix_, &EventLoop::Now, proxy.random_,
+                *this) {}
+
+  ObjectMirror& mirror() { return mirror_; }
 
-  void OnObject(const StoredObject& object, TimePoint now) override {
-    if (object.path != proxy_.parts_.documents.routes_path()) return;
-    proxy_.ApplyRoutes(object.value, kFromStore, now);
-  }
   void OnObjectRemoved(std::string_view /*path*/, TimePoint /*now*/) override {}
   void OnMirrorConfirmed(TimePoint /*sent*/, TimePoint /*now*/) override {}
   void OnMirrorReachable(bool reachable, TimePoint /*now*/) override {
-    proxy_.log_.OnStoreReachable(proxy_.parts_.documents.routes_prefix(),
-                                 reachable);
+    proxy_.log_.OnStoreReachable(prefix_, reachable);
   }
 
- private:
+ protected:
   SessionProxy& proxy_;
+  std::string prefix_;
+
+ private:
+  ObjectMirror mirror_;
+};
 
+// Follows the operator's configuration.
+class SessionProxy::RoutesFollower : public StoreFollower {
  public:
-  ObjectMirror mirror;
+  explicit RoutesFollower(SessionProxy& proxy)
+      : StoreFollower(proxy, proxy.parts_.documents.routes_prefix()) {}
+
+  void OnObject(const StoredObject& object, TimePoint now) override {
+    if (object.path != proxy_.parts_.documents.routes_path()) return;
+    proxy_.ApplyRoutes(object.value, kFromStore, now);
+  }
 };
 
 // Follows the entries of the endpoints.
-class SessionProxy::EndpointsMirror : public ObjectMirrorEvents {
+class SessionProxy::EndpointsFollower : public StoreFollower {
  public:
-  explicit EndpointsMirror(SessionProxy& proxy)
-      : proxy_(proxy),
-        mirror(proxy.parts_.store,
-               std::string(proxy.parts_.documents.endpoints_prefix()),
-               &EventLoop::Now, proxy.random_, *this) {}
+  explicit EndpointsFollower(SessionProxy& proxy)
+      : StoreFollower(proxy, proxy.parts_.documents.endpoints_prefix()) {}
 
   void OnObject(const StoredObject& object, TimePoint now) override {
     try {
@@ -102,22 +107,10 @@
     }
   }
   void OnObjectRemoved(std::string_view path, TimePoint now) override {
-    const EndpointName name(
-        path.substr(proxy_.parts_.documents.endpoints_prefix().size()));
+    const EndpointName name(path.substr(prefix_.size()));
     Log(LogLevel::kInfo, "endpoint_record_removed", {{"endpoint", name}});
     proxy_.router_.RemoveEndpoint(name, now);
   }
-  void OnMirrorConfirmed(TimePoint /*sent*/, TimePoint /*now*/) override {}
-  void OnMirrorReachable(bool reachable, TimePoint /*now*/) override {
-    proxy_.log_.OnStoreReachable(proxy_.parts_.documents.endpoints_prefix(),
-                                 reachable);
-  }
-
- private:
-  SessionProxy& proxy_;
-
- public:
-  ObjectMirror mirror;
 };
 
 // Answers the load balancer.
@@ -228,8 +221,8 @@
   const Address admin = ParseAddress(settings.admin_address);
   admin_server_ =
       std::make_unique<HttpServer>(parts.loop, admin.ip, admin.port, *status_);
-  routes_mirror_ = std::make_unique<RoutesMirror>(*this);
-  endpoints_mirror_ = std::make_unique<EndpointsMirror>(*this);
+  routes_follower_ = std::make_unique<RoutesFollower>(*this);
+  endpoints_follower_ = std::make_unique<EndpointsFollower>(*this);
   parts_.callers.SetSessionSource(this);
   parts_.relayed_callers.SetSessionSource(this);
   parts_.loop.OnRoundEnd([this] { OnRound(); });
@@ -287,11 +280,11 @@
 }
 
 // A version never goes back; the highest one that was seen is in force.
-bool SessionProxy::ApplyRoutes(const std::string& text, std::string_view source,
+void SessionProxy::ApplyRoutes(const std::string& text, std::string_view source,
                                TimePoint now) {
   try {
     RouteTable table = parts_.documents.DecodeRoutes(text);
-    if (table.version <= routes_.version) return false;
+    if (table.version <= routes_.version) return;
     Log(LogLevel::kInfo, "routes_applied",
         {{"version", table.version},
          {"previous", routes_.version},
@@ -302,10 +295,10 @@
   } catch (const DecodeError& error) {
     Log(LogLevel::kError, "routes_rejected",
         {{"source", source}, {"error", error.what()}});
-    return false;
+    return;
   }
   UpdateConnectionLimits(now);
-  if (cluster_ == nullptr) return true;
+  if (cluster_ == nullptr) return;
   cluster_->failover.SetRoutes(routes_);
   cluster_->digest.value.count = routes_.version;
   // Those that run sessions go over to a new version together, as a caller's
@@ -315,7 +308,6 @@
       SendRoutes(vm);
     }
   }
-  return true;
 }
 
 // Each endpoint's connections are shared evenly between the live VMs.
@@ -346,7 +338,8 @@
   } else if (const auto* reply = std::get_if<RightReplyMessage>(&message)) {
     cluster_->failover.OnRightReply(vm, *reply, now);
   } else if (const auto* update = std::get_if<ConfigUpdateMessage>(&message)) {
-    ApplyRoutes(update->text, vm, now);
+    // Several peers send the same version; its text is read once.
+    if (update->version > routes_.version) ApplyRoutes(update->text, vm, now);
   } else {
     const auto* heartbeat = std::get_if<HeartbeatMessage>(&message);
     if (heartbeat != nullptr && active_ &&
@@ -375,9 +368,7 @@
 // A link to a peer that is suspected may have gone silent for good.
 void SessionProxy::ResetSilentLinks() {
   for (const auto& [vm, member] : cluster_->membership.table().members()) {
-    const bool lost = member.record.state == VmState::kSuspected ||
-                      member.record.state == VmState::kDead;
-    if (!lost) {
+    if (!IsLost(member.record.state)) {
       if (cluster_->silent.erase(vm) > 0) {
         Log(LogLevel::kInfo, "peer_regained", {{"vm", vm}});
       }
@@ -390,8 +381,8 @@
 
 bool SessionProxy::RunsSessions() const {
   return active_ && routes_.version > 0 && !router_.endpoints().empty() &&
-         routes_mirror_->mirror.confirmed_at() >= active_since_ &&
-         endpoints_mirror_->mirror.confirmed_at() >= active_since_;
+         routes_follower_->mirror().confirmed_at() >= active_since_ &&
+         endpoints_follower_->mirror().confirmed_at() >= active_since_;
 }
 
 bool SessionProxy::IsReady() const {
@@ -437,8 +428,8 @@
     if (active) {
       // What was known before may be outdated.
       active_since_ = now;
-      routes_mirror_->mirror.ListAgain(now);
-      endpoints_mirror_->mirror.ListAgain(now);
+      routes_follower_->mirror().ListAgain(now);
+      endpoints_follower_->mirror().ListAgain(now);
     }
     if (!active) router_.CloseIdleConnections(now);
   }
@@ -453,14 +444,15 @@
   TimePoint next = next_sweep_;
   const bool follows = active_ && drain_started_ == TimePoint::max();
   if (follows) {
-    endpoints_mirror_->mirror.Tick(now);
-    next = std::min(next, endpoints_mirror_->mirror.NextTick());
+    endpoints_follower_->mirror().Tick(now);
+    next = std::min(next, endpoints_follower_->mirror().NextTick());
   }
-  const bool confirmed = routes_mirror_->mirror.confirmed_at() >= active_since_;
+  const bool confirmed =
+      routes_follower_->mirror().confirmed_at() >= active_since_;
   if (follows && (cluster_ == nullptr || !confirmed ||
                   cluster_->failover.NeedsStore(now))) {
-    routes_mirror_->mirror.Tick(now);
-    next = std::min(next, routes_mirror_->mirror.NextTick());
+    routes_follower_->mirror().Tick(now);
+    next = std::min(next, routes_follower_->mirror().NextTick());
   }
   if (cluster_ != nullptr) {
     cluster_->membership.Tick(now);
--- a/src/proxy/session_proxy.h
+++ b/src/proxy/session_proxy.h
@@ -68,8 +68,9 @@
   static std::string RelayAddressOf(const std::string& peer_address);
 
  private:
-  class RoutesMirror;
-  class EndpointsMirror;
+  class StoreFollower;
+  class RoutesFollower;
+  class EndpointsFollower;
   class Readiness;
   class Status;
   struct Cluster;
@@ -82,7 +83,7 @@
   void AskForRoutes(const VmName& vm);
   void RegisterVm();
   void OnRegistered(ObjectVersion version);
-  bool ApplyRoutes(const std::string& text, std::string_view source,
+  void ApplyRoutes(const std::string& text, std::string_view source,
                    TimePoint now);
   void UpdateConnectionLimits(TimePoint now);
   void OnRound();
@@ -102,8 +103,8 @@
   SessionRouter router_;
   RouteTable routes_;
   std::string routes_text_;
-  std::unique_ptr<RoutesMirror> routes_mirror_;
-  std::unique_ptr<EndpointsMirror> endpoints_mirror_;
+  std::unique_ptr<RoutesFollower> routes_follower_;
+  std::unique_ptr<EndpointsFollower> endpoints_follower_;
   /// Peers and failover; exists once this VM is registered.
   std::unique_ptr<Cluster> cluster_;
   std::unique_ptr<Readiness> readiness_;
