Failover: less waiting for an endpoint that is known to be silent

An order whose answer was lost was looked after only when the call had timed out.

A search ends after the time of a suspicion; a silent primary's step-down is not awaited; the effect of an order is looked for at once; a crash that refuses connections is suspected after 0.3 s. The refusal of one connection too many counts as a sign of life: an endpoint whose connections linger after a power loss is not dead.

--- a/src/core/failover/endpoint_probe.cc
+++ b/src/core/failover/endpoint_probe.cc
@@ -57,12 +57,16 @@
                                     TimePoint now) {
   if (connection != connection_) return;
   open_ = true;
+  failing_ = false;
+  alive_at_ = now;
   if (asking_) Send(now);
 }
 
-void EndpointProbe::OnSessionClosed(ConnectionId connection, ReplyCode /*code*/,
-                                    TimePoint /*now*/) {
+void EndpointProbe::OnSessionClosed(ConnectionId connection, ReplyCode code,
+                                    TimePoint now) {
   if (connection != connection_) return;
+  failing_ = code != ReplyCode::kTooManyConnections;
+  if (!failing_) alive_at_ = now;
   connection_ = 0;
   open_ = false;
   asking_ = false;
@@ -76,6 +80,7 @@
   asking_ = false;
   open_until_ = TimePoint::max();
   answered_at_ = now;
+  alive_at_ = now;
   asked_at_ = sent_;
   if (reply.position) position_ = reply.position;
   if (reply.code != ReplyCode::kOk || !reply.replication) {
--- a/src/core/failover/endpoint_probe.h
+++ b/src/core/failover/endpoint_probe.h
@@ -29,6 +29,11 @@
   /// The last answer, and when it came and its question was sent.
   const std::optional<ReplicationStatus>& status() const { return status_; }
   TimePoint answered_at() const { return answered_at_; }
+  /// When the endpoint last did anything that a dead one does not; that
+  /// includes the refusal of one connection too many.
+  TimePoint alive_at() const { return alive_at_; }
+  /// The last connection was refused or ended, and none was opened since.
+  bool failing() const { return failing_; }
   TimePoint asked_at() const { return asked_at_; }
   std::optional<LogPosition> position() const { return position_; }
   /// The status is the answer to a step-down.
@@ -61,6 +66,8 @@
   std::optional<LogPosition> position_;
   TimePoint sent_;
   TimePoint answered_at_;
+  TimePoint alive_at_;
+  bool failing_ = false;
   TimePoint asked_at_;
   TimePoint open_until_ = TimePoint::max();
 };
--- a/src/core/failover/primary_keeper.cc
+++ b/src/core/failover/primary_keeper.cc
@@ -13,6 +13,9 @@
 // Without an answer for this long no more rights are granted. Longer than an
 // interval and two round trips between regions.
 constexpr Duration kSuspectAfter = milliseconds(600);
+// The same when what was asked of it has failed, as it does at once after a
+// crash: longer than a restart of one connection takes.
+constexpr Duration kSuspectFailingAfter = milliseconds(300);
 // Without an answer for this long the primary is replaced.
 constexpr Duration kDeadAfter = milliseconds(1200);
 // The same when other VMs than this one cannot reach it.
@@ -197,7 +200,7 @@
     Enter(State::kServing, "status", now - best->asked_at(), now);
     return;
   }
-  if (now - entered_ < kDeadAfter) return;
+  if (now - entered_ < kSuspectAfter) return;
   EndpointName believed = record_ ? record_->primary : EndpointName();
   for (const auto& [name, endpoint] : environment_.endpoints) {
     if (believed.empty() && endpoint.record.service == service_ &&
@@ -215,7 +218,7 @@
 TimePoint PrimaryKeeper::AliveAt() const {
   TimePoint alive{};
   const auto probe = probes_.find(primary_);
-  if (probe != probes_.end()) alive = probe->second->answered_at();
+  if (probe != probes_.end()) alive = probe->second->alive_at();
   if (const EndpointState* endpoint = Find(primary_)) {
     alive = std::max(alive, endpoint->last_answer);
   }
@@ -286,7 +289,10 @@
   }
   const bool most_fail = most_fail_since_ != TimePoint::max() &&
                          now - most_fail_since_ >= kMostFailTime;
-  if (now - alive > kSuspectAfter || most_fail || Leaves()) {
+  const bool failing = probe.failing() &&
+                       endpoint->failing_since != TimePoint::max();
+  const Duration patience = failing ? kSuspectFailingAfter : kSuspectAfter;
+  if (now - alive > patience || most_fail || Leaves()) {
     stopped_at_ = now;
     Enter(State::kStopped,
           Leaves()    ? "leaving"
@@ -376,8 +382,10 @@
   if (missing > 0 && sync_replicas_ > 0 && elapsed < kHandoverTime) return;
   const bool wait_for_log =
       handover_position_ && best->status()->received < *handover_position_;
-  const bool wait_for_old =
-      old_probe != nullptr && !handover_position_ && elapsed < kChoiceTime;
+  // One that has been silent for long is not going to answer.
+  const bool wait_for_old = old_probe != nullptr && !handover_position_ &&
+                            now - AliveAt() < kDeadAfter + kChoiceTime &&
+                            elapsed < kChoiceTime;
   if ((wait_for_log || wait_for_old) && elapsed < kHandoverTime) return;
   chosen_ = best->record().name;
   Enter(State::kPromoting, "longest_log", now - best->asked_at(), now);
@@ -410,6 +418,7 @@
                            keeper.busy_ = false;
                            keeper.next_ = {};
                            if (!written) return;
+                           keeper.retry_at_ = {};
                            keeper.recorded_ = true;
                            keeper.recorded_at_ = keeper.environment_.clock();
                          });
@@ -440,33 +449,28 @@
           keeper.busy_ = false;
           return;
         }
+        // The answer may be lost or late; the effect is looked for meanwhile.
+        keeper.Enter(State::kConfirming, "ordered", Duration{0}, sent);
         keeper.environment_.promotions.Promote(
             keeper.service_, keeper.chosen_, keeper.environment_.self, *token,
-            [alive, attempt](PromotionResult result) {
+            [alive, order = keeper.attempt_](PromotionResult result) {
               const auto same = alive.lock();
-              if (same != nullptr) (*same)->OnPromoted(result, attempt);
+              if (same != nullptr) (*same)->OnPromoted(result, order);
             });
       });
 }
 
-void PrimaryKeeper::OnPromoted(PromotionResult result, std::uint64_t attempt) {
-  if (attempt != attempt_) return;
+void PrimaryKeeper::OnPromoted(PromotionResult result, std::uint64_t order) {
+  if (order != attempt_ || state_ != State::kConfirming) return;
   const TimePoint now = environment_.clock();
-  busy_ = false;
-  switch (result) {
-    case PromotionResult::kAccepted:
-    case PromotionResult::kUnknown:
-      Enter(State::kConfirming,
-            result == PromotionResult::kAccepted ? "ordered" : "order_unknown",
-            Duration{0}, now);
-      return;
-    case PromotionResult::kRefused:
-      excluded_[chosen_] = now + kExclusion;
-      Enter(State::kChoosing, "order_refused", Duration{0}, now);
-      return;
-    case PromotionResult::kUnavailable:
-      retry_at_ = now + kRetryPause;
-      return;
+  if (result == PromotionResult::kRefused) {
+    excluded_[chosen_] = now + kExclusion;
+    Enter(State::kChoosing, "order_refused", Duration{0}, now);
+  } else if (result == PromotionResult::kUnavailable) {
+    Enter(State::kPromoting, "order_not_taken", Duration{0}, now);
+    // The record of the order stands.
+    recorded_ = true;
+    retry_at_ = now + kRetryPause;
   }
 }
 
--- a/src/core/failover/primary_keeper.h
+++ b/src/core/failover/primary_keeper.h
@@ -84,7 +84,7 @@
   /// Writes the record unless it is so already; `recorded_` tells the result.
   void WriteRecord(PrimaryRecord record, TimePoint now);
   void Promote(TimePoint now);
-  void OnPromoted(PromotionResult result, std::uint64_t attempt);
+  void OnPromoted(PromotionResult result, std::uint64_t order);
   void Confirm(TimePoint now);
   void AskAll(TimePoint now);
   TimePoint AliveAt() const;
--- a/src/core/session/session_router.cc
+++ b/src/core/session/session_router.cc
@@ -468,7 +468,12 @@
     const unsigned doublings = std::min(endpoint.failed_opens - 1, 5U);
     endpoint.next_open =
         now + std::min(kFirstOpenPause * (1 << doublings), kLastOpenPause);
-    if (code != ReplyCode::kTooManyConnections) endpoint.NoteFailure(now);
+    // A refusal of one connection too many is an answer.
+    if (code == ReplyCode::kTooManyConnections) {
+      endpoint.NoteAnswer(now);
+    } else {
+      endpoint.NoteFailure(now);
+    }
     WakeAt(endpoint.next_open);
   } else if (job != nullptr) {
     endpoint.NoteFailure(now);
--- a/test/failover/failover_test.cc
+++ b/test/failover/failover_test.cc
@@ -15,6 +15,17 @@
  protected:
   FailoverWithFiveVms() { world_.RunFor(seconds(3)); }
 
+  /// Time until a caller's write is acknowledged; at most `limit`.
+  Duration TimeToNextAcknowledgement(Duration limit) {
+    const std::size_t before = world_.acknowledged();
+    Duration elapsed{0};
+    while (world_.acknowledged() == before && elapsed < limit) {
+      world_.RunFor(milliseconds(10));
+      elapsed += milliseconds(10);
+    }
+    return elapsed;
+  }
+
   void ExpectPromisesKept() {
     EXPECT_EQ(world_.violations(), std::vector<std::string>());
   }
@@ -41,6 +52,27 @@
   ExpectPromisesKept();
 }
 
+// A question (0.25 s) and the suspicion (0.6 s), the last right (1.05 s), the
+// order (0.3 s here), a VM's next question for rights (0.25 s), and four rounds
+// of 50 ms for two records, the token and the comparison.
+TEST_F(FailoverWithFiveVms, PrimaryCrashesNoTimeIsLostOnItsAnswers) {
+  world_.CrashEndpoint(0, seconds(20));
+  EXPECT_LT(TimeToNextAcknowledgement(seconds(10)), milliseconds(2650));
+  ExpectPromisesKept();
+}
+
+// The process that starts anew after 2 s shows that the holder's tenure is
+// over; what remains is the last right (1.05 s), the order (0.3 s), the next
+// question for rights (0.25 s) and rounds as above. The search for the primary
+// falls into the time until then.
+TEST_F(FailoverWithFiveVms, HolderAndPrimaryCrashTheSuccessorReplacesAtOnce) {
+  const std::size_t holder = world_.Holders().at(0);
+  world_.CrashEndpoint(0, seconds(20));
+  world_.CrashVm(holder, seconds(2));
+  EXPECT_LT(TimeToNextAcknowledgement(seconds(15)), milliseconds(3850));
+  ExpectPromisesKept();
+}
+
 TEST_F(FailoverWithFiveVms, PrimaryLeavesAnotherLeadsBeforeItsTimeIsOver) {
   world_.MarkLeaving(0);
   world_.RunFor(seconds(4));
--- a/test/failover/failover_world.h
+++ b/test/failover/failover_world.h
@@ -72,6 +72,7 @@
   };
 
   void StartVm(std::size_t vm);
+  void TellWatches(const std::string& path);
   /// Runs a step of a VM's process when it is not paused, and then its timers.
   void OnVm(std::size_t vm, std::uint64_t process,
             const std::function<void()>& step);
--- a/test/failover/fake_failover_world.cc
+++ b/test/failover/fake_failover_world.cc
@@ -378,22 +378,27 @@
           object = {path, value, ++world_.revision_, false};
           reply.status = StoreStatus::kOk;
           reply.object = object;
-          const auto watches = std::exchange(world_.watches_, {});
-          for (const PendingWatch& watch : watches) {
-            if (!path.starts_with(watch.prefix)) {
-              world_.watches_.push_back(watch);
-              continue;
-            }
-            Vm& vm = *world_.vms_[watch.vm];
-            if (vm.process == watch.process) {
-              vm.store.Watch(watch.prefix, watch.after, watch.callback);
-            }
-          }
+          world_.TellWatches(path);
         }
         if (answered) Answer(reply, callback, world_.Delay());
       });
 }
 
+// Answers the watches that the changed object concerns.
+void FailoverWorld::TellWatches(const std::string& path) {
+  const auto watches = std::exchange(watches_, {});
+  for (const PendingWatch& watch : watches) {
+    if (!path.starts_with(watch.prefix)) {
+      watches_.push_back(watch);
+      continue;
+    }
+    Vm& vm = *vms_[watch.vm];
+    if (vm.process == watch.process) {
+      vm.store.Watch(watch.prefix, watch.after, watch.callback);
+    }
+  }
+}
+
 void FailoverWorld::Store::Watch(std::string_view prefix, ObjectVersion after,
                                  StoreCallback callback) {
   if (!Reaches()) {
@@ -532,6 +537,7 @@
                     ++revision_, false};
   if (vms_[index] != nullptr) ended_.push_back(std::move(vms_[index]));
   vms_[index] = std::make_unique<Vm>(*this, index, ++next_id_, revision_);
+  TellWatches(path);
   Vm& vm = *vms_[index];
   RouteTable routes;
   routes.version = 1;
--- /dev/null
+++ b/test/soak/deployment.py
@@ -0,0 +1,218 @@
+"""The processes of a run and the links around them."""
+
+import asyncio
+import copy
+import os
+import signal
+import socket
+import time
+
+from database import Endpoint, Group
+from links import Link
+from platform_store import Store, Table
+
+HEARTBEAT_S = 0.6
+GRACE_S = 6
+CALM_S = 5.0
+
+
+def free_ports(count):
+    """Ports that nobody listens on now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for s in sockets:
+            s.bind(("127.0.0.1", 0))
+        return [s.getsockname()[1] for s in sockets]
+    finally:
+        for s in sockets:
+            s.close()
+
+
+class Vm:
+    """A VM with its proxy process."""
+
+    def __init__(self, name, data_centre, directory, program):
+        self.name = name
+        self.data_centre = data_centre
+        self.directory = directory
+        self.program = program
+        self.caller_port, self.ready_port, self.admin_port = free_ports(3)
+        # Relayed sessions arrive on the port after the one for peers.
+        self.peer_port = self._free_pair()
+        self.store = None
+        self.process = None
+        self.log = None
+        self.started_at = 0.0
+        self.stop_sent_at = None
+        self.disrupted_at = -1e9
+        self.world = None
+
+    @staticmethod
+    def _free_pair():
+        while True:
+            port = free_ports(1)[0]
+            with socket.socket() as s:
+                try:
+                    s.bind(("127.0.0.1", port + 1))
+                    return port
+                except OSError:
+                    continue
+
+    def write_settings(self):
+        path = self.directory / f"{self.name}.toml"
+        store = f"127.0.0.1:{self.store.port}"
+        path.write_text(
+            f'vm = "{self.name}"\ndata_centre = "{self.data_centre}"\n'
+            f'region = "r-{self.data_centre}"\n'
+            f'caller_address = "127.0.0.1:{self.caller_port}"\n'
+            f'ready_address = "127.0.0.1:{self.ready_port}"\n'
+            f'peer_address = "127.0.0.1:{self.peer_port}"\n'
+            f'admin_address = "127.0.0.1:{self.admin_port}"\n'
+            f'platform_address = "{store}"\npromotion_address = "{store}"\n'
+            f'shutdown_grace_s = {GRACE_S}\n')
+        return path
+
+    async def start(self):
+        if self.process is not None and self.process.returncode is None:
+            return
+        self.stop_sent_at = None
+        self.started_at = time.monotonic()
+        if self.log is None:
+            self.log = open(self.directory / f"{self.name}.log", "ab")
+        self.process = await asyncio.create_subprocess_exec(
+            self.program, "session-proxy", "--settings",
+            str(self.write_settings()), stdout=self.log, stderr=self.log)
+
+    def running(self):
+        return self.process is not None and self.process.returncode is None
+
+    def send(self, number):
+        if self.running():
+            os.kill(self.process.pid, number)
+
+    async def kill(self):
+        self.disrupted_at = time.monotonic()
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        await self.process.wait()
+
+    async def terminate(self):
+        self.stop_sent_at = time.monotonic()
+        self.send(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(GRACE_S):
+                await self.process.wait()
+        except asyncio.TimeoutError:
+            await self.kill()
+            return False
+        return True
+
+    def stopping_alone(self):
+        """True when this VM stops as planned and nothing else is disrupted."""
+        return (self.stop_sent_at is not None and
+                time.monotonic() - self.stop_sent_at < GRACE_S and
+                self.running() and
+                self.world.calm_for() > CALM_S)
+
+
+class World:
+    """Everything of one run."""
+
+    def __init__(self, rng, promises, directory, program, vms, services):
+        self.rng = rng
+        self.promises = promises
+        self.table = Table()
+        self.directory = directory
+        self.groups = {
+            name: Group(name, promises, rng) for name in services}
+        centres = ["mendoza", "cordoba", "parana"]
+        self.vms = [Vm(f"vm-{i}", centres[i % 3], directory, program)
+                    for i in range(vms)]
+        self.links = {}
+        self.disrupted_at = -1e9
+        self.config_version = 3
+        self.routes = {}
+        self.tasks = []
+
+    def disrupt(self):
+        self.disrupted_at = time.monotonic()
+
+    def calm_for(self):
+        return time.monotonic() - self.disrupted_at
+
+    async def start(self):
+        for group in self.groups.values():
+            for number in range(3):
+                endpoint = Endpoint(group, f"i-{group.name}-{number}")
+                if group.leader is None:
+                    group.leader = endpoint
+                    endpoint.is_primary = True
+                await endpoint.start()
+                for vm in self.vms:
+                    link = Link(("127.0.0.1", endpoint.port))
+                    await link.start()
+                    self.links[vm.name, endpoint.name] = link
+                self.tasks.append(asyncio.create_task(self._beat(endpoint)))
+        for vm in self.vms:
+            vm.world = self
+            vm.store = Store(self.table, self.promises, self.groups,
+                             self._seen_by, vm)
+            await vm.store.start()
+        self.write_config()
+        await asyncio.gather(*(vm.start() for vm in self.vms))
+
+    def write_config(self):
+        self.config_version += self.rng.randrange(1, 5)
+        kinds = ["primary", "bounded_staleness", "read_your_writes"]
+        for service in self.groups:
+            for kind in kinds:
+                self.routes[f"{service}-{kind[0]}"] = {
+                    "Host": f"{service}-{kind[0]}", "Service": service,
+                    "Kind": kind, "MaxStalenessMs": 1500,
+                    "TimeoutMs": self.rng.randrange(800, 1200),
+                    "SloMs": 500, "Priority": 1}
+        self.table.set("config", "main", {
+            "Version": self.config_version,
+            "Routes": list(self.routes.values()),
+            "Services": [{"Name": s, "MaxConnections": 24, "SyncReplicas": 0}
+                         for s in self.groups],
+            "Limits": {"TxIdleMs": 3000}})
+
+    def _seen_by(self, vm, kind, stored):
+        """Each VM reaches endpoints by links of its own."""
+        link = self.links.get((vm.name, stored["meta"]["Name"]))
+        if kind != "servers" or link is None:
+            return stored
+        shown = copy.deepcopy(stored)
+        shown["spec"]["Address"] = f"127.0.0.1:{link.port}"
+        return shown
+
+    async def _beat(self, endpoint):
+        silent_since = None
+        while True:
+            if endpoint.running:
+                silent_since = None
+                endpoint.sequence += 1
+                self.table.set("servers", endpoint.name, {
+                    "Service": endpoint.group.name,
+                    "Address": f"127.0.0.1:{endpoint.port}",
+                    "Zone": "mendoza", "Version": "1",
+                    "Slots": endpoint.slots,
+                    "State": "draining" if endpoint.draining else "ready",
+                    "ColdRemainingMs": 0, "Sequence": endpoint.sequence,
+                    "DbRole": "primary" if endpoint.is_primary else "replica",
+                    "born": endpoint.born})
+            else:
+                silent_since = silent_since or time.monotonic()
+                if time.monotonic() - silent_since > 3 * HEARTBEAT_S:
+                    self.table.remove("servers", endpoint.name)
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def stop(self):
+        for task in self.tasks:
+            task.cancel()
+        for vm in self.vms:
+            if vm.running():
+                await vm.kill()
+            if vm.log is not None:
+                vm.log.close()
