Statements that the absent primary cannot serve in time are refused at once

The duty holder tells with its rights for how long it expects to have no primary for a service; proxies refuse at once what has less time than that, with the time left as the time to come back. Reads that no replica may serve are refused alike.

--- a/src/core/failover/failover_manager.cc
+++ b/src/core/failover/failover_manager.cc
@@ -217,7 +217,11 @@
   if (!duty_.IsHolder(now)) return;
   granted_at_ = now;
   for (const auto& [service, keeper] : keepers_) {
-    if (const auto right = keeper->Grantable(now)) TakeRight(*right, now, now);
+    if (const auto right = keeper->Grantable(now)) {
+      TakeRight(*right, now, now);
+    } else if (const auto ready_in = keeper->ReadyIn(now)) {
+      parts_.router.ExpectPrimary(service, now + *ready_in, now);
+    }
   }
 }
 
@@ -295,6 +299,8 @@
     for (const auto& [service, keeper] : keepers_) {
       if (auto right = keeper->Grantable(now)) {
         reply.rights.push_back(std::move(*right));
+      } else if (const auto ready_in = keeper->ReadyIn(now)) {
+        reply.absences.push_back({service, *ready_in});
       }
     }
   } else {
@@ -334,6 +340,9 @@
     }
   }
   for (const GrantedRight& right : reply.rights) TakeRight(right, sent, now);
+  for (const PrimaryAbsence& absence : reply.absences) {
+    parts_.router.ExpectPrimary(absence.service, now + absence.ready_in, now);
+  }
 }
 
 void FailoverManager::Leave(TimePoint now) {
--- a/src/core/failover/primary_keeper.cc
+++ b/src/core/failover/primary_keeper.cc
@@ -30,6 +30,8 @@
 constexpr Duration kChoiceTime = milliseconds(500);
 // A replica that takes over on purpose has this long to receive the whole log.
 constexpr Duration kHandoverTime = milliseconds(1500);
+// Comparison of the replicas and the two writes before an order.
+constexpr Duration kOrderTime = milliseconds(200);
 constexpr Duration kRetryPause = milliseconds(150);
 constexpr Duration kExclusion = std::chrono::seconds(3);
 // A promotion without effect for this long is ordered again.
@@ -110,6 +112,29 @@
   return right;
 }
 
+std::optional<Duration> PrimaryKeeper::ReadyIn(TimePoint now) const {
+  switch (state_) {
+    case State::kPassive:
+    case State::kSearching:
+    case State::kServing:
+      return std::nullopt;
+    case State::kStopped: {
+      const TimePoint withdrawn = recorded_ ? recorded_at_ : now;
+      const TimePoint expired = std::max(stopped_at_, withdrawn) +
+                                DutyElection::kRightDuration +
+                                DutyElection::kMargin;
+      return std::max(expired - now, Duration{0}) + kOrderTime +
+             promotion_time_;
+    }
+    case State::kChoosing:
+    case State::kPromoting:
+      return kOrderTime + promotion_time_;
+    case State::kConfirming:
+      return std::max(entered_ + promotion_time_ - now, Duration{0});
+  }
+  return std::nullopt;
+}
+
 void PrimaryKeeper::Tick(TimePoint now) {
   if (now < next_) return;
   next_ = now + kFastAskInterval;
@@ -483,6 +508,7 @@
     primary_ = chosen_;
     term_ = found->second->status()->term;
     reports_.clear();
+    promotion_time_ = now - entered_;
     Enter(State::kServing, "promoted", now - found->second->asked_at(), now);
     return;
   }
--- a/src/core/failover/primary_keeper.h
+++ b/src/core/failover/primary_keeper.h
@@ -54,7 +54,15 @@
   /// The primary to which rights may be granted now, or nothing.
   std::optional<GrantedRight> Grantable(TimePoint now) const;
 
+  /// Expected time until rights are granted again; nothing while they are, or
+  /// when it cannot be told.
+  std::optional<Duration> ReadyIn(TimePoint now) const;
+
  private:
+  // Until a promotion was seen: the longest that the users' sheets state.
+  static constexpr Duration kAssumedPromotionTime =
+      std::chrono::milliseconds(1000);
+
   enum class State : std::uint8_t {
     /// Not the holder.
     kPassive,
@@ -120,6 +128,8 @@
   std::uint64_t attempt_ = 0;
   TimePoint retry_at_;
   std::uint32_t sync_replicas_ = 0;
+  /// From the order of the last promotion to its effect.
+  Duration promotion_time_ = kAssumedPromotionTime;
   std::shared_ptr<PrimaryKeeper*> alive_;
 };
 
--- a/src/core/peer_message.h
+++ b/src/core/peer_message.h
@@ -145,6 +145,13 @@
   Duration position_age{0};
 };
 
+/// A service whose primary is being replaced.
+struct PrimaryAbsence {
+  ServiceName service;
+  /// Time until rights are expected to be granted again.
+  Duration ready_in{0};
+};
+
 /// The answer to a RightRequestMessage.
 struct RightReplyMessage {
   CorrelationId correlation = 0;
@@ -153,6 +160,8 @@
   VmName holder;
   Duration holder_age{0};
   std::vector<GrantedRight> rights;
+  /// Filled by the holder only.
+  std::vector<PrimaryAbsence> absences;
 };
 
 using PeerMessage =
--- a/src/core/session/session_router.cc
+++ b/src/core/session/session_router.cc
@@ -132,6 +132,31 @@
   if (changed || !was_valid) Dispatch(service, now);
 }
 
+void SessionRouter::ExpectPrimary(const ServiceName& name, TimePoint ready_at,
+                                  TimePoint now) {
+  Service& service = services_[name];
+  service.primary_ready_at = ready_at;
+  std::vector<JobPtr> hopeless;
+  for (const JobPtr& job : service.queue) {
+    if (!job->done && job->running == 0 && LacksPrimary(*job, service, now)) {
+      hopeless.push_back(job);
+    }
+  }
+  for (const JobPtr& job : hopeless) {
+    service.queue.remove(job);
+    Refuse(job, ReplyCode::kNotPrimary, now);
+  }
+}
+
+bool SessionRouter::LacksPrimary(const StatementJob& job,
+                                 const Service& service, TimePoint now) const {
+  if (service.primary_ready_at <= job.deadline ||
+      rights_.Valid(job.service, now) != nullptr) {
+    return false;
+  }
+  return job.needs_primary || !RequiredPosition(job, service);
+}
+
 void SessionRouter::AddPosition(const ServiceName& service, TimePoint at,
                                 LogPosition position) {
   services_[service].positions.Add(at, position);
@@ -154,6 +179,10 @@
   Service& service = services_[job->service];
   service.retries.OnRequest();
   if (service.queue.empty() && TryStart(job, service, now)) return;
+  if (LacksPrimary(*job, service, now)) {
+    Refuse(job, ReplyCode::kNotPrimary, now);
+    return;
+  }
   Enqueue(job);
   Dispatch(job->service, now);
 }
@@ -715,13 +744,15 @@
   for (const auto& [name, endpoint] : service.endpoints) {
     slots += endpoint->record.slots;
   }
-  result.retry_after =
-      job->needs_primary && rights_.Valid(job->service, now) == nullptr
-          ? kFailoverRetry
-          : std::max<Duration>(kLeastRetryAfter,
-                               kAssumedRunTime *
-                                   static_cast<int>(service.queue.size()) /
-                                   slots);
+  if (!job->needs_primary || rights_.Valid(job->service, now) != nullptr) {
+    result.retry_after = std::max<Duration>(
+        kLeastRetryAfter,
+        kAssumedRunTime * static_cast<int>(service.queue.size()) / slots);
+  } else if (service.primary_ready_at > now) {
+    result.retry_after = service.primary_ready_at - now;
+  } else {
+    result.retry_after = kFailoverRetry;
+  }
   Finish(job, result, now);
 }
 
--- a/src/core/session/session_router.h
+++ b/src/core/session/session_router.h
@@ -58,6 +58,10 @@
   /// Takes a right; what waits for a primary may run then.
   void GrantRight(const ServiceName& service, const PrimaryRight& right,
                   TimePoint now);
+  /// The service has no primary before `ready_at`, as far as is known: what
+  /// cannot wait so long is refused at once.
+  void ExpectPrimary(const ServiceName& service, TimePoint ready_at,
+                     TimePoint now);
   /// Takes a position that a primary had at `at`.
   void AddPosition(const ServiceName& service, TimePoint at,
                    LogPosition position);
@@ -118,6 +122,8 @@
     std::uint32_t connection_limit = 1;
     PositionHistory positions;
     RetryBudget retries;
+    /// When a right is expected; only counts while there is none.
+    TimePoint primary_ready_at;
   };
   /// A successful write whose endpoint may have been replaced before it.
   struct HeldAnswer {
@@ -156,6 +162,10 @@
   void OnNoAnswer(const JobPtr& job, const EndpointName& endpoint,
                   JobResult::End end, TimePoint now);
   void Refuse(const JobPtr& job, ReplyCode reason, TimePoint now);
+  /// True when the service gets a primary only after the job's deadline, and no
+  /// replica may run it meanwhile.
+  bool LacksPrimary(const StatementJob& job, const Service& service,
+                    TimePoint now) const;
   void Finish(const JobPtr& job, const JobResult& result, TimePoint now);
   void ReviewHeldAnswers(TimePoint now);
   void TickConnections(TimePoint now);
--- a/src/wire/peer_codec.cc
+++ b/src/wire/peer_codec.cc
@@ -171,11 +171,18 @@
           builder_, service, endpoint, right.term, right.time_left.count(),
           &position, right.position_age.count()));
     }
+    std::vector<Offset<wire::PrimaryAbsence>> absences;
+    for (const PrimaryAbsence& absence : reply.absences) {
+      const auto service = String(absence.service);
+      absences.push_back(wire::CreatePrimaryAbsence(builder_, service,
+                                                    absence.ready_in.count()));
+    }
     const auto holder = String(reply.holder);
     const auto vector = builder_.CreateVector(rights);
+    const auto absent = builder_.CreateVector(absences);
     return {wire::Payload_RightReply,
             wire::CreateRightReply(builder_, reply.correlation, holder,
-                                   reply.holder_age.count(), vector)
+                                   reply.holder_age.count(), vector, absent)
                 .Union()};
   }
 
@@ -304,6 +311,7 @@
   RightReplyMessage message{reply.correlation(),
                             Text(reply.holder()),
                             DecodeDuration(reply.holder_age_us()),
+                            {},
                             {}};
   for (const wire::GrantedRight* right : *reply.rights()) {
     message.rights.push_back(
@@ -311,6 +319,11 @@
          DecodeDuration(right->time_left_us()), Decode(right->position()),
          DecodeDuration(right->position_age_us())});
   }
+  if (reply.absences() == nullptr) return message;
+  for (const wire::PrimaryAbsence* absence : *reply.absences()) {
+    message.absences.push_back(
+        {Text(absence->service()), DecodeDuration(absence->ready_in_us())});
+  }
   return message;
 }
 
--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -55,7 +55,7 @@
         self.reader = self.writer = self.vm = None
         self.values = {}
         self.prepared = {}
-        self.route = None
+        self.route = self.session = None
         self.state = "I"
 
     async def run(self, until):
@@ -77,6 +77,8 @@
         name = self.rng.choice(sorted(self.routes))
         self.route = self.routes[name]
         self.values, self.prepared, self.state = {}, {}, "I"
+        # What it has written counts for this session only.
+        self.session = object()
         async with asyncio.timeout(2):
             self.reader, self.writer = await asyncio.open_connection(
                 "127.0.0.1", self.vm.caller_port)
@@ -96,7 +98,7 @@
 
     async def _operation(self):
         kind = self.route["Kind"]
-        attempt = Attempt(self, kind, self.route["Service"],
+        attempt = Attempt(self.session, kind, self.route["Service"],
                           self.route["MaxStalenessMs"] / 1000)
         started = time.monotonic()
         attempt.started = started
--- a/test/wire/peer_codec_test.cc
+++ b/test/wire/peer_codec_test.cc
@@ -151,7 +151,8 @@
                           5,
                           milliseconds(900),
                           {5, 80},
-                          milliseconds(20)}}}};
+                          milliseconds(20)}},
+                        {{"registro-2", milliseconds(1800)}}}};
   return messages;
 }
 
