--- a/src/core/session/session_router.cc
+++ b/src/core/session/session_router.cc
@@ -32,6 +32,9 @@
 // Pause before another connection is opened after failures, doubling.
 constexpr Duration kFirstOpenPause = milliseconds(50);
 constexpr Duration kLastOpenPause = milliseconds(1000);
+// Connections of a VM that lost power linger for seconds; as soon as they end,
+// the freed ones are wanted.
+constexpr Duration kTooManyPause = milliseconds(150);
 // Reads that replicas can serve count as this much slower on the primary,
 // which alone can run writes.
 constexpr double kPrimaryPenalty = 1.6;
@@ -495,12 +498,13 @@
       observer_.OnEndpointReachable(name, false, code);
     }
     const unsigned doublings = std::min(endpoint.failed_opens - 1, 5U);
-    endpoint.next_open =
-        now + std::min(kFirstOpenPause * (1 << doublings), kLastOpenPause);
     // A refusal of one connection too many is an answer.
     if (code == ReplyCode::kTooManyConnections) {
+      endpoint.next_open = now + kTooManyPause;
       endpoint.NoteAnswer(now);
     } else {
+      endpoint.next_open =
+          now + std::min(kFirstOpenPause * (1 << doublings), kLastOpenPause);
       endpoint.NoteFailure(now);
     }
     WakeAt(endpoint.next_open);
