Grown sites: shares of connections that remember, cut-off VMs refuse, refusals count

VMs that took over for lost ones counted only those they saw and opened up to 96 connections each, so that endpoints were full for 5 s after the partition. The duty was taken over 2.1 s after its holder had gone, since each VM of the fleet had a place in the order, not only those that may stand. An endpoint that sheds its work answers fast, which attracted more.

A VM without rights for 2 s is not ready, refuses relayed sessions and closes idle ones; relays try a VM of another data centre last. A share counts a VM for 15 s after it was seen, and a third of a large share stays free. Only VMs that run sessions stand for the duty. Refusals count in the choice of an endpoint, and the pause after one doubles.

--- a/src/core/failover/failover_manager.cc
+++ b/src/core/failover/failover_manager.cc
@@ -179,15 +179,16 @@
   parts_.observer.OnHolderChanged(holder, duty_.IsHolder(now));
 }
 
-// The first candidate in the order of names acts first; the others only when
-// it did not.
+// The first candidate acts first; the others only when it did not.
 void FailoverManager::ConsiderTakeOver(TimePoint now) {
   if (!mirror_.listed() || leaving_ || duty_.IsHolder(now) ||
       now < next_take_over_) {
     return;
   }
   int rank = 0;
-  for (const VmName& vm : parts_.membership.table().Owners()) {
+  for (const VmName& vm : candidates_.empty()
+                              ? parts_.membership.table().Owners()
+                              : candidates_) {
     if (vm == self_) break;
     if (vm != duty_.record().holder) ++rank;
   }
--- a/src/core/failover/failover_manager.h
+++ b/src/core/failover/failover_manager.h
@@ -55,6 +55,11 @@
   /// Says whether this VM runs sessions; only such VMs ask for rights and stand
   /// for the duty.
   void SetActive(bool active) { active_ = active; }
+  /// Sets the VMs that may take the duty over, in the order in which they try;
+  /// all VMs until it is called.
+  void SetCandidates(std::vector<VmName> candidates) {
+    candidates_ = std::move(candidates);
+  }
   /// Says whether this VM watches the store for the others.
   void SetWatcher(bool watcher) { watcher_ = watcher; }
   /// True when this VM must learn from the store what others learn from peers:
@@ -95,6 +100,7 @@
   std::map<VmName, VmEntry> vms_;
   std::map<VmName, ObjectVersion> vm_versions_;
   VmName holder_;
+  std::vector<VmName> candidates_;
   bool leaving_ = false;
   bool active_ = true;
   bool watcher_ = true;
--- a/src/core/membership/session_placement.cc
+++ b/src/core/membership/session_placement.cc
@@ -54,18 +54,25 @@
   return vms;
 }
 
-std::vector<VmName> SessionPlacement::Targets(std::size_t count) const {
+std::vector<VmName> SessionPlacement::Targets(std::size_t local,
+                                              std::size_t remote) const {
   const VmName& self = table_.self().vm;
-  std::vector<VmName> targets = RendezvousOrder(self, SessionVmsHere(), count);
-  if (targets.size() >= count) return targets;
-  const std::vector<VmName> remote = RemoteVms();
-  for (const VmName& vm :
-       RendezvousOrder(self, remote, count - targets.size())) {
+  std::vector<VmName> targets = RendezvousOrder(self, SessionVmsHere(), local);
+  const std::size_t others = remote + (local - targets.size());
+  if (others == 0) return targets;
+  for (const VmName& vm : RendezvousOrder(self, RemoteVms(), others)) {
     targets.push_back(vm);
   }
   return targets;
 }
 
+std::vector<VmName> SessionPlacement::AllVms() const {
+  std::vector<VmName> vms = RemoteVms();
+  for (const VmName& vm : VmsIn(table_.self().data_centre)) vms.push_back(vm);
+  std::sort(vms.begin(), vms.end());
+  return vms;
+}
+
 std::size_t SessionPlacement::TotalCount() const {
   std::map<DataCentreName, std::size_t> vms;
   ++vms[table_.self().data_centre];
--- a/src/core/membership/session_placement.h
+++ b/src/core/membership/session_placement.h
@@ -33,9 +33,14 @@
   /// True for one of the VMs of this data centre that run sessions.
   bool IsFirstHere() const;
 
-  /// Returns the VMs that this VM relays to, the preferred first. Those of its
-  /// own data centre come before all others.
-  std::vector<VmName> Targets(std::size_t count) const;
+  /// Returns the VMs that this VM relays to, the preferred first: up to `local`
+  /// ones of its own data centre, or as many others when there are none, and
+  /// then up to `remote` ones of other data centres.
+  std::vector<VmName> Targets(std::size_t local, std::size_t remote) const;
+
+  /// Returns the VMs of all data centres that run sessions, in an order that is
+  /// the same on each VM.
+  std::vector<VmName> AllVms() const;
 
   /// Returns the VMs of this data centre that run sessions, without this one.
   std::vector<VmName> SessionVmsHere() const;
--- /dev/null
+++ b/src/core/session/connection_share.cc
@@ -0,0 +1,22 @@
+#include "core/session/connection_share.h"
+
+#include <algorithm>
+
+namespace carawayhaven {
+
+bool ConnectionShare::NoteVms(std::size_t vms, TimePoint now) {
+  if (vms < vms_ && now - seen_at_ < kMemory) return false;
+  seen_at_ = now;
+  const bool changed = vms != vms_;
+  vms_ = vms;
+  return changed;
+}
+
+std::uint32_t ConnectionShare::LimitFor(std::uint32_t connections) const {
+  if (vms_ == 0 || connections <= kReserved) return 1;
+  const std::uint32_t share =
+      (connections - kReserved) / static_cast<std::uint32_t>(vms_);
+  return std::max({1U, std::min(share, kEnough), share * 2 / 3});
+}
+
+}  // namespace carawayhaven
--- a/src/core/session/endpoint_state.cc
+++ b/src/core/session/endpoint_state.cc
@@ -8,6 +8,8 @@
 
 // Weight of one response in the mean.
 constexpr double kResponseWeight = 0.2;
+// Weight of one statement in the share of refused ones.
+constexpr double kRefusalShareWeight = 0.1;
 // A mean without new responses loses half of its weight in that time.
 constexpr Duration kResponseHalfLife = std::chrono::seconds(1);
 // Pause after a refusal for its log; doubles four times.
@@ -30,6 +32,10 @@
   response_at_ = now;
 }
 
+void EndpointState::NoteOutcome(bool refused) {
+  refusals_ += kRefusalShareWeight * ((refused ? 1.0 : 0.0) - refusals_);
+}
+
 Duration EndpointState::ExpectedResponse(Duration baseline,
                                          TimePoint now) const {
   if (response_ == Duration{0}) return baseline;
--- a/src/core/session/endpoint_state.h
+++ b/src/core/session/endpoint_state.h
@@ -53,6 +53,13 @@
   /// `baseline`.
   Duration ExpectedResponse(Duration baseline, TimePoint now) const;
 
+  /// Notes whether the endpoint refused a statement for want of a slot.
+  void NoteOutcome(bool refused);
+
+  /// Factor by which the endpoint counts as slower for its refusals, which
+  /// come fast and would attract more work.
+  double RefusalPenalty() const { return 1.0 + kRefusalWeight * refusals_; }
+
   /// True when new work may be sent there.
   bool AcceptsWork(TimePoint now) const;
 
@@ -65,6 +72,12 @@
   }
 
  private:
+  // An endpoint that refuses half of its work counts as five times as slow,
+  // about a retry and its pause.
+  static constexpr double kRefusalWeight = 8.0;
+
+  /// Share of the last statements that were refused.
+  double refusals_ = 0;
   Duration response_{0};
   TimePoint response_at_;
 };
--- a/src/core/session/session_router.cc
+++ b/src/core/session/session_router.cc
@@ -24,8 +24,10 @@
 constexpr Duration kGreatestHedgeDelay = milliseconds(600);
 // Attempts of one statement, hedges included.
 constexpr unsigned kMaxAttempts = 4;
-// Pause before a statement goes to an endpoint again that refused it.
+// Pause before a statement goes to an endpoint again that refused it; doubles
+// while the endpoint is full.
 constexpr Duration kBusyPause = milliseconds(20);
+constexpr unsigned kBusyDoublings = 3;
 constexpr Duration kBehindPause = milliseconds(50);
 constexpr Duration kNotPrimaryPause = milliseconds(100);
 constexpr Duration kUnreachablePause = milliseconds(200);
@@ -334,7 +336,8 @@
         distance_(endpoint.record.data_centre) + kAssumedRunTime;
     double score =
         static_cast<double>(endpoint.ExpectedResponse(baseline, now).count()) *
-        (1.0 + static_cast<double>(endpoint.running) / endpoint.record.slots);
+        (1.0 + static_cast<double>(endpoint.running) / endpoint.record.slots) *
+        endpoint.RefusalPenalty();
     if (is_primary && !job.needs_primary && replicas_allowed) {
       score *= kPrimaryPenalty;
     }
@@ -611,7 +614,10 @@
   if (reply.code == ReplyCode::kBehind) {
     endpoint.NoteBehind(required.value_or(LogPosition{}), now);
   } else {
-    endpoint.ObserveResponse(now - connection.sent, now);
+    endpoint.NoteOutcome(reply.code == ReplyCode::kBusy);
+    if (reply.code != ReplyCode::kBusy) {
+      endpoint.ObserveResponse(now - connection.sent, now);
+    }
     if (required) endpoint.behind_count = 0;
   }
   const bool first_in_transaction = connection.job->begin.has_value();
@@ -709,7 +715,9 @@
   job->last_refusal = code;
   job->may_have_run = false;
   Duration pause = kUnreachablePause;
-  if (code == ReplyCode::kBusy) pause = kBusyPause;
+  if (code == ReplyCode::kBusy) {
+    pause = kBusyPause * (1 << std::min(job->attempts - 1, kBusyDoublings));
+  }
   if (code == ReplyCode::kBehind) pause = kBehindPause;
   if (code == ReplyCode::kNotPrimary) pause = kNotPrimaryPause;
   job->avoided[endpoint] = now + pause;
--- a/src/proxy/session_proxy.cc
+++ b/src/proxy/session_proxy.cc
@@ -23,9 +23,6 @@
 constexpr Duration kRegisterRetry = milliseconds(200);
 // Sessions are looked at this often for idle transactions.
 constexpr Duration kSweepInterval = milliseconds(250);
-// Connections of an endpoint that stay free for probes of the duty holder and
-// for VMs that replace others.
-constexpr std::uint32_t kReservedConnections = 2;
 // The load balancer asks each second and needs two refusals.
 constexpr Duration kBalancerTime = milliseconds(2600);
 // Parts of the grace time after which open transactions are ended and the
@@ -36,7 +33,13 @@
 constexpr std::size_t kFlushLogBytes = 4096;
 constexpr char kRoutesTeam[] = "routes";
 constexpr std::string_view kFromStore = "store";
-constexpr std::size_t kRelayTargets = 2;
+// Two of the own data centre and one of another, for a data centre that is cut
+// off from the duty holder.
+constexpr std::size_t kLocalRelayTargets = 2;
+constexpr std::size_t kRemoteRelayTargets = 1;
+// Without a right to any primary for this long a VM is cut off from the others
+// and from the store; a change of the duty holder takes less.
+constexpr Duration kCutOffAfter = std::chrono::seconds(2);
 // A VM that no longer runs sessions goes on to follow the store for a while,
 // since a false suspicion of a peer moves sessions for a moment.
 constexpr Duration kPlacementLinger = std::chrono::seconds(5);
@@ -310,17 +313,10 @@
   }
 }
 
-// Each endpoint's connections are shared evenly between the live VMs.
 void SessionProxy::UpdateConnectionLimits(TimePoint now) {
-  const std::size_t vms = seen_vms_;
   for (const auto& [service, limits] : routes_.services) {
-    const std::uint32_t shared = limits.connections > kReservedConnections
-                                     ? limits.connections - kReservedConnections
-                                     : 1;
-    // Until the other VMs are known there may be many.
-    const std::uint32_t limit =
-        vms == 0 ? 1 : shared / static_cast<std::uint32_t>(vms);
-    router_.SetConnectionLimit(service, std::max(1U, limit), now);
+    router_.SetConnectionLimit(
+        service, connection_share_.LimitFor(limits.connections), now);
   }
 }
 
@@ -390,7 +386,32 @@
       !cluster_->failover.listed()) {
     return false;
   }
-  return RunsSessions() || !cluster_->placement.Targets(1).empty();
+  if (RunsSessions()) return !IsCutOff();
+  return !cluster_->placement.Targets(1, 0).empty();
+}
+
+bool SessionProxy::AcceptsRelayed() const {
+  return RunsSessions() && !IsCutOff();
+}
+
+// When a VM is cut off, idle sessions go to others that may still have rights.
+void SessionProxy::NoteRights(TimePoint now) {
+  const auto& rights = router_.rights().all();
+  const bool any = std::any_of(
+      rights.begin(), rights.end(),
+      [now](const auto& entry) { return entry.second.expires > now; });
+  const bool was_cut_off = IsCutOff();
+  if (any || !RunsSessions()) right_seen_at_ = now;
+  cut_off_ = now - right_seen_at_ > kCutOffAfter;
+  if (cut_off_ == was_cut_off) return;
+  Log(cut_off_ ? LogLevel::kWarning : LogLevel::kInfo,
+      cut_off_ ? "cut_off_from_primaries" : "primaries_regained",
+      {{"vm", settings_.vm}, {"services", rights.size()}});
+  if (!cut_off_) return;
+  for (const auto& weak : std::vector(sessions_.begin(), sessions_.end())) {
+    const std::shared_ptr<CallerSession> session = weak.lock();
+    if (session != nullptr && session->IsIdle()) session->Close(now);
+  }
 }
 
 std::string SessionProxy::RelayAddressOf(const std::string& peer_address) {
@@ -402,7 +423,8 @@
   if (cluster_ == nullptr || !cluster_->failover.listed()) return std::nullopt;
   std::vector<std::string> addresses;
   if (cluster_->placement.RunsHere() && RunsSessions()) return addresses;
-  for (const VmName& vm : cluster_->placement.Targets(kRelayTargets)) {
+  for (const VmName& vm : cluster_->placement.Targets(kLocalRelayTargets,
+                                                      kRemoteRelayTargets)) {
     const MemberTable::Member* member = cluster_->membership.table().Find(vm);
     if (member != nullptr) {
       addresses.push_back(RelayAddressOf(member->record.address));
@@ -416,7 +438,8 @@
   FailoverManager& failover = cluster_->failover;
   if (!failover.listed()) return;
   const std::size_t vms = cluster_->placement.TotalCount();
-  if (std::exchange(seen_vms_, vms) != vms) UpdateConnectionLimits(now);
+  if (connection_share_.NoteVms(vms, now)) UpdateConnectionLimits(now);
+  failover.SetCandidates(cluster_->placement.AllVms());
   if (cluster_->placement.RunsHere()) placed_here_at_ = now;
   const bool active = (placed_here_at_ != TimePoint{} &&
                        now - placed_here_at_ < kPlacementLinger) ||
@@ -464,6 +487,7 @@
   if (now >= next_sweep_) {
     next_sweep_ = now + kSweepInterval;
     TickSessions(now);
+    NoteRights(now);
     if (cluster_ != nullptr) {
       ResetSilentLinks();
       UpdatePlacement(now);
--- a/src/proxy/session_proxy.h
+++ b/src/proxy/session_proxy.h
@@ -12,6 +12,7 @@
 #include "core/failover/failover_manager.h"
 #include "core/membership/membership.h"
 #include "core/session/caller_session.h"
+#include "core/session/connection_share.h"
 #include "core/session/session_router.h"
 #include "net/http_server.h"
 #include "net/peer_transport.h"
@@ -61,7 +62,7 @@
 
   std::shared_ptr<CallerSession> NewSession(CallerChannel& channel) override;
   std::optional<std::vector<std::string>> RelayAddresses() override;
-  bool AcceptsRelayed() const override { return RunsSessions(); }
+  bool AcceptsRelayed() const override;
 
   /// Address on which a proxy accepts sessions from its peers: the port after
   /// the one for their messages.
@@ -89,6 +90,9 @@
   void OnRound();
   void ResetSilentLinks();
   void UpdatePlacement(TimePoint now);
+  void NoteRights(TimePoint now);
+  /// No right to any primary has been valid for a while.
+  bool IsCutOff() const { return cut_off_; }
   /// True when sessions may run here with routes that are not outdated.
   bool RunsSessions() const;
   void TickSessions(TimePoint now);
@@ -125,7 +129,10 @@
   TimePoint drain_started_ = TimePoint::max();
   bool stopping_ = false;
   TimePoint armed_for_ = TimePoint::max();
-  std::size_t seen_vms_ = 0;
+  ConnectionShare connection_share_;
+  /// When a right to some primary was last valid, or no session ran here.
+  TimePoint right_seen_at_;
+  bool cut_off_ = false;
 };
 
 }  // namespace carawayhaven
--- a/test/membership/session_placement_test.cc
+++ b/test/membership/session_placement_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <string>
 
 namespace carawayhaven {
@@ -52,22 +53,31 @@
   Fill(table, "mendoza", 1, 13);
   Fill(table, "cordoba", 0, 14);
   const SessionPlacement placement(table);
-  const std::vector<VmName> targets = placement.Targets(4);
+  const std::vector<VmName> targets = placement.Targets(2, 2);
   ASSERT_GE(targets.size(), 3U);
   EXPECT_TRUE(targets.front().starts_with("mendoza"));
   EXPECT_TRUE(targets.back().starts_with("cordoba"));
   EXPECT_EQ(placement.TotalCount(), 4U);
 }
 
+TEST_F(SessionPlacementOfVms, AllVmsListsThoseOfEachDataCentreInOneOrder) {
+  MemberTable table(Record("mendoza", 0));
+  Fill(table, "mendoza", 1, 13);
+  Fill(table, "cordoba", 0, 14);
+  const std::vector<VmName> vms = SessionPlacement(table).AllVms();
+  EXPECT_EQ(vms.size(), 4U);
+  EXPECT_TRUE(std::is_sorted(vms.begin(), vms.end()));
+}
+
 TEST_F(SessionPlacementOfVms, VmLeavesAnotherTakesItsPlace) {
   MemberTable table(Record("mendoza", 0));
   Fill(table, "mendoza", 1, 13);
   const SessionPlacement placement(table);
-  const VmName first = placement.Targets(1).front();
+  const VmName first = placement.Targets(1, 0).front();
   VmRecord leaving = table.Find(first)->record;
   leaving.state = VmState::kLeaving;
   table.Merge(leaving, TimePoint{});
-  EXPECT_NE(placement.Targets(1).front(), first);
+  EXPECT_NE(placement.Targets(1, 0).front(), first);
 }
 
 }  // namespace
--- /dev/null
+++ b/test/session/connection_share_test.cc
@@ -0,0 +1,54 @@
+#include "core/session/connection_share.h"
+
+#include <gtest/gtest.h>
+
+namespace carawayhaven {
+namespace {
+
+using std::chrono::seconds;
+
+class ConnectionShareOfTwelveVms : public ::testing::Test {
+ protected:
+  ConnectionShareOfTwelveVms() { share_.NoteVms(12, now_); }
+
+  TimePoint now_ = TimePoint(std::chrono::hours(1));
+  ConnectionShare share_;
+};
+
+TEST(ConnectionShareAtStart, NoVmIsKnownOneConnectionIsOpened) {
+  EXPECT_EQ(ConnectionShare().LimitFor(195), 1U);
+}
+
+TEST_F(ConnectionShareOfTwelveVms, PlentyOfConnectionsAThirdStaysFree) {
+  EXPECT_EQ(share_.LimitFor(195), 10U);
+}
+
+TEST_F(ConnectionShareOfTwelveVms, FewConnectionsAllButTheReserveAreUsed) {
+  EXPECT_EQ(share_.LimitFor(53), 4U);
+}
+
+TEST_F(ConnectionShareOfTwelveVms, FewerConnectionsThanVmsOneIsLeft) {
+  EXPECT_EQ(share_.LimitFor(5), 1U);
+  EXPECT_EQ(share_.LimitFor(2), 1U);
+}
+
+// A partition of 83 VMs: a side that saw 2 of 12 session VMs opened up to 96
+// connections a VM, and the endpoints were full for seconds after its end.
+TEST_F(ConnectionShareOfTwelveVms, PartitionHidesTenVmsTheLimitStays) {
+  EXPECT_FALSE(share_.NoteVms(2, now_ + seconds(1)));
+  EXPECT_FALSE(share_.NoteVms(2, now_ + seconds(8)));
+  EXPECT_EQ(share_.LimitFor(195), 10U);
+}
+
+TEST_F(ConnectionShareOfTwelveVms, VmsAreGoneForLongTheirShareIsUsed) {
+  EXPECT_TRUE(share_.NoteVms(6, now_ + ConnectionShare::kMemory));
+  EXPECT_EQ(share_.LimitFor(195), 21U);
+}
+
+TEST_F(ConnectionShareOfTwelveVms, VmsAreAddedTheLimitFallsAtOnce) {
+  EXPECT_TRUE(share_.NoteVms(24, now_ + seconds(1)));
+  EXPECT_EQ(share_.LimitFor(195), 5U);
+}
+
+}  // namespace
+}  // namespace carawayhaven
--- a/test/session/session_router_test.cc
+++ b/test/session/session_router_test.cc
@@ -129,6 +129,62 @@
   EXPECT_EQ(statement->min_position, (LogPosition{1, 99}));
 }
 
+// An endpoint that sheds its work answers sooner than any that does it.
+TEST_F(SessionRouterWithThreeEndpoints, ReplicaRefusesItsReadsGoElsewhere) {
+  StatementReply busy;
+  busy.code = ReplyCode::kBusy;
+  for (int read = 0; read < 20; ++read) {
+    router_.AddPosition("registro", now_, {1, 90});
+    router_.Submit(Job(false), now_);
+    link_.AcceptAll(now_);
+    Pass(milliseconds(1));
+    link_.Answer("near", busy, now_);
+    Pass(milliseconds(20));
+    link_.Answer("primary", OkReply({1, 95}), now_);
+    link_.Answer("far", OkReply({1, 95}), now_);
+    Pass(milliseconds(50));
+  }
+  router_.AddPosition("registro", now_, {1, 90});
+  router_.Submit(Job(false), now_);
+  link_.AcceptAll(now_);
+  EXPECT_EQ(link_.Running("near"), 0U);
+}
+
+TEST_F(SessionRouterWithoutRight, PrimaryIsExpectedTooLateItIsRefusedAtOnce) {
+  router_.ExpectPrimary("registro", now_ + milliseconds(1800), now_);
+  router_.Submit(Job(true, true), now_);
+  ASSERT_EQ(owner_->results.size(), 1U);
+  EXPECT_EQ(owner_->results[0].end, JobResult::End::kNotRun);
+  EXPECT_EQ(owner_->results[0].retry_after, milliseconds(1800));
+}
+
+TEST_F(SessionRouterWithoutRight, PrimaryIsExpectedInTimeItWaits) {
+  router_.ExpectPrimary("registro", now_ + milliseconds(800), now_);
+  router_.Submit(Job(true, true), now_);
+  EXPECT_TRUE(owner_->results.empty());
+  Pass(milliseconds(500));
+  Grant(seconds(1));
+  link_.AcceptAll(now_);
+  EXPECT_TRUE(link_.Answer("primary", OkReply({1, 1}), now_));
+}
+
+TEST_F(SessionRouterWithoutRight, ReplacementBeginsWaitingWritesAreRefused) {
+  router_.Submit(Job(true, true), now_);
+  Pass(milliseconds(100));
+  router_.ExpectPrimary("registro", now_ + milliseconds(2200), now_);
+  ASSERT_EQ(owner_->results.size(), 1U);
+  EXPECT_EQ(owner_->results[0].end, JobResult::End::kNotRun);
+}
+
+TEST_F(SessionRouterWithoutRight, ReplicaMayServeTheReadItIsNotRefused) {
+  router_.AddPosition("registro", now_, {1, 90});
+  router_.ExpectPrimary("registro", now_ + milliseconds(1800), now_);
+  router_.Submit(Job(false), now_);
+  link_.AcceptAll(now_);
+  EXPECT_TRUE(link_.Answer("near", OkReply({1, 95}), now_));
+  EXPECT_EQ(owner_->results[0].end, JobResult::End::kAnswered);
+}
+
 TEST_F(SessionRouterWithThreeEndpoints, LostReadIsRepeatedElsewhere) {
   router_.AddPosition("registro", now_, {1, 90});
   router_.Submit(Job(false), now_);
--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -70,16 +70,30 @@
     return promises, schedule
 
 
+def regression_seeds():
+    path = pathlib.Path(__file__).with_name("regressions.txt")
+    lines = [line for line in path.read_text().splitlines()
+             if line and not line.startswith("#")]
+    return [int(line.split()[0]) for line in lines]
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seeds", required=True, help="A-B or A")
+    chosen = parser.add_mutually_exclusive_group(required=True)
+    chosen.add_argument("--seeds", help="A-B or A")
+    chosen.add_argument("--regressions", action="store_true",
+                        help="the seeds that failed once")
     parser.add_argument("--program", default="build/src/carawayhaven")
     parser.add_argument("--keep", help="folder for the logs of failed seeds")
     options = parser.parse_args()
-    first, _, last = options.seeds.partition("-")
+    if options.regressions:
+        seeds = regression_seeds()
+    else:
+        first, _, last = options.seeds.partition("-")
+        seeds = range(int(first), int(last or first) + 1)
     failed = []
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
-    for seed in range(int(first), int(last or first) + 1):
+    for seed in seeds:
         with tempfile.TemporaryDirectory() as temporary:
             directory = pathlib.Path(temporary)
             if options.keep:
