A queue that has grown beyond half of the objective refuses newcomers at once; reload of settings

SIGHUP reads the settings anew: what may change at run time is applied, what needs a restart is named, and faulty settings leave the old ones in force.

--- a/src/cli/proxy_command.cc
+++ b/src/cli/proxy_command.cc
@@ -28,11 +28,11 @@
   }
 }
 
-ExitCode ProxyCommand::Execute() {
+std::optional<LoadedSettings> ProxyCommand::Load() {
   SettingsSources sources;
   sources.file_name = file_.getValue();
   const auto text = ReadFile(sources.file_name);
-  if (!text) return kExitUsage;
+  if (!text) return std::nullopt;
   sources.text = *text;
   sources.environment = context().environment;
   for (std::size_t i = 0; i < overrides_.size(); ++i) {
@@ -40,14 +40,24 @@
     sources.flags[std::string(SettingsKeys()[i].name)] =
         overrides_[i]->getValue();
   }
+  return SettingsParser::Parse(sources);
+}
+
+ExitCode ProxyCommand::Execute() {
   try {
-    const LoadedSettings loaded = SettingsParser::Parse(sources);
+    const std::optional<LoadedSettings> loaded = Load();
+    if (!loaded) return kExitUsage;
     if (print_settings_.getValue()) {
-      out() << loaded.Describe();
+      out() << loaded->Describe();
       return kExitOk;
     }
-    if (!CheckNeeded(loaded)) return kExitRefused;
-    return run_proxy_(loaded.settings);
+    if (!CheckNeeded(*loaded)) return kExitRefused;
+    return run_proxy_(loaded->settings, [this] {
+      const std::optional<LoadedSettings> again = Load();
+      if (!again)
+        throw SettingsError({{file_.getValue(), {}, "cannot be read"}});
+      return again->settings;
+    });
   } catch (const SettingsError& error) {
     err() << error.what() << '\n';
     return kExitRefused;
--- a/src/cli/proxy_command.h
+++ b/src/cli/proxy_command.h
@@ -3,11 +3,13 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "cli/command.h"
 #include "proxy/settings.h"
+#include "proxy/settings_reload.h"
 
 namespace carawayhaven {
 
@@ -15,7 +17,8 @@
 class ProxyCommand : public Command {
  public:
   /// Runs the proxy and returns the exit code of the process.
-  using RunProxy = std::function<ExitCode(const Settings&)>;
+  using RunProxy =
+      std::function<ExitCode(const Settings&, const SettingsReload&)>;
 
   /// `needed` are keys that this command requires beside the required ones.
   ProxyCommand(const CommandContext& context, std::string name,
@@ -28,6 +31,8 @@
  private:
   using TextArgument = TCLAP::ValueArg<std::string>;
 
+  /// Reads the file, the environment and the flags; nothing without a file.
+  std::optional<LoadedSettings> Load();
   /// Writes an error for each needed key without a value.
   bool CheckNeeded(const LoadedSettings& loaded) const;
 
--- a/src/core/failover/failover_manager.cc
+++ b/src/core/failover/failover_manager.cc
@@ -186,9 +186,8 @@
     return;
   }
   int rank = 0;
-  for (const VmName& vm : candidates_.empty()
-                              ? parts_.membership.table().Owners()
-                              : candidates_) {
+  for (const VmName& vm :
+       candidates_.empty() ? parts_.membership.table().Owners() : candidates_) {
     if (vm == self_) break;
     if (vm != duty_.record().holder) ++rank;
   }
--- a/src/core/failover/primary_keeper.cc
+++ b/src/core/failover/primary_keeper.cc
@@ -314,8 +314,8 @@
   }
   const bool most_fail = most_fail_since_ != TimePoint::max() &&
                          now - most_fail_since_ >= kMostFailTime;
-  const bool failing = probe.failing() &&
-                       endpoint->failing_since != TimePoint::max();
+  const bool failing =
+      probe.failing() && endpoint->failing_since != TimePoint::max();
   const Duration patience = failing ? kSuspectFailingAfter : kSuspectAfter;
   if (now - alive > patience || most_fail || Leaves()) {
     stopped_at_ = now;
--- a/src/core/session/caller_session.cc
+++ b/src/core/session/caller_session.cc
@@ -6,6 +6,10 @@
 namespace carawayhaven {
 namespace {
 
+// Of a route's objective and of its limit for a statement: the rest is for
+// running it, and for one more try elsewhere.
+constexpr double kQueuePart = 0.5;
+
 constexpr char kTransactionFailed[] =
     "the transaction has failed; end it by ROLLBACK";
 constexpr char kNoTransaction[] = "no transaction is open";
@@ -246,6 +250,8 @@
   job->received = received_;
   job->deadline = received_ + route_.statement_timeout;
   job->priority = route_.priority;
+  job->queue_limit = std::chrono::duration_cast<Duration>(
+      kQueuePart * std::min(route_.objective, route_.statement_timeout));
   job->commits = commits;
   job->has_effect = commits ? wrote_ : writes;
   if (in_transaction && connection_ == 0) {
--- a/src/core/session/session_router.cc
+++ b/src/core/session/session_router.cc
@@ -188,8 +188,27 @@
     Refuse(job, ReplyCode::kNotPrimary, now);
     return;
   }
+  job->queued = now;
   Enqueue(job);
   Dispatch(job->service, now);
+  if (job->done || job->running > 0) return;
+  const Duration wait = WaitAhead(*job, service, now);
+  if (wait <= job->queue_limit) return;
+  service.queue.remove(job);
+  Refuse(job, ReplyCode::kBusy, now, wait);
+}
+
+Duration SessionRouter::WaitAhead(const StatementJob& job,
+                                  const Service& service, TimePoint now) const {
+  for (const JobPtr& ahead : service.queue) {
+    if (ahead.get() == &job) break;
+    const bool hedge = ahead->running > 0;
+    if (ahead->done || hedge || ahead->needs_primary != job.needs_primary) {
+      continue;
+    }
+    return now - ahead->queued;
+  }
+  return Duration{0};
 }
 
 void SessionRouter::SubmitOn(ConnectionId id,
@@ -746,7 +765,8 @@
   Finish(job, Unanswered(end, endpoint), now);
 }
 
-void SessionRouter::Refuse(const JobPtr& job, ReplyCode reason, TimePoint now) {
+void SessionRouter::Refuse(const JobPtr& job, ReplyCode reason, TimePoint now,
+                           Duration retry_after) {
   Observe(RoutingDecision::Kind::kRefused, *job, "", reason, now);
   JobResult result;
   result.end = JobResult::End::kNotRun;
@@ -756,7 +776,10 @@
   for (const auto& [name, endpoint] : service.endpoints) {
     slots += endpoint->record.slots;
   }
-  if (!job->needs_primary || rights_.Valid(job->service, now) != nullptr) {
+  if (retry_after > Duration{0}) {
+    result.retry_after = retry_after;
+  } else if (!job->needs_primary ||
+             rights_.Valid(job->service, now) != nullptr) {
     result.retry_after = std::max<Duration>(
         kLeastRetryAfter,
         kAssumedRunTime * static_cast<int>(service.queue.size()) / slots);
--- a/src/core/session/session_router.h
+++ b/src/core/session/session_router.h
@@ -161,7 +161,12 @@
              TimePoint now);
   void OnNoAnswer(const JobPtr& job, const EndpointName& endpoint,
                   JobResult::End end, TimePoint now);
-  void Refuse(const JobPtr& job, ReplyCode reason, TimePoint now);
+  void Refuse(const JobPtr& job, ReplyCode reason, TimePoint now,
+              Duration retry_after = Duration{0});
+  /// Time for which the next statement that goes before the queued job has
+  /// waited; what is queued now waits about as long. Zero when there is none.
+  Duration WaitAhead(const StatementJob& job, const Service& service,
+                     TimePoint now) const;
   /// True when the service gets a primary only after the job's deadline, and no
   /// replica may run it meanwhile.
   bool LacksPrimary(const StatementJob& job, const Service& service,
--- a/src/core/session/statement_job.h
+++ b/src/core/session/statement_job.h
@@ -66,6 +66,8 @@
   TimePoint received;
   TimePoint deadline;
   std::uint32_t priority = 0;
+  /// It is refused when it would wait longer than that for its turn.
+  Duration queue_limit = std::chrono::hours(1);
   /// It is the first of a transaction, which has to be opened.
   std::optional<EndpointStatementKind> begin;
   /// It writes, or it commits a transaction that has written.
@@ -82,6 +84,8 @@
   unsigned attempts = 0;
   /// It was sent to an endpoint, and no refusal has come back.
   bool may_have_run = false;
+  /// When it was queued first.
+  TimePoint queued;
   TimePoint not_before;
   ReplyCode last_refusal = ReplyCode::kBusy;
   /// Until when each endpoint is passed over, after it refused the job.
--- a/src/proxy/session_proxy.cc
+++ b/src/proxy/session_proxy.cc
@@ -11,6 +11,7 @@
 #include "net/address.h"
 #include "net/event_loop.h"
 #include "proxy/logging.h"
+#include "proxy/settings_error.h"
 
 namespace carawayhaven {
 namespace {
@@ -44,6 +45,15 @@
 // since a false suspicion of a peer moves sessions for a moment.
 constexpr Duration kPlacementLinger = std::chrono::seconds(5);
 
+std::string JoinNames(const std::vector<std::string>& names) {
+  std::string text;
+  for (const std::string& name : names) {
+    if (!text.empty()) text += ' ';
+    text += name;
+  }
+  return text;
+}
+
 }  // namespace
 
 // Follows the objects of others below a prefix of the store.
@@ -423,8 +433,8 @@
   if (cluster_ == nullptr || !cluster_->failover.listed()) return std::nullopt;
   std::vector<std::string> addresses;
   if (cluster_->placement.RunsHere() && RunsSessions()) return addresses;
-  for (const VmName& vm : cluster_->placement.Targets(kLocalRelayTargets,
-                                                      kRemoteRelayTargets)) {
+  for (const VmName& vm :
+       cluster_->placement.Targets(kLocalRelayTargets, kRemoteRelayTargets)) {
     const MemberTable::Member* member = cluster_->membership.table().Find(vm);
     if (member != nullptr) {
       addresses.push_back(RelayAddressOf(member->record.address));
@@ -577,9 +587,18 @@
   });
 }
 
-void SessionProxy::OnReload() {
-  Log(LogLevel::kInfo, "settings_reloaded",
-      {{"vm", settings_.vm}, {"changed", false}});
+// Settings that cannot be read leave the old ones in force.
+void SessionProxy::OnReload(const SettingsReload& reload) {
+  try {
+    const SettingsChange change = ApplyReload(reload(), settings_);
+    Log(LogLevel::kInfo, "settings_reloaded",
+        {{"vm", settings_.vm},
+         {"applied", JoinNames(change.applied)},
+         {"needs_restart", JoinNames(change.needs_restart)}});
+  } catch (const SettingsError& error) {
+    Log(LogLevel::kError, "settings_rejected",
+        {{"vm", settings_.vm}, {"error", error.what()}});
+  }
 }
 
 }  // namespace carawayhaven
--- a/src/proxy/session_proxy.h
+++ b/src/proxy/session_proxy.h
@@ -22,6 +22,7 @@
 #include "proxy/platform_documents.h"
 #include "proxy/session_log.h"
 #include "proxy/settings.h"
+#include "proxy/settings_reload.h"
 
 namespace carawayhaven {
 
@@ -58,7 +59,7 @@
   /// grace time of the settings.
   void Drain();
   /// The settings file may have changed.
-  void OnReload();
+  void OnReload(const SettingsReload& reload);
 
   std::shared_ptr<CallerSession> NewSession(CallerChannel& channel) override;
   std::optional<std::vector<std::string>> RelayAddresses() override;
--- a/test/cli/commands_test.cc
+++ b/test/cli/commands_test.cc
@@ -59,7 +59,8 @@
     out_.str("");
     err_.str("");
     return CommandList(context_, client_,
-                       [this](const Settings& settings) {
+                       [this](const Settings& settings,
+                              const SettingsReload& /*reload*/) {
                          started_vm_ = settings.vm;
                          return kExitOk;
                        })
--- a/test/session/session_router_test.cc
+++ b/test/session/session_router_test.cc
@@ -129,6 +129,41 @@
   EXPECT_EQ(statement->min_position, (LogPosition{1, 99}));
 }
 
+// A rush: more statements than the connections take, whose queue has grown to
+// the limit; those that come now would be late all the same.
+TEST_F(SessionRouterWithThreeEndpoints, QueueIsTooLongNewcomersAreRefused) {
+  for (int busy = 0; busy < 2; ++busy) router_.Submit(Job(true, true), now_);
+  link_.AcceptAll(now_);
+  const auto waiting = Job(true, true);
+  waiting->queue_limit = milliseconds(250);
+  router_.Submit(waiting, now_);
+  Pass(milliseconds(300));
+  EXPECT_TRUE(owner_->results.empty());
+  const auto late = Job(true, true);
+  late->queue_limit = milliseconds(250);
+  router_.Submit(late, now_);
+  ASSERT_EQ(owner_->results.size(), 1U);
+  EXPECT_EQ(owner_->results[0].end, JobResult::End::kNotRun);
+  EXPECT_EQ(owner_->results[0].retry_after, milliseconds(300));
+  // The one that waited is served as soon as a connection is free.
+  EXPECT_TRUE(link_.Answer("primary", OkReply({1, 1}), now_));
+  EXPECT_EQ(link_.Running("primary"), 2U);
+}
+
+TEST_F(SessionRouterWithThreeEndpoints, OnlyLessUrgentOnesWaitItIsQueued) {
+  for (int busy = 0; busy < 2; ++busy) router_.Submit(Job(true, true), now_);
+  link_.AcceptAll(now_);
+  const auto waiting = Job(true, true);
+  waiting->priority = 5;
+  router_.Submit(waiting, now_);
+  Pass(milliseconds(300));
+  const auto urgent = Job(true, true);
+  urgent->priority = 1;
+  urgent->queue_limit = milliseconds(250);
+  router_.Submit(urgent, now_);
+  EXPECT_TRUE(owner_->results.empty());
+}
+
 // An endpoint that sheds its work answers sooner than any that does it.
 TEST_F(SessionRouterWithThreeEndpoints, ReplicaRefusesItsReadsGoElsewhere) {
   StatementReply busy;
