--- /dev/null
+++ b/src/core/session/session_router_outcome.cc
@@ -0,0 +1,208 @@
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "core/session/router_limits.h"
+#include "core/session/session_router.h"
+
+// What becomes of statements that were refused or got no answer.
+namespace carawayhaven {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Pause before a statement goes to an endpoint again that refused it; doubles
+// while the endpoint is full.
+constexpr Duration kBusyPause = milliseconds(20);
+constexpr unsigned kBusyDoublings = 3;
+constexpr Duration kBehindPause = milliseconds(50);
+constexpr Duration kNotPrimaryPause = milliseconds(100);
+constexpr Duration kUnreachablePause = milliseconds(200);
+// Told to callers while a group has no primary.
+constexpr Duration kFailoverRetry = milliseconds(1000);
+constexpr Duration kLeastRetryAfter = milliseconds(10);
+
+}  // namespace
+
+// Queues a job again that certainly did not run, or a read that may run twice.
+void SessionRouter::Retry(const JobPtr& job, const EndpointName& endpoint,
+                          ReplyCode code, TimePoint now) {
+  if (job->bound != 0) {
+    Finish(job, Unanswered(JobResult::End::kLost, endpoint), now);
+    return;
+  }
+  ++job->attempts;
+  job->last_refusal = code;
+  job->may_have_run = false;
+  Duration pause = kUnreachablePause;
+  if (code == ReplyCode::kBusy) {
+    pause = kBusyPause * (1 << std::min(job->attempts - 1, kBusyDoublings));
+  }
+  if (code == ReplyCode::kBehind) pause = kBehindPause;
+  if (code == ReplyCode::kNotPrimary) pause = kNotPrimaryPause;
+  job->avoided[endpoint] = now + pause;
+  Observe(RoutingDecision::Kind::kRetried, *job, endpoint, code, now);
+  if (now >= job->deadline) {
+    Refuse(job, code, now);
+    return;
+  }
+  Enqueue(job);
+}
+
+void SessionRouter::OnNoAnswer(const JobPtr& job, const EndpointName& endpoint,
+                               JobResult::End end, TimePoint now) {
+  if (job->done || job->running > 0) return;
+  const bool lost = end == JobResult::End::kLost;
+  Observe(
+      lost ? RoutingDecision::Kind::kLost : RoutingDecision::Kind::kTimedOut,
+      *job, endpoint, ReplyCode::kOther, now);
+  const bool repeatable =
+      job->begin.has_value() || (!job->has_effect && !job->commits);
+  if (lost && repeatable && job->bound == 0 && job->attempts < kMaxAttempts &&
+      now < job->deadline) {
+    Retry(job, endpoint, ReplyCode::kOther, now);
+    return;
+  }
+  Finish(job, Unanswered(end, endpoint), now);
+}
+
+void SessionRouter::Refuse(const JobPtr& job, ReplyCode reason, TimePoint now,
+                           Duration retry_after) {
+  Observe(RoutingDecision::Kind::kRefused, *job, "", reason, now);
+  JobResult result;
+  result.end = JobResult::End::kNotRun;
+  result.reason = reason;
+  const Service& service = services_[job->service];
+  std::uint32_t slots = 1;
+  for (const auto& [name, endpoint] : service.endpoints) {
+    slots += endpoint->record.slots;
+  }
+  if (retry_after > Duration{0}) {
+    result.retry_after = retry_after;
+  } else if (!job->needs_primary ||
+             rights_.Valid(job->service, now) != nullptr) {
+    result.retry_after = std::max<Duration>(
+        kLeastRetryAfter,
+        kAssumedRunTime * static_cast<int>(service.queue.size()) / slots);
+  } else if (service.primary_ready_at > now) {
+    result.retry_after = service.primary_ready_at - now;
+  } else {
+    result.retry_after = kFailoverRetry;
+  }
+  Finish(job, result, now);
+}
+
+void SessionRouter::Finish(const JobPtr& job, const JobResult& result,
+                           TimePoint now) {
+  if (std::exchange(job->done, true)) return;
+  if (result.end == JobResult::End::kAnswered) {
+    Observe(RoutingDecision::Kind::kAnswered, *job, result.endpoint,
+            result.reply.code, now);
+  }
+  const std::shared_ptr<JobOwner> owner = std::move(job->owner);
+  job->owner = nullptr;
+  owner->OnJobDone(result, now);
+}
+
+// A write that succeeded at an endpoint whose right had expired: when the right
+// was renewed there was no promotion, otherwise the write may be lost.
+void SessionRouter::ReviewHeldAnswers(TimePoint now) {
+  std::list<HeldAnswer> settled;
+  for (auto entry = held_.begin(); entry != held_.end();) {
+    const PrimaryRight* right = rights_.Valid(entry->job->service, now);
+    if (right == nullptr && now < entry->until) {
+      ++entry;
+      continue;
+    }
+    if (right == nullptr || right->endpoint != entry->result.endpoint) {
+      entry->result.end = JobResult::End::kLost;
+    }
+    settled.splice(settled.end(), held_, entry++);
+  }
+  for (HeldAnswer& held : settled) {
+    Finish(held.job, held.result, now);
+  }
+}
+
+void SessionRouter::TickConnections(TimePoint now) {
+  std::vector<ConnectionId> due;
+  for (const auto& [id, connection] : connections_) {
+    TimePoint next = std::min(connection.hedge_at, connection.give_up_at);
+    if (connection.job != nullptr && !connection.job->done) {
+      next = std::min(next, connection.job->deadline);
+    }
+    if (next <= now) {
+      due.push_back(id);
+    } else {
+      WakeAt(next);
+    }
+  }
+  for (const ConnectionId id : due) {
+    const auto found = connections_.find(id);
+    if (found == connections_.end()) continue;
+    Connection& connection = found->second;
+    const EndpointName name = connection.endpoint;
+    const JobPtr job = connection.job;
+    if (job == nullptr || job->done) {
+      if (connection.give_up_at <= now) {
+        endpoints_.at(name).NoteFailure(now);
+        OnSessionClosed(id, ReplyCode::kTimeout, now);
+      } else {
+        WakeAt(connection.give_up_at);
+      }
+      continue;
+    }
+    if (job->deadline <= now) {
+      const bool last = connection.step + 1 == connection.steps.size();
+      const bool in_transaction =
+          connection.in_transaction || job->begin.has_value() || job->commits;
+      endpoints_.at(name).NoteFailure(now);
+      if (!last || in_transaction) {
+        CloseConnection(id, now);
+        if (!last && !job->may_have_run && job->running == 0 &&
+            !in_transaction) {
+          Refuse(job, ReplyCode::kBusy, now);
+          continue;
+        }
+      } else {
+        WakeAt(connection.give_up_at);
+      }
+      Observe(RoutingDecision::Kind::kTimedOut, *job, name, ReplyCode::kTimeout,
+              now);
+      Finish(job, Unanswered(JobResult::End::kTimedOut, name), now);
+      continue;
+    }
+    // A read without an answer: repeated elsewhere, the first answer counts.
+    connection.hedge_at = TimePoint::max();
+    WakeAt(job->deadline);
+    if (services_[job->service].retries.TryTake(now)) {
+      ++job->attempts;
+      job->avoided[name] = now + kUnreachablePause;
+      Observe(RoutingDecision::Kind::kHedged, *job, name, ReplyCode::kTimeout,
+              now);
+      Enqueue(job);
+    }
+  }
+}
+
+Duration SessionRouter::RightLeft(const StatementJob& job,
+                                  TimePoint now) const {
+  const PrimaryRight* right = rights_.Last(job.service);
+  return right == nullptr ? Duration{-1} : right->expires - now;
+}
+
+void SessionRouter::Observe(RoutingDecision::Kind kind, const StatementJob& job,
+                            std::string_view endpoint, ReplyCode code,
+                            TimePoint now, LogPosition required) {
+  RoutingDecision decision;
+  decision.kind = kind;
+  decision.job = &job;
+  decision.endpoint = endpoint;
+  decision.required = required;
+  decision.code = code;
+  decision.elapsed = now - job.received;
+  decision.right_left = RightLeft(job, now);
+  observer_.OnRouting(decision);
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/src/core/session/session_router_reply.cc
@@ -0,0 +1,264 @@
+#include <algorithm>
+#include <utility>
+
+#include "core/session/router_limits.h"
+#include "core/session/session_router.h"
+
+// What endpoints answer.
+namespace carawayhaven {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Pause before another connection is opened after failures, doubling.
+constexpr Duration kFirstOpenPause = milliseconds(50);
+constexpr Duration kLastOpenPause = milliseconds(1000);
+// Connections of a VM that lost power linger for seconds; as soon as they end,
+// the freed ones are wanted.
+constexpr Duration kTooManyPause = milliseconds(150);
+// A successful write whose endpoint's right has expired waits this long for
+// the right to be confirmed before it is in doubt.
+constexpr Duration kRightWait = milliseconds(3000);
+
+}  // namespace
+
+void SessionRouter::OnSessionOpened(ConnectionId id,
+                                    const StatementReply& reply,
+                                    TimePoint now) {
+  const auto found = connections_.find(id);
+  if (found == connections_.end()) return;
+  Connection& connection = found->second;
+  EndpointState& endpoint = endpoints_.at(connection.endpoint);
+  connection.open = true;
+  connection.give_up_at = TimePoint::max();
+  --endpoint.opening;
+  if (std::exchange(endpoint.failed_opens, 0U) > 0) {
+    observer_.OnEndpointReachable(connection.endpoint, true, ReplyCode::kOk);
+  }
+  endpoint.NoteAnswer(now);
+  if (reply.position) endpoint.position = *reply.position;
+  endpoint.idle.insert(id);
+  Dispatch(endpoint.record.service, now);
+}
+
+void SessionRouter::OnSessionClosed(ConnectionId id, ReplyCode code,
+                                    TimePoint now) {
+  const auto found = connections_.find(id);
+  if (found == connections_.end()) return;
+  const bool was_open = found->second.open;
+  const bool at_last_step =
+      found->second.step + 1 == found->second.steps.size();
+  const EndpointName name = found->second.endpoint;
+  const std::shared_ptr<JobOwner> holder = found->second.holder;
+  EndpointState& endpoint = endpoints_.at(name);
+  const ServiceName service = endpoint.record.service;
+  const JobPtr job = Detach(id, false, now);
+  if (!was_open) {
+    if (endpoint.failed_opens++ == 0) {
+      observer_.OnEndpointReachable(name, false, code);
+    }
+    const unsigned doublings = std::min(endpoint.failed_opens - 1, 5U);
+    // A refusal of one connection too many is an answer.
+    if (code == ReplyCode::kTooManyConnections) {
+      endpoint.next_open = now + kTooManyPause;
+      endpoint.NoteAnswer(now);
+    } else {
+      endpoint.next_open =
+          now + std::min(kFirstOpenPause * (1 << doublings), kLastOpenPause);
+      endpoint.NoteFailure(now);
+    }
+    WakeAt(endpoint.next_open);
+  } else if (job != nullptr) {
+    endpoint.NoteFailure(now);
+  }
+  if (job != nullptr && !job->done) {
+    if (at_last_step) {
+      OnNoAnswer(job, name, JobResult::End::kLost, now);
+    } else {
+      Retry(job, name, ReplyCode::kBusy, now);
+    }
+  } else if (job == nullptr && holder != nullptr) {
+    holder->OnTransactionLost(now);
+  }
+  Dispatch(service, now);
+}
+
+void SessionRouter::OnReply(ConnectionId id, const StatementReply& reply,
+                            TimePoint now) {
+  const auto found = connections_.find(id);
+  if (found == connections_.end()) return;
+  Connection& connection = found->second;
+  EndpointState& endpoint = endpoints_.at(connection.endpoint);
+  const ServiceName service = endpoint.record.service;
+  endpoint.NoteAnswer(now);
+  NotePosition(connection, reply);
+  if (connection.step >= connection.steps.size()) {
+    // An answer to nothing: the two ends disagree about the connection.
+    CloseConnection(id, now);
+  } else if (connection.step + 1 < connection.steps.size()) {
+    OnSetupReply(id, reply, now);
+  } else {
+    OnFinalReply(id, reply, now);
+  }
+  Dispatch(service, now);
+}
+
+void SessionRouter::NotePosition(const Connection& connection,
+                                 const StatementReply& reply) {
+  if (!reply.position) return;
+  EndpointState& endpoint = endpoints_.at(connection.endpoint);
+  endpoint.position = *reply.position;
+  if (connection.sent_with_right) {
+    services_[endpoint.record.service].positions.Add(connection.sent,
+                                                     *reply.position);
+  }
+}
+
+// A statement that prepares the connection was answered. Until the last step
+// nothing of the caller has run, so a failure here is a retry elsewhere.
+void SessionRouter::OnSetupReply(ConnectionId id, const StatementReply& reply,
+                                 TimePoint now) {
+  Connection& connection = connections_.at(id);
+  const EndpointStatement& step = connection.steps[connection.step];
+  if (reply.code == ReplyCode::kOk) {
+    ApplySetup(step, connection.context);
+    if (step.kind == EndpointStatementKind::kBegin ||
+        step.kind == EndpointStatementKind::kBeginReadOnly) {
+      connection.in_transaction = true;
+    }
+    if (connection.job->done) {
+      const bool open = connection.in_transaction;
+      Detach(id, true, now);
+      if (open) RollBack(id, now);
+      return;
+    }
+    ++connection.step;
+    SendStep(id, now);
+    return;
+  }
+  const EndpointName name = connection.endpoint;
+  if (reply.code == ReplyCode::kBehind) {
+    endpoints_.at(name).NoteBehind(step.min_position.value_or(LogPosition{}),
+                                   now);
+  }
+  const bool held = connection.in_transaction;
+  const bool usable =
+      IsNotRun(reply.code) && !held && reply.state == TransactionState::kIdle;
+  const JobPtr job = Detach(id, usable, now);
+  if (job->done) return;
+  if (held) {
+    // Inside a transaction there is no other connection to go to.
+    Finish(job, Unanswered(JobResult::End::kLost, ""), now);
+  } else {
+    Retry(job, name, reply.code, now);
+  }
+}
+
+void SessionRouter::OnFinalReply(ConnectionId id, const StatementReply& reply,
+                                 TimePoint now) {
+  Connection& connection = connections_.at(id);
+  const EndpointName name = connection.endpoint;
+  EndpointState& endpoint = endpoints_.at(name);
+  if (connection.job == nullptr) {
+    const bool ended =
+        reply.code == ReplyCode::kOk && reply.state == TransactionState::kIdle;
+    connection.in_transaction = false;
+    Detach(id, ended, now);
+    return;
+  }
+  const std::optional<LogPosition> required =
+      connection.steps.back().min_position;
+  if (reply.code == ReplyCode::kBehind) {
+    endpoint.NoteBehind(required.value_or(LogPosition{}), now);
+  } else {
+    endpoint.NoteOutcome(reply.code == ReplyCode::kBusy);
+    if (reply.code != ReplyCode::kBusy) {
+      endpoint.ObserveResponse(now - connection.sent, now);
+    }
+    if (required) endpoint.behind_count = 0;
+  }
+  const bool first_in_transaction = connection.job->begin.has_value();
+  const bool in_transaction =
+      connection.in_transaction && !connection.job->commits;
+  const bool answered_ok = reply.code == ReplyCode::kOk;
+  const bool stays_open =
+      in_transaction && answered_ok && reply.state == TransactionState::kOpen;
+  connection.in_transaction = reply.state != TransactionState::kIdle;
+  const bool given_up = connection.job->done;
+  if (stays_open && !given_up) connection.holder = connection.job->owner;
+  const bool roll_back = connection.in_transaction && (given_up || !stays_open);
+  const JobPtr job = Detach(id, true, now);
+  if (roll_back) RollBack(id, now);
+  if (given_up) return;
+  const bool unmoved = IsNotRun(reply.code) && !job->commits;
+  if (unmoved && (first_in_transaction || !in_transaction)) {
+    Retry(job, name, reply.code, now);
+    return;
+  }
+  if (reply.code == ReplyCode::kFailed && !job->has_effect && !in_transaction &&
+      !job->commits && job->attempts == 0 &&
+      services_[job->service].retries.TryTake(now)) {
+    Retry(job, name, reply.code, now);
+    return;
+  }
+  JobResult result;
+  result.end = JobResult::End::kAnswered;
+  result.reply = reply;
+  result.endpoint = name;
+  if (stays_open) result.connection = id;
+  const bool committed =
+      job->has_effect && answered_ok && (job->commits || !in_transaction);
+  const PrimaryRight* right = rights_.Valid(job->service, now);
+  if (committed && (right == nullptr || right->endpoint != name)) {
+    Observe(RoutingDecision::Kind::kHeldForRight, *job, name, reply.code, now);
+    held_.push_back({job, std::move(result), now + kRightWait});
+    WakeAt(now + kRightWait);
+    ReviewHeldAnswers(now);
+    return;
+  }
+  Finish(job, result, now);
+}
+
+SessionRouter::JobPtr SessionRouter::Detach(ConnectionId id, bool keep,
+                                            TimePoint now) {
+  Connection& connection = connections_.at(id);
+  EndpointState& endpoint = endpoints_.at(connection.endpoint);
+  JobPtr job = std::move(connection.job);
+  connection.job = nullptr;
+  connection.steps.clear();
+  connection.step = 0;
+  connection.hedge_at = TimePoint::max();
+  connection.give_up_at = TimePoint::max();
+  if (job != nullptr) {
+    --endpoint.running;
+    --job->running;
+  }
+  const bool leaving = endpoint.leaving_since != TimePoint::max() &&
+                       !endpoint.record.claims_primary;
+  if (!keep || (leaving && !connection.in_transaction)) {
+    CloseConnection(id, now);
+  } else if (!connection.in_transaction) {
+    connection.holder.reset();
+    endpoint.idle.insert(id);
+    CloseIdle(endpoint, services_[endpoint.record.service].connection_limit,
+              now);
+  }
+  return job;
+}
+
+void SessionRouter::CloseConnection(ConnectionId id, TimePoint /*now*/) {
+  const auto found = connections_.find(id);
+  if (found == connections_.end()) return;
+  EndpointState& endpoint = endpoints_.at(found->second.endpoint);
+  if (!found->second.open) --endpoint.opening;
+  if (found->second.job != nullptr) {
+    --endpoint.running;
+    --found->second.job->running;
+  }
+  endpoint.connections.erase(id);
+  endpoint.idle.erase(id);
+  connections_.erase(found);
+  link_.Close(id);
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/src/core/session/session_router_send.cc
@@ -0,0 +1,221 @@
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "core/session/router_limits.h"
+#include "core/session/session_router.h"
+
+// Choice of endpoint and connection, and what is sent on it.
+namespace carawayhaven {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A connection that is not open by then is given up: several round trips
+// between regions and the endpoint's time to open one.
+constexpr Duration kOpenTimeout = milliseconds(1000);
+// A read is repeated elsewhere after this many times the expected response,
+// within the bounds below.
+constexpr int kHedgeFactor = 6;
+constexpr Duration kLeastHedgeDelay = milliseconds(250);
+constexpr Duration kGreatestHedgeDelay = milliseconds(600);
+// Reads that replicas can serve count as this much slower on the primary,
+// which alone can run writes.
+constexpr double kPrimaryPenalty = 1.6;
+
+}  // namespace
+
+// What a replica has to hold for the job; nothing when no position of the
+// primary is new enough to tell.
+std::optional<LogPosition> SessionRouter::RequiredPosition(
+    const StatementJob& job, const Service& service) const {
+  const auto covering = service.positions.Covering(job.received - job.max_age);
+  if (!covering) return std::nullopt;
+  return std::max(*covering, service.positions.Surviving(job.session_position));
+}
+
+bool SessionRouter::TryStart(const JobPtr& job, Service& service,
+                             TimePoint now) {
+  std::optional<LogPosition> required;
+  if (!job->needs_primary) required = RequiredPosition(*job, service);
+  EndpointState* endpoint = ChooseEndpoint(*job, service, required, now);
+  if (endpoint == nullptr) return false;
+  const ConnectionId id = ChooseConnection(*endpoint, *job);
+  if (id == 0) {
+    OpenConnection(*endpoint, now);
+    return false;
+  }
+  const PrimaryRight* right = rights_.Valid(job->service, now);
+  if (right != nullptr && right->endpoint == endpoint->record.name) {
+    required.reset();
+  } else if (required) {
+    ++stats_.sent_to_replica;
+  }
+  Start(id, job, required, now);
+  return true;
+}
+
+// Prefers endpoints with a free connection by expected response; without one,
+// the endpoint to which a connection may be opened.
+EndpointState* SessionRouter::ChooseEndpoint(
+    const StatementJob& job, const Service& service,
+    std::optional<LogPosition> required, TimePoint now) {
+  const bool replicas_allowed = required.has_value();
+  const PrimaryRight* right = rights_.Valid(job.service, now);
+  EndpointState* best = nullptr;
+  EndpointState* openable = nullptr;
+  double best_score = std::numeric_limits<double>::max();
+  double openable_score = std::numeric_limits<double>::max();
+  for (const auto& [name, state] : service.endpoints) {
+    EndpointState& endpoint = *state;
+    const bool is_primary = right != nullptr && right->endpoint == name;
+    if (job.needs_primary ? !is_primary : !is_primary && !replicas_allowed) {
+      continue;
+    }
+    if (!endpoint.AcceptsWork(now) ||
+        (endpoint.leaving_since != TimePoint::max() && !is_primary)) {
+      continue;
+    }
+    if (!is_primary && endpoint.IsProbablyBehind(*required, now)) {
+      WakeAt(endpoint.behind_until);
+      continue;
+    }
+    const auto avoided = job.avoided.find(name);
+    if (avoided != job.avoided.end() && avoided->second > now) {
+      WakeAt(avoided->second);
+      continue;
+    }
+    const Duration baseline =
+        distance_(endpoint.record.data_centre) + kAssumedRunTime;
+    double score =
+        static_cast<double>(endpoint.ExpectedResponse(baseline, now).count()) *
+        (1.0 + static_cast<double>(endpoint.running) / endpoint.record.slots) *
+        endpoint.RefusalPenalty();
+    if (is_primary && !job.needs_primary && replicas_allowed) {
+      score *= kPrimaryPenalty;
+    }
+    if (!endpoint.idle.empty()) {
+      if (score < best_score) {
+        best_score = score;
+        best = &endpoint;
+      }
+    } else if (MayOpen(endpoint, service, now) && score < openable_score) {
+      openable_score = score;
+      openable = &endpoint;
+    }
+  }
+  return best != nullptr ? best : openable;
+}
+
+ConnectionId SessionRouter::ChooseConnection(const EndpointState& endpoint,
+                                             const StatementJob& job) const {
+  ConnectionId best = 0;
+  std::size_t best_cost = std::numeric_limits<std::size_t>::max();
+  for (const ConnectionId id : endpoint.idle) {
+    const std::size_t cost =
+        SetupCost(job.owner->context(), connections_.at(id).context);
+    if (cost < best_cost) {
+      best_cost = cost;
+      best = id;
+    }
+  }
+  return best;
+}
+
+bool SessionRouter::MayOpen(const EndpointState& endpoint,
+                            const Service& service, TimePoint now) const {
+  return endpoint.connections.size() < service.connection_limit &&
+         now >= endpoint.next_open && endpoint.opening < service.queue.size();
+}
+
+void SessionRouter::OpenConnection(EndpointState& endpoint, TimePoint now) {
+  const ConnectionId id =
+      link_.Open(endpoint.record.address, endpoint.record.service,
+                 endpoint.record.name, *this);
+  Connection& connection = connections_[id];
+  connection.endpoint = endpoint.record.name;
+  connection.give_up_at = now + kOpenTimeout;
+  endpoint.connections.insert(id);
+  ++endpoint.opening;
+  ++stats_.connections_opened;
+  WakeAt(connection.give_up_at);
+}
+
+void SessionRouter::Start(ConnectionId id, const JobPtr& job,
+                          std::optional<LogPosition> required, TimePoint now) {
+  Connection& connection = connections_.at(id);
+  EndpointState& endpoint = endpoints_.at(connection.endpoint);
+  endpoint.idle.erase(id);
+  ++endpoint.running;
+  ++job->running;
+  const SessionContext& context = job->owner->context();
+  const PreparedStatement* prepared = nullptr;
+  if (job->statement.kind == StatementKind::kExecute) {
+    const auto found = context.prepared.find(job->statement.name);
+    if (found != context.prepared.end()) prepared = &found->second;
+  }
+  connection.job = job;
+  connection.steps = PlanSetup(context, connection.context, prepared);
+  connection.step = 0;
+  if (job->begin) {
+    EndpointStatement& begin = connection.steps.emplace_back();
+    begin.kind = *job->begin;
+    begin.min_position = std::exchange(required, std::nullopt);
+  }
+  EndpointStatement& last = connection.steps.emplace_back();
+  last.id = job->statement.id;
+  last.text = job->statement.text;
+  last.min_position = required;
+  if (prepared != nullptr) {
+    last.kind = EndpointStatementKind::kExecute;
+    last.name = EndpointStatementName(*prepared);
+    last.value = job->statement.value;
+  } else {
+    last.kind = EndpointStatementKind::kCaller;
+  }
+  connection.give_up_at = job->deadline + kLateAnswerGrace;
+  connection.hedge_at = TimePoint::max();
+  const EndpointStatement& first_with_position =
+      job->begin ? connection.steps[connection.steps.size() - 2] : last;
+  Observe(RoutingDecision::Kind::kSent, *job, connection.endpoint,
+          ReplyCode::kOk, now,
+          first_with_position.min_position.value_or(LogPosition{}));
+  WakeAt(job->deadline);
+  SendStep(id, now);
+}
+
+void SessionRouter::SendStep(ConnectionId id, TimePoint now) {
+  Connection& connection = connections_.at(id);
+  EndpointState& endpoint = endpoints_.at(connection.endpoint);
+  const PrimaryRight* right = rights_.Valid(endpoint.record.service, now);
+  connection.sent = now;
+  connection.sent_with_right =
+      right != nullptr && right->endpoint == connection.endpoint;
+  if (!link_.Send(id, connection.steps[connection.step])) {
+    const EndpointName name = connection.endpoint;
+    const JobPtr job = Detach(id, false, now);
+    if (job != nullptr && !job->done) {
+      if (job->begin || !job->may_have_run) {
+        Retry(job, name, ReplyCode::kBusy, now);
+      } else {
+        OnNoAnswer(job, name, JobResult::End::kLost, now);
+      }
+    }
+    return;
+  }
+  const bool last = connection.step + 1 == connection.steps.size();
+  if (connection.job == nullptr || !last) return;
+  connection.job->may_have_run = true;
+  const bool repeatable = !connection.job->has_effect &&
+                          !connection.job->begin && !connection.in_transaction;
+  if (repeatable && connection.job->attempts + 1 < kMaxAttempts) {
+    const Duration expected = endpoint.ExpectedResponse(
+        distance_(endpoint.record.data_centre) + kAssumedRunTime, now);
+    connection.hedge_at =
+        now + std::clamp(expected * kHedgeFactor, kLeastHedgeDelay,
+                         kGreatestHedgeDelay);
+    WakeAt(connection.hedge_at);
+  }
+}
+
+}  // namespace carawayhaven
--- a/src/proxy/session_proxy.h
+++ b/src/proxy/session_proxy.h
@@ -70,6 +70,11 @@
   static std::string RelayAddressOf(const std::string& peer_address);
 
  private:
+  // Source of routes that did not come from a peer.
+  static constexpr std::string_view kFromStore = "store";
+  // Sessions and transactions are looked at this often while the VM drains.
+  static constexpr Duration kDrainInterval = std::chrono::milliseconds(50);
+
   class StoreFollower;
   class RoutesFollower;
   class EndpointsFollower;
--- /dev/null
+++ b/src/proxy/session_proxy_cluster.h
@@ -0,0 +1,49 @@
+#ifndef CARAWAYHAVEN_PROXY_SESSION_PROXY_CLUSTER_H_
+#define CARAWAYHAVEN_PROXY_SESSION_PROXY_CLUSTER_H_
+
+#include <set>
+
+#include "core/config/config_digest_source.h"
+#include "core/membership/session_placement.h"
+#include "net/event_loop.h"
+#include "proxy/session_proxy.h"
+
+namespace carawayhaven {
+
+// The other proxies and what is decided with them; exists once this VM is
+// registered.
+struct SessionProxy::Cluster {
+  Cluster(SessionProxy& proxy, ObjectVersion version)
+      : peers(proxy.parts_.loop,
+              HelloMessage{proxy.settings_.vm, proxy.settings_.data_centre,
+                           proxy.settings_.peer_address, version},
+              proxy),
+        membership(
+            MembershipOptions{proxy.settings_.vm, proxy.settings_.data_centre,
+                              proxy.settings_.peer_address, version},
+            peers, digest, proxy.random_),
+        failover(FailoverManager::Parts{proxy.parts_.link, proxy.parts_.store,
+                                        proxy.parts_.promotions, proxy.router_,
+                                        membership, peers, proxy.log_,
+                                        proxy.random_, &EventLoop::Now},
+                 proxy.settings_.vm, proxy.entry_, version),
+        placement(membership.table()) {}
+
+  // The routes have one version; heartbeats carry it as their digest, so that
+  // a VM with older ones notices.
+  struct RoutesDigest : ConfigDigestSource {
+    const ConfigDigest& digest() const override { return value; }
+    ConfigDigest value;
+  };
+
+  RoutesDigest digest;
+  PeerTransport peers;
+  Membership membership;
+  FailoverManager failover;
+  SessionPlacement placement;
+  std::set<VmName> silent;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_PROXY_SESSION_PROXY_CLUSTER_H_
--- /dev/null
+++ b/src/proxy/session_proxy_drain.cc
@@ -0,0 +1,74 @@
+#include <vector>
+
+#include "proxy/logging.h"
+#include "proxy/session_proxy.h"
+#include "proxy/session_proxy_cluster.h"
+
+// The way from SIGTERM to the end of the process.
+namespace carawayhaven {
+namespace {
+
+using std::chrono::milliseconds;
+
+// The load balancer asks each second and needs two refusals.
+constexpr Duration kBalancerTime = milliseconds(2600);
+// Parts of the grace time after which open transactions are ended and the
+// process stops.
+constexpr double kTransactionPart = 0.8;
+constexpr double kStopPart = 0.9;
+
+}  // namespace
+
+void SessionProxy::Drain() {
+  if (drain_started_ != TimePoint::max()) return;
+  const TimePoint now = EventLoop::Now();
+  drain_started_ = now;
+  Log(LogLevel::kInfo, "drain_started", {{"vm", settings_.vm}});
+  if (cluster_ != nullptr) {
+    cluster_->failover.Leave(now);
+    cluster_->membership.Leave(now);
+  }
+}
+
+// Callers are served until the load balancer has stopped to send new ones; then
+// idle sessions are closed, which moves them to other VMs.
+void SessionProxy::TickDrain(TimePoint now) {
+  if (stopping_) return;
+  const Duration elapsed = now - drain_started_;
+  const auto part = [&](double share) {
+    return std::chrono::duration_cast<Duration>(settings_.shutdown_grace *
+                                                share);
+  };
+  bool open = false;
+  for (const auto& weak : std::vector(sessions_.begin(), sessions_.end())) {
+    const std::shared_ptr<CallerSession> session = weak.lock();
+    if (session == nullptr || session->disconnected()) continue;
+    if (elapsed < kBalancerTime) {
+      open = true;
+      continue;
+    }
+    if (session->IsIdle()) {
+      session->Close(now);
+    } else if (elapsed > part(kTransactionPart)) {
+      session->Shutdown(now);
+      open = open || !session->disconnected();
+    } else {
+      session->CloseWhenIdle();
+      open = true;
+    }
+  }
+  if (elapsed >= kBalancerTime && parts_.callers.CloseIdleRelays() > 0) {
+    open = true;
+  }
+  if ((open || elapsed < kBalancerTime) && elapsed < part(kStopPart)) return;
+  stopping_ = true;
+  Log(LogLevel::kInfo, "proxy_stopped",
+      {{"vm", settings_.vm}, {"sessions_left", open}});
+  // The last answers are still in the sockets' queues.
+  parts_.loop.RunAfter(kDrainInterval * 2, [this] {
+    parts_.log_output.Flush();
+    parts_.loop.Stop();
+  });
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/src/proxy/session_proxy_followers.h
@@ -0,0 +1,86 @@
+#ifndef CARAWAYHAVEN_PROXY_SESSION_PROXY_FOLLOWERS_H_
+#define CARAWAYHAVEN_PROXY_SESSION_PROXY_FOLLOWERS_H_
+
+#include <string>
+#include <string_view>
+
+#include "carawayhaven/exceptions.h"
+#include "net/event_loop.h"
+#include "proxy/logging.h"
+#include "proxy/session_proxy.h"
+
+namespace carawayhaven {
+
+// Follows the objects of others below a prefix of the store.
+class SessionProxy::StoreFollower : public ObjectMirrorEvents {
+ public:
+  StoreFollower(SessionProxy& proxy, std::string_view prefix)
+      : proxy_(proxy),
+        prefix_(prefix),
+        mirror_(proxy.parts_.store, prefix_, &EventLoop::Now, proxy.random_,
+                *this) {}
+
+  ObjectMirror& mirror() { return mirror_; }
+
+  void OnObjectRemoved(std::string_view /*path*/, TimePoint /*now*/) override {}
+  void OnMirrorConfirmed(TimePoint /*sent*/, TimePoint /*now*/) override {}
+  void OnMirrorReachable(bool reachable, TimePoint /*now*/) override {
+    proxy_.log_.OnStoreReachable(prefix_, reachable);
+  }
+
+ protected:
+  SessionProxy& proxy_;
+  std::string prefix_;
+
+ private:
+  ObjectMirror mirror_;
+};
+
+// Follows the operator's configuration.
+class SessionProxy::RoutesFollower : public StoreFollower {
+ public:
+  explicit RoutesFollower(SessionProxy& proxy)
+      : StoreFollower(proxy, proxy.parts_.documents.routes_prefix()) {}
+
+  void OnObject(const StoredObject& object, TimePoint now) override {
+    if (object.path != proxy_.parts_.documents.routes_path()) return;
+    proxy_.ApplyRoutes(object.value, kFromStore, now);
+  }
+};
+
+// Follows the entries of the endpoints.
+class SessionProxy::EndpointsFollower : public StoreFollower {
+ public:
+  explicit EndpointsFollower(SessionProxy& proxy)
+      : StoreFollower(proxy, proxy.parts_.documents.endpoints_prefix()) {}
+
+  void OnObject(const StoredObject& object, TimePoint now) override {
+    try {
+      const EndpointRecord record =
+          proxy_.parts_.documents.DecodeEndpoint(object);
+      const auto known = proxy_.router_.endpoints().find(record.name);
+      if (known == proxy_.router_.endpoints().end() ||
+          known->second.record != record) {
+        Log(LogLevel::kInfo, "endpoint_record",
+            {{"endpoint", record.name},
+             {"service", record.service},
+             {"data_centre", record.data_centre},
+             {"leaving", record.leaving},
+             {"primary", record.claims_primary},
+             {"version", object.version}});
+      }
+      proxy_.router_.SetEndpoint(record, now);
+    } catch (const DecodeError& error) {
+      proxy_.log_.OnMalformedObject(object.path, error.what());
+    }
+  }
+  void OnObjectRemoved(std::string_view path, TimePoint now) override {
+    const EndpointName name(path.substr(prefix_.size()));
+    Log(LogLevel::kInfo, "endpoint_record_removed", {{"endpoint", name}});
+    proxy_.router_.RemoveEndpoint(name, now);
+  }
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_PROXY_SESSION_PROXY_FOLLOWERS_H_
--- /dev/null
+++ b/src/proxy/session_proxy_pages.h
@@ -0,0 +1,65 @@
+#ifndef CARAWAYHAVEN_PROXY_SESSION_PROXY_PAGES_H_
+#define CARAWAYHAVEN_PROXY_SESSION_PROXY_PAGES_H_
+
+#include "proxy/session_proxy.h"
+
+namespace carawayhaven {
+
+// Answers the load balancer.
+class SessionProxy::Readiness : public HttpHandler {
+ public:
+  explicit Readiness(const SessionProxy& proxy) : proxy_(proxy) {}
+
+  void OnRequest(const HttpRequest& /*request*/,
+                 HttpResponder responder) override {
+    HttpResponse response;
+    response.status = proxy_.IsReady() ? 200 : 503;
+    response.body = "{}";
+    responder(response);
+  }
+
+ private:
+  const SessionProxy& proxy_;
+};
+
+// Serves the metrics.
+class SessionProxy::Status : public HttpHandler {
+ public:
+  explicit Status(SessionProxy& proxy) : proxy_(proxy) {}
+
+  void OnRequest(const HttpRequest& /*request*/,
+                 HttpResponder responder) override {
+    Metrics& metrics = proxy_.metrics_;
+    const RouterStats stats = proxy_.router_.stats();
+    const auto gauge = [&](const char* name, const char* help, double value) {
+      metrics.GetGauge(name, help).Set(value);
+    };
+    gauge("carawayhaven_sessions", "Sessions of callers",
+          static_cast<double>(proxy_.parts_.callers.session_count()));
+    gauge("carawayhaven_waiting_statements", "Statements without a connection",
+          static_cast<double>(proxy_.router_.waiting()));
+    gauge("carawayhaven_endpoint_connections", "Connections to endpoints",
+          static_cast<double>(proxy_.router_.connections()));
+    gauge("carawayhaven_endpoint_connections_opened",
+          "Connections to endpoints opened since the start",
+          static_cast<double>(stats.connections_opened));
+    gauge("carawayhaven_replica_statements",
+          "Statements sent to replicas since the start",
+          static_cast<double>(stats.sent_to_replica));
+    gauge("carawayhaven_config_version", "Version of the routes in force",
+          static_cast<double>(proxy_.routes_.version));
+    gauge("carawayhaven_log_dropped_lines", "Log lines that did not fit",
+          static_cast<double>(proxy_.parts_.log_output.dropped_lines()));
+    HttpResponse response;
+    response.content_type = "text/plain; version=0.0.4";
+    response.body = metrics.FormatPrometheus();
+    responder(response);
+  }
+
+ private:
+  SessionProxy& proxy_;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_PROXY_SESSION_PROXY_PAGES_H_
--- /dev/null
+++ b/src/proxy/session_proxy_placement.cc
@@ -0,0 +1,114 @@
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "net/address.h"
+#include "proxy/logging.h"
+#include "proxy/session_proxy.h"
+#include "proxy/session_proxy_cluster.h"
+#include "proxy/session_proxy_followers.h"
+
+// Whether this VM runs sessions, and where it relays them to.
+namespace carawayhaven {
+namespace {
+
+// Two of the own data centre and one of another, for a data centre that is cut
+// off from the duty holder.
+constexpr std::size_t kLocalRelayTargets = 2;
+constexpr std::size_t kRemoteRelayTargets = 1;
+// Without a right to any primary for this long a VM is cut off from the others
+// and from the store; a change of the duty holder takes less.
+constexpr Duration kCutOffAfter = std::chrono::seconds(2);
+// A VM that no longer runs sessions goes on to follow the store for a while,
+// since a false suspicion of a peer moves sessions for a moment.
+constexpr Duration kPlacementLinger = std::chrono::seconds(5);
+
+}  // namespace
+
+bool SessionProxy::RunsSessions() const {
+  return active_ && routes_.version > 0 && !router_.endpoints().empty() &&
+         routes_follower_->mirror().confirmed_at() >= active_since_ &&
+         endpoints_follower_->mirror().confirmed_at() >= active_since_;
+}
+
+bool SessionProxy::IsReady() const {
+  if (drain_started_ != TimePoint::max() || cluster_ == nullptr ||
+      !cluster_->failover.listed()) {
+    return false;
+  }
+  if (RunsSessions()) return !IsCutOff();
+  return !cluster_->placement.Targets(1, 0).empty();
+}
+
+bool SessionProxy::AcceptsRelayed() const {
+  return RunsSessions() && !IsCutOff();
+}
+
+// When a VM is cut off, idle sessions go to others that may still have rights.
+void SessionProxy::NoteRights(TimePoint now) {
+  const auto& rights = router_.rights().all();
+  const bool any = std::any_of(
+      rights.begin(), rights.end(),
+      [now](const auto& entry) { return entry.second.expires > now; });
+  const bool was_cut_off = IsCutOff();
+  if (any || !RunsSessions()) right_seen_at_ = now;
+  cut_off_ = now - right_seen_at_ > kCutOffAfter;
+  if (cut_off_ == was_cut_off) return;
+  Log(cut_off_ ? LogLevel::kWarning : LogLevel::kInfo,
+      cut_off_ ? "cut_off_from_primaries" : "primaries_regained",
+      {{"vm", settings_.vm}, {"services", rights.size()}});
+  if (!cut_off_) return;
+  for (const auto& weak : std::vector(sessions_.begin(), sessions_.end())) {
+    const std::shared_ptr<CallerSession> session = weak.lock();
+    if (session != nullptr && session->IsIdle()) session->Close(now);
+  }
+}
+
+std::string SessionProxy::RelayAddressOf(const std::string& peer_address) {
+  const Address address = ParseAddress(peer_address);
+  return address.ip + ':' + std::to_string(address.port + 1);
+}
+
+std::optional<std::vector<std::string>> SessionProxy::RelayAddresses() {
+  if (cluster_ == nullptr || !cluster_->failover.listed()) return std::nullopt;
+  std::vector<std::string> addresses;
+  if (cluster_->placement.RunsHere() && RunsSessions()) return addresses;
+  for (const VmName& vm :
+       cluster_->placement.Targets(kLocalRelayTargets, kRemoteRelayTargets)) {
+    const MemberTable::Member* member = cluster_->membership.table().Find(vm);
+    if (member != nullptr) {
+      addresses.push_back(RelayAddressOf(member->record.address));
+    }
+  }
+  if (addresses.empty() && !RunsSessions()) return std::nullopt;
+  return addresses;
+}
+
+void SessionProxy::UpdatePlacement(TimePoint now) {
+  FailoverManager& failover = cluster_->failover;
+  if (!failover.listed()) return;
+  const std::size_t vms = cluster_->placement.TotalCount();
+  if (connection_share_.NoteVms(vms, now)) UpdateConnectionLimits(now);
+  failover.SetCandidates(cluster_->placement.AllVms());
+  if (cluster_->placement.RunsHere()) placed_here_at_ = now;
+  const bool active = (placed_here_at_ != TimePoint{} &&
+                       now - placed_here_at_ < kPlacementLinger) ||
+                      failover.is_holder(now) ||
+                      parts_.relayed_callers.session_count() > 0;
+  if (std::exchange(active_, active) != active) {
+    Log(LogLevel::kInfo, "session_placement",
+        {{"runs_sessions", active}, {"session_vms", vms}});
+    if (active) {
+      // What was known before may be outdated.
+      active_since_ = now;
+      routes_follower_->mirror().ListAgain(now);
+      endpoints_follower_->mirror().ListAgain(now);
+    }
+    if (!active) router_.CloseIdleConnections(now);
+  }
+  failover.SetActive(active);
+  // One VM of a data centre watches the store's slow objects for the others.
+  failover.SetWatcher(cluster_->placement.IsFirstHere());
+}
+
+}  // namespace carawayhaven
--- /dev/null
+++ b/src/proxy/session_proxy_routes.cc
@@ -0,0 +1,65 @@
+#include <utility>
+
+#include "carawayhaven/exceptions.h"
+#include "proxy/logging.h"
+#include "proxy/session_proxy.h"
+#include "proxy/session_proxy_cluster.h"
+
+// The configuration in force, and how peers learn of it.
+namespace carawayhaven {
+namespace {
+
+constexpr char kRoutesTeam[] = "routes";
+
+}  // namespace
+
+// A version never goes back; the highest one that was seen is in force.
+void SessionProxy::ApplyRoutes(const std::string& text, std::string_view source,
+                               TimePoint now) {
+  try {
+    RouteTable table = parts_.documents.DecodeRoutes(text);
+    if (table.version <= routes_.version) return;
+    Log(LogLevel::kInfo, "routes_applied",
+        {{"version", table.version},
+         {"previous", routes_.version},
+         {"source", source},
+         {"databases", table.databases.size()}});
+    routes_ = std::move(table);
+    routes_text_ = text;
+  } catch (const DecodeError& error) {
+    Log(LogLevel::kError, "routes_rejected",
+        {{"source", source}, {"error", error.what()}});
+    return;
+  }
+  UpdateConnectionLimits(now);
+  if (cluster_ == nullptr) return;
+  cluster_->failover.SetRoutes(routes_);
+  cluster_->digest.value.count = routes_.version;
+  // Those that run sessions go over to a new version together, as a caller's
+  // sessions may run on several of them. Each data centre has a watcher.
+  if (source == kFromStore) {
+    for (const VmName& vm : cluster_->placement.SessionVmsHere()) {
+      SendRoutes(vm);
+    }
+  }
+}
+
+void SessionProxy::UpdateConnectionLimits(TimePoint now) {
+  for (const auto& [service, limits] : routes_.services) {
+    router_.SetConnectionLimit(
+        service, connection_share_.LimitFor(limits.connections), now);
+  }
+}
+
+void SessionProxy::AskForRoutes(const VmName& vm) {
+  cluster_->peers.Send(vm,
+                       ConfigRequestMessage{{{kRoutesTeam, routes_.version}}});
+}
+
+void SessionProxy::SendRoutes(const VmName& vm) {
+  if (routes_.version == 0) return;
+  cluster_->peers.Send(
+      vm, ConfigUpdateMessage{kRoutesTeam, routes_.version, routes_text_});
+}
+
+}  // namespace carawayhaven
