--- a/src/core/session/router_observer.h
+++ b/src/core/session/router_observer.h
@@ -28,6 +28,8 @@
   std::string_view endpoint;
   /// kSent: what the endpoint's log must have reached.
   LogPosition required;
+  /// End of the endpoint's log in its last answer; zero when it is not known.
+  LogPosition held;
   ReplyCode code = ReplyCode::kOk;
   /// Time since the statement was received.
   Duration elapsed{0};
--- a/src/core/session/session_router_outcome.cc
+++ b/src/core/session/session_router_outcome.cc
@@ -200,6 +200,8 @@
   decision.endpoint = endpoint;
   decision.required = required;
   decision.code = code;
+  const auto found = endpoints_.find(EndpointName(endpoint));
+  if (found != endpoints_.end()) decision.held = found->second.position;
   decision.elapsed = now - job.received;
   decision.right_left = RightLeft(job, now);
   observer_.OnRouting(decision);
--- a/src/proxy/session_log.cc
+++ b/src/proxy/session_log.cc
@@ -76,6 +76,7 @@
        {"code", ReplyCodeName(decision.code)},
        {"primary", decision.job->needs_primary},
        {"required", PositionText(decision.required)},
+       {"held", PositionText(decision.held)},
        {"right_left_ms", Milliseconds(decision.right_left)},
        {"attempt", decision.job->attempts},
        {"elapsed_ms", Milliseconds(decision.elapsed)}});
