--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -31,7 +31,7 @@
     """Plays one seed; returns findings and figures."""
     rng = random.Random(seed)
     promises = Promises()
-    world = World(rng, promises, directory, program, rng.choice([3, 4, 6]),
+    world = World(rng, promises, directory, program, rng.choice([3, 4, 6, 12]),
                   ["registro", "hire-core"][:rng.choice([1, 2])])
     schedule = []
     balancer = Balancer(world.vms)
