The duty holder hands over when the store answers its peers and not it

Requests for rights tell when the store last answered their sender. A holder whose writes have failed for 3 s while a peer had answers gives the duty up; its successor asks it, instead of waiting, whether it still grants. A process that says so ends its tenure for good, also when a write of it turns out to have succeeded. With the store down for all the holder stays.

--- a/src/core/failover/duty_election.cc
+++ b/src/core/failover/duty_election.cc
@@ -139,9 +139,13 @@
         const bool written = reply.status == StoreStatus::kOk;
         if (written) {
           election.confirmed_ = std::max(election.confirmed_, sent);
+          election.failing_since_ = TimePoint::max();
           election.OnRecord(record, reply.object.version, election.clock_());
         } else if (reply.status == StoreStatus::kConflict) {
           election.OnConflict(reply.object);
+        } else {
+          election.failing_since_ = std::min(election.failing_since_, sent);
+          election.last_failed_ = sent;
         }
         if (done == nullptr) return;
         // The mirror may have told of a later holder meanwhile.
--- a/src/core/failover/duty_election.h
+++ b/src/core/failover/duty_election.h
@@ -69,6 +69,15 @@
   /// new version is a fencing token for one promotion.
   void TakeToken(TokenCallback done);
 
+  /// True when the duty object names this process, also when its authority has
+  /// lapsed.
+  bool OwnsRecord() const { return IsOwn(record_); }
+  /// When the first and the last of the writes were sent that failed since the
+  /// last successful one; max() when none has.
+  TimePoint failing_since() const { return failing_since_; }
+  TimePoint last_failed() const { return last_failed_; }
+  TimePoint confirmed_at() const { return confirmed_; }
+
   /// Extends the holder's authority when it is time to.
   void Renew(TimePoint now);
 
@@ -91,6 +100,8 @@
   ObjectVersion version_ = 0;
   /// When the last successful write was sent.
   TimePoint confirmed_;
+  TimePoint failing_since_ = TimePoint::max();
+  TimePoint last_failed_;
   /// When this VM learned of `record_`.
   TimePoint learned_;
   TimePoint next_renewal_;
--- a/src/core/failover/failover_manager.cc
+++ b/src/core/failover/failover_manager.cc
@@ -27,6 +27,12 @@
 // partition do not take it from each other all the time.
 constexpr Duration kYieldPause = std::chrono::seconds(4);
 constexpr Duration kTakeOverRetry = milliseconds(300);
+// A holder that the store has not answered for this long hands the duty over
+// when the store answers others: a renewal and its repetitions have failed.
+constexpr Duration kStorePatience = std::chrono::seconds(3);
+// The store has answered a peer so long after this holder's first failed write:
+// longer than a call whose answer was lost just before the store went down.
+constexpr Duration kStoreProof = milliseconds(1500);
 // Answers to older requests are of no use.
 constexpr Duration kForgetRequest = std::chrono::seconds(2);
 
@@ -104,6 +110,7 @@
     listed.push_back({vm, entry.data_centre, entry.address, entry.leaving});
   }
   parts_.membership.OnVmList(listed, now);
+  NoteStoreAnswer(now);
   GrantRecorded(sent, now);
 }
 
@@ -137,6 +144,7 @@
         manager.asking_store_ = false;
         if (reply.status != StoreStatus::kOk) return;
         const TimePoint answered = manager.parts_.clock();
+        manager.NoteStoreAnswer(answered);
         for (const StoredObject& object : reply.objects) {
           manager.OnObject(object, answered);
         }
@@ -145,8 +153,20 @@
       });
 }
 
-// Another VM took the duty over while this one held it: the entry's new version
-// shows that this process grants nothing any more under its old number.
+// A peer had an answer while this holder's writes failed, and one that was sent
+// later has failed as well: the store is not down for all.
+bool FailoverManager::IsAloneWithoutStore(TimePoint now) const {
+  if (!duty_.IsHolder(now) || duty_.failing_since() == TimePoint::max()) {
+    return false;
+  }
+  return now - duty_.confirmed_at() > kStorePatience &&
+         peer_store_answered_at_ > duty_.failing_since() + kStoreProof &&
+         duty_.last_failed() > peer_store_answered_at_;
+}
+
+// Another VM took the duty over while this one held it, or should: the entry's
+// new version shows that this process grants nothing any more under its old
+// number. Until it is written the process takes no part in the election.
 void FailoverManager::Yield() {
   if (yielding_) return;
   yielding_ = true;
@@ -260,15 +280,22 @@
   std::erase_if(asked_, [now](const auto& entry) {
     return now - entry.second > kForgetRequest;
   });
-  if (duty_.IsHolder(now)) return;
   RightRequestMessage request;
   request.config_version = config_version_;
   request.duty_version = duty_.version();
+  request.store_age = now - store_answered_at_;
   request.reports = Reports(now);
   const auto ask = [&](const VmName& vm) {
     request.correlation = next_correlation_++;
     if (parts_.peers.Send(vm, request)) asked_[request.correlation] = now;
   };
+  if (duty_.IsHolder(now)) {
+    // A predecessor that still runs can say that it grants nothing any more.
+    for (const auto& [tenure, settled] : duty_.unsettled()) {
+      if (now < settled) ask(tenure.holder);
+    }
+    return;
+  }
   if (!holder_.empty() && holder_ != self_) ask(holder_);
   // A peer passes on what it holds when the holder itself cannot be reached.
   const std::vector<VmName>& peers = parts_.membership.Peers();
@@ -285,6 +312,13 @@
   RightReplyMessage reply;
   if (request.duty_version > duty_.version()) {
     duty_.OnSuperseded(request.duty_version);
+    // The answer below settles this tenure, so that it must not go on when a
+    // write that is under way turns out to have succeeded.
+    if (!duty_.IsHolder(now) && duty_.OwnsRecord()) Yield();
+  }
+  if (request.store_age >= Duration{0}) {
+    peer_store_answered_at_ =
+        std::max(peer_store_answered_at_, now - request.store_age);
   }
   reply.correlation = request.correlation;
   reply.holder = holder_;
@@ -375,9 +409,13 @@
     for (const auto& [service, keeper] : keepers_) keeper->Tick(now);
   }
   GrantOwn(now);
-  if ((lost && duty_.record().holder != self_) ||
-      std::exchange(yield_again_, false)) {
+  const bool alone = IsAloneWithoutStore(now);
+  if (alone) NoteHolder("", now);
+  const bool again = yield_again_ && now >= next_yield_;
+  if (alone || again || (lost && duty_.record().holder != self_)) {
     next_take_over_ = now + kYieldPause;
+    next_yield_ = now + kTakeOverRetry;
+    yield_again_ = false;
     Yield();
   }
   ConsiderTakeOver(now);
--- a/src/core/failover/failover_manager.h
+++ b/src/core/failover/failover_manager.h
@@ -76,6 +76,9 @@
   void OnMirrorConfirmed(TimePoint sent, TimePoint now) override;
   void OnMirrorReachable(bool reachable, TimePoint now) override;
 
+  /// The store has answered a call of this VM.
+  void NoteStoreAnswer(TimePoint now) { store_answered_at_ = now; }
+
  private:
   void ConsiderTakeOver(TimePoint now);
   void ReviewPredecessors(TimePoint now);
@@ -83,6 +86,8 @@
   void AskStoreForRights(TimePoint now);
   /// The store's records were as they are known now when a call was sent.
   void GrantRecorded(TimePoint sent, TimePoint now);
+  /// True when the store serves peers and not this VM, which holds the duty.
+  bool IsAloneWithoutStore(TimePoint now) const;
   void Yield();
   void GrantOwn(TimePoint now);
   /// Takes a right whose times count from `from`.
@@ -120,6 +125,10 @@
   TimePoint records_read_at_;
   /// When this VM last became the holder.
   TimePoint held_since_;
+  /// When the store last answered this VM, and any peer.
+  TimePoint store_answered_at_;
+  TimePoint peer_store_answered_at_;
+  TimePoint next_yield_;
   bool asking_store_ = false;
   bool was_holder_ = false;
   bool yielding_ = false;
--- a/src/core/peer_message.h
+++ b/src/core/peer_message.h
@@ -131,6 +131,9 @@
   /// Version of the duty object that the sender has seen.
   std::uint64_t duty_version = 0;
   std::vector<PrimaryReport> reports;
+  /// Time since the store last answered the sender; negative when it is not
+  /// known.
+  Duration store_age{-1};
 };
 
 /// A right to use an endpoint as the primary of its service.
--- a/src/proxy/session_proxy_followers.h
+++ b/src/proxy/session_proxy_followers.h
@@ -8,6 +8,7 @@
 #include "net/event_loop.h"
 #include "proxy/logging.h"
 #include "proxy/session_proxy.h"
+#include "proxy/session_proxy_cluster.h"
 
 namespace carawayhaven {
 
@@ -23,7 +24,11 @@
   ObjectMirror& mirror() { return mirror_; }
 
   void OnObjectRemoved(std::string_view /*path*/, TimePoint /*now*/) override {}
-  void OnMirrorConfirmed(TimePoint /*sent*/, TimePoint /*now*/) override {}
+  void OnMirrorConfirmed(TimePoint /*sent*/, TimePoint now) override {
+    if (proxy_.cluster_ != nullptr) {
+      proxy_.cluster_->failover.NoteStoreAnswer(now);
+    }
+  }
   void OnMirrorReachable(bool reachable, TimePoint /*now*/) override {
     proxy_.log_.OnStoreReachable(prefix_, reachable);
   }
--- a/src/wire/peer_codec.cc
+++ b/src/wire/peer_codec.cc
@@ -155,9 +155,9 @@
     }
     const auto vector = builder_.CreateVector(reports);
     return {wire::Payload_RightRequest,
-            wire::CreateRightRequest(builder_, request.correlation,
-                                     request.config_version,
-                                     request.duty_version, vector)
+            wire::CreateRightRequest(
+                builder_, request.correlation, request.config_version,
+                request.duty_version, vector, request.store_age.count())
                 .Union()};
   }
 
@@ -298,7 +298,8 @@
   RightRequestMessage message{request.correlation(),
                               request.config_version(),
                               request.duty_version(),
-                              {}};
+                              {},
+                              DecodeDuration(request.store_age_us())};
   for (const wire::PrimaryReport* report : *request.reports()) {
     message.reports.push_back(
         {Text(report->service()), Text(report->endpoint()),
--- a/test/failover/failover_test.cc
+++ b/test/failover/failover_test.cc
@@ -73,6 +73,19 @@
   ExpectPromisesKept();
 }
 
+// The store refuses the holder alone. It has handed the duty over by the time
+// at which the primary crashes, so nobody waits for the end of its authority.
+TEST_F(FailoverWithFiveVms, StoreIsCutFromTheHolderItHandsTheDutyOver) {
+  const std::size_t holder = world_.Holders().at(0);
+  world_.CutVmFromStore(holder, seconds(30));
+  world_.RunFor(seconds(8));
+  ASSERT_EQ(world_.Holders().size(), 1U);
+  EXPECT_NE(world_.Holders().at(0), holder);
+  world_.CrashEndpoint(0, seconds(20));
+  EXPECT_LT(TimeToNextAcknowledgement(seconds(15)), milliseconds(2650));
+  ExpectPromisesKept();
+}
+
 TEST_F(FailoverWithFiveVms, PrimaryLeavesAnotherLeadsBeforeItsTimeIsOver) {
   world_.MarkLeaving(0);
   world_.RunFor(seconds(4));
@@ -90,6 +103,13 @@
   ExpectPromisesKept();
 }
 
+TEST_F(FailoverWithFiveVms, StoreIsDownForAllTheHolderKeepsTheDuty) {
+  const std::vector<std::size_t> before = world_.Holders();
+  world_.StopStore(seconds(6));
+  world_.RunFor(seconds(8));
+  EXPECT_EQ(world_.Holders(), before);
+}
+
 TEST_F(FailoverWithFiveVms, HolderCrashesWritesGoOnWithinTwoSeconds) {
   world_.CrashVm(world_.Holders().at(0), seconds(20));
   world_.RunFor(seconds(2));
