--- a/include/carawayhaven/error_messages.h
+++ b/include/carawayhaven/error_messages.h
@@ -61,6 +61,7 @@
 inline constexpr char kMalformedOwnObject[] =
     "object of the proxy in the store is malformed";
 inline constexpr char kContextFailed[] = "cannot create the event loop";
+inline constexpr char kUnreadableSettings[] = "cannot be read";
 
 }  // namespace carawayhaven::error_messages
 
--- a/src/cli/proxy_command.cc
+++ b/src/cli/proxy_command.cc
@@ -3,6 +3,7 @@
 #include <ostream>
 #include <utility>
 
+#include "carawayhaven/error_messages.h"
 #include "proxy/settings_key.h"
 #include "proxy/settings_parser.h"
 
@@ -54,8 +55,10 @@
     if (!CheckNeeded(*loaded)) return kExitRefused;
     return run_proxy_(loaded->settings, [this] {
       const std::optional<LoadedSettings> again = Load();
-      if (!again)
-        throw SettingsError({{file_.getValue(), {}, "cannot be read"}});
+      if (!again) {
+        throw SettingsError(
+            {{file_.getValue(), {}, error_messages::kUnreadableSettings}});
+      }
       return again->settings;
     });
   } catch (const SettingsError& error) {
