--- /dev/null
+++ b/src/core/membership/session_activity.h
@@ -0,0 +1,46 @@
+#ifndef CARAWAYHAVEN_CORE_MEMBERSHIP_SESSION_ACTIVITY_H_
+#define CARAWAYHAVEN_CORE_MEMBERSHIP_SESSION_ACTIVITY_H_
+
+#include <cstddef>
+#include <cstdint>
+
+#include "carawayhaven/time.h"
+
+namespace carawayhaven {
+
+/// Decides from when and until when a VM follows the store, asks for rights and
+/// may run sessions. Not thread-safe.
+class SessionActivity {
+ public:
+  // A VM that is not placed any more goes on for a while, since a false
+  // suspicion of a peer moves sessions for a moment.
+  static constexpr Duration kLinger = std::chrono::seconds(5);
+
+  enum class State : std::uint8_t {
+    /// New sessions may run here.
+    kActive,
+    /// Sessions that are here run on; idle ones are to be closed, which moves
+    /// them to the VMs that run sessions now.
+    kLeaving,
+    kInactive,
+  };
+  struct Inputs {
+    /// The placement wants sessions here.
+    bool placed = false;
+    bool holds_duty = false;
+    /// Sessions that run here, relayed ones included.
+    std::size_t sessions = 0;
+  };
+
+  State Update(const Inputs& inputs, TimePoint now);
+  State state() const { return state_; }
+
+ private:
+  State state_ = State::kActive;
+  TimePoint placed_at_;
+  bool was_placed_ = false;
+};
+
+}  // namespace carawayhaven
+
+#endif  // CARAWAYHAVEN_CORE_MEMBERSHIP_SESSION_ACTIVITY_H_
--- a/src/proxy/session_proxy.h
+++ b/src/proxy/session_proxy.h
@@ -7,10 +7,12 @@
 #include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "core/config/object_mirror.h"
 #include "core/failover/failover_manager.h"
 #include "core/membership/membership.h"
+#include "core/membership/session_activity.h"
 #include "core/session/caller_session.h"
 #include "core/session/connection_share.h"
 #include "core/session/session_router.h"
@@ -97,6 +99,9 @@
   void ResetSilentLinks();
   void UpdatePlacement(TimePoint now);
   void NoteRights(TimePoint now);
+  std::vector<std::shared_ptr<CallerSession>> LiveSessions() const;
+  /// Closes sessions between two operations; their callers reconnect.
+  void CloseIdleSessions(TimePoint now);
   /// No right to any primary has been valid for a while.
   bool IsCutOff() const { return cut_off_; }
   /// True when sessions may run here with routes that are not outdated.
@@ -130,8 +135,7 @@
   /// This VM follows the store and may run sessions.
   bool active_ = true;
   TimePoint active_since_;
-  /// When the placement last wanted sessions here.
-  TimePoint placed_here_at_;
+  SessionActivity activity_;
   TimePoint drain_started_ = TimePoint::max();
   bool stopping_ = false;
   TimePoint armed_for_ = TimePoint::max();
--- a/src/proxy/session_proxy_drain.cc
+++ b/src/proxy/session_proxy_drain.cc
@@ -1,5 +1,3 @@
-#include <vector>
-
 #include "proxy/logging.h"
 #include "proxy/session_proxy.h"
 #include "proxy/session_proxy_cluster.h"
@@ -40,9 +38,7 @@
                                                 share);
   };
   bool open = false;
-  for (const auto& weak : std::vector(sessions_.begin(), sessions_.end())) {
-    const std::shared_ptr<CallerSession> session = weak.lock();
-    if (session == nullptr || session->disconnected()) continue;
+  for (const std::shared_ptr<CallerSession>& session : LiveSessions()) {
     if (elapsed < kBalancerTime) {
       open = true;
       continue;
--- a/src/proxy/session_proxy_placement.cc
+++ b/src/proxy/session_proxy_placement.cc
@@ -19,9 +19,6 @@
 // Without a right to any primary for this long a VM is cut off from the others
 // and from the store; a change of the duty holder takes less.
 constexpr Duration kCutOffAfter = std::chrono::seconds(2);
-// A VM that no longer runs sessions goes on to follow the store for a while,
-// since a false suspicion of a peer moves sessions for a moment.
-constexpr Duration kPlacementLinger = std::chrono::seconds(5);
 
 }  // namespace
 
@@ -57,10 +54,23 @@
   Log(cut_off_ ? LogLevel::kWarning : LogLevel::kInfo,
       cut_off_ ? "cut_off_from_primaries" : "primaries_regained",
       {{"vm", settings_.vm}, {"services", rights.size()}});
-  if (!cut_off_) return;
-  for (const auto& weak : std::vector(sessions_.begin(), sessions_.end())) {
-    const std::shared_ptr<CallerSession> session = weak.lock();
-    if (session != nullptr && session->IsIdle()) session->Close(now);
+  if (cut_off_) CloseIdleSessions(now);
+}
+
+std::vector<std::shared_ptr<CallerSession>> SessionProxy::LiveSessions() const {
+  std::vector<std::shared_ptr<CallerSession>> live;
+  for (const auto& weak : sessions_) {
+    std::shared_ptr<CallerSession> session = weak.lock();
+    if (session != nullptr && !session->disconnected()) {
+      live.push_back(std::move(session));
+    }
+  }
+  return live;
+}
+
+void SessionProxy::CloseIdleSessions(TimePoint now) {
+  for (const std::shared_ptr<CallerSession>& session : LiveSessions()) {
+    if (session->IsIdle()) session->Close(now);
   }
 }
 
@@ -90,11 +100,12 @@
   const std::size_t vms = cluster_->placement.TotalCount();
   if (connection_share_.NoteVms(vms, now)) UpdateConnectionLimits(now);
   failover.SetCandidates(cluster_->placement.AllVms());
-  if (cluster_->placement.RunsHere()) placed_here_at_ = now;
-  const bool active = (placed_here_at_ != TimePoint{} &&
-                       now - placed_here_at_ < kPlacementLinger) ||
-                      failover.is_holder(now) ||
-                      parts_.relayed_callers.session_count() > 0;
+  const SessionActivity::State activity =
+      activity_.Update({cluster_->placement.RunsHere(), failover.is_holder(now),
+                        LiveSessions().size()},
+                       now);
+  if (activity == SessionActivity::State::kLeaving) CloseIdleSessions(now);
+  const bool active = activity != SessionActivity::State::kInactive;
   if (std::exchange(active_, active) != active) {
     Log(LogLevel::kInfo, "session_placement",
         {{"runs_sessions", active}, {"session_vms", vms}});
