SessionActivity keeps no state that Update returns

The member and its accessor had no reader. Behaviour is unchanged; membership_test and session_test pass, formatter and linter are clean on the file.

--- a/src/core/membership/session_activity.cc
+++ b/src/core/membership/session_activity.cc
@@ -9,12 +9,8 @@
     was_placed_ = true;
   }
   const bool lingers = was_placed_ && now - placed_at_ < kLinger;
-  if (inputs.placed || lingers || inputs.holds_duty) {
-    state_ = State::kActive;
-  } else {
-    state_ = inputs.sessions > 0 ? State::kLeaving : State::kInactive;
-  }
-  return state_;
+  if (inputs.placed || lingers || inputs.holds_duty) return State::kActive;
+  return inputs.sessions > 0 ? State::kLeaving : State::kInactive;
 }
 
 }  // namespace carawayhaven
--- a/src/core/membership/session_activity.h
+++ b/src/core/membership/session_activity.h
@@ -33,10 +33,8 @@
   };
 
   State Update(const Inputs& inputs, TimePoint now);
-  State state() const { return state_; }
 
  private:
-  State state_ = State::kActive;
   TimePoint placed_at_;
   bool was_placed_ = false;
 };
