--- a/src/proxy/session_proxy.h
+++ b/src/proxy/session_proxy.h
@@ -7,6 +7,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/config/object_watcher.h"
@@ -109,7 +110,7 @@
   std::vector<std::shared_ptr<CallerSession>> LiveSessions() const;
   /// Closes the sessions that are between two operations; their callers
   /// reconnect.
-  void CloseIdleSessions(TimePoint now);
+  void CloseIdleSessions(std::string_view reason, TimePoint now);
   /// True when no lease of any primary has been valid for a while.
   bool IsCutOff() const { return cut_off_; }
   /// True when sessions may run on this VM: it is active, and its routes and
--- a/src/proxy/session_proxy_placement.cc
+++ b/src/proxy/session_proxy_placement.cc
@@ -56,7 +56,7 @@
   Log(cut_off_ ? LogLevel::kWarning : LogLevel::kInfo,
       cut_off_ ? "cut_off_from_primaries" : "primaries_regained",
       {{"vm", settings_.vm}, {"services", leases.size()}});
-  if (cut_off_) CloseIdleSessions(now);
+  if (cut_off_) CloseIdleSessions("cut_off", now);
 }
 
 std::vector<std::shared_ptr<CallerSession>> SessionProxy::LiveSessions() const {
@@ -70,10 +70,16 @@
   return live;
 }
 
-void SessionProxy::CloseIdleSessions(TimePoint now) {
+void SessionProxy::CloseIdleSessions(std::string_view reason, TimePoint now) {
+  std::size_t closed = 0;
   for (const std::shared_ptr<CallerSession>& session : LiveSessions()) {
-    if (session->IsIdle()) session->Close(now);
+    if (!session->IsIdle()) continue;
+    session->Close(now);
+    ++closed;
   }
+  if (closed == 0) return;
+  Log(LogLevel::kInfo, "idle_sessions_closed",
+      {{"vm", settings_.vm}, {"reason", reason}, {"sessions", closed}});
 }
 
 std::string SessionProxy::RelayAddressOf(const std::string& peer_address) {
@@ -106,7 +112,9 @@
       activity_.Update({cluster_->placement.IsSessionVm(),
                         failover.is_leader(now), LiveSessions().size()},
                        now);
-  if (activity == SessionActivity::State::kDraining) CloseIdleSessions(now);
+  if (activity == SessionActivity::State::kDraining) {
+    CloseIdleSessions("not_selected", now);
+  }
   const bool active = activity != SessionActivity::State::kInactive;
   if (std::exchange(active_, active) != active) {
     Log(LogLevel::kInfo, "session_placement",
--- a/src/proxy/session_proxy_routes.cc
+++ b/src/proxy/session_proxy_routes.cc
@@ -1,6 +1,7 @@
 #include <utility>
 
 #include "carawayhaven/exceptions.h"
+#include "net/event_loop.h"
 #include "proxy/logging.h"
 #include "proxy/session_proxy.h"
 #include "proxy/session_proxy_cluster.h"
@@ -18,13 +19,17 @@
 void SessionProxy::ApplyRoutes(const std::string& text, std::string_view source,
                                TimePoint now) {
   try {
+    const TimePoint started = EventLoop::Now();
     RouteTable table = deps_.documents.DecodeRoutes(text);
     if (table.version <= routes_.version) return;
+    const std::chrono::duration<double, std::milli> decode_time =
+        EventLoop::Now() - started;
     Log(LogLevel::kInfo, "routes_applied",
         {{"version", table.version},
          {"previous", routes_.version},
          {"source", source},
-         {"databases", table.databases.size()}});
+         {"databases", table.databases.size()},
+         {"decode_ms", decode_time.count()}});
     routes_ = std::move(table);
     routes_text_ = text;
   } catch (const DecodeError& error) {
