Relays: failing test of a close that crosses a statement

A session VM that closes an idle relayed session closes the stream to the relaying VM. A statement that the relaying VM has read meanwhile gets no answer.

--- a/test/net/loop_fixture.h
+++ b/test/net/loop_fixture.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "net/event_loop.h"
 
@@ -64,9 +65,14 @@
     connected_ = connect(fd_, reinterpret_cast<const sockaddr*>(&address),
                          sizeof(address)) == 0;
   }
-  ~RawSocket() { close(fd_); }
-  RawSocket(const RawSocket&) = delete;
-  RawSocket& operator=(const RawSocket&) = delete;
+  /// Takes over a connected socket.
+  static RawSocket Adopt(int fd) { return RawSocket(Adopted{fd}); }
+  ~RawSocket() { Close(); }
+  RawSocket(RawSocket&& other) noexcept
+      : fd_(std::exchange(other.fd_, -1)),
+        connected_(other.connected_),
+        received_(std::move(other.received_)) {}
+  RawSocket& operator=(RawSocket&&) = delete;
 
   bool connected() const { return connected_; }
   void Write(std::string_view bytes) {
@@ -81,6 +87,22 @@
     return got == 0 || (got < 0 && errno != EAGAIN);
   }
 
+  /// Appends the bytes that have arrived to received(), without waiting.
+  /// Returns false when the peer has closed the connection.
+  bool Read() {
+    char buffer[64 * 1024];
+    while (true) {
+      const ssize_t got = recv(fd_, buffer, sizeof(buffer), MSG_DONTWAIT);
+      if (got <= 0) return got < 0 && errno == EAGAIN;
+      received_.append(buffer, static_cast<std::size_t>(got));
+    }
+  }
+  const std::string& received() const { return received_; }
+  void Close() {
+    if (fd_ >= 0) close(fd_);
+    fd_ = -1;
+  }
+
   static sockaddr_in LoopbackAddress(std::uint16_t port) {
     sockaddr_in address{};
     address.sin_family = AF_INET;
@@ -90,8 +112,14 @@
   }
 
  private:
+  struct Adopted {
+    int fd;
+  };
+  explicit RawSocket(Adopted adopted) : fd_(adopted.fd), connected_(true) {}
+
   int fd_;
   bool connected_ = false;
+  std::string received_;
 };
 
 /// Listens on a port chosen by the system and never reads.
@@ -110,6 +138,8 @@
   RawListener& operator=(const RawListener&) = delete;
 
   const std::string& address() const { return address_; }
+  /// Accepts a pending connection.
+  RawSocket Accept() { return RawSocket::Adopt(accept(fd_, nullptr, nullptr)); }
   /// Accepts a pending connection and closes it.
   void AcceptAndClose() { close(accept(fd_, nullptr, nullptr)); }
   void Close() {
--- /dev/null
+++ b/test/platform/line_caller_server_test.cc
@@ -0,0 +1,117 @@
+#include "platform/line_caller_server.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/session/caller_session.h"
+#include "net/loop_fixture.h"
+#include "session/fake_session_link.h"
+
+namespace carawayhaven::platform {
+namespace {
+
+constexpr std::uint16_t kFrontPort = 7860;
+constexpr char kFrontAddress[] = "127.0.0.1:7860";
+constexpr char kSessionVmAddress[] = "127.0.0.1:7861";
+
+class IgnoringObserver : public RouterObserver, public SessionObserver {
+ public:
+  void OnRouting(const RoutingDecision& /*decision*/) override {}
+  void OnEndpointReachable(std::string_view /*endpoint*/, bool /*reachable*/,
+                           ReplyCode /*code*/) override {}
+  void OnStatementEnded(const CallerStatement& /*statement*/,
+                        const StatementReply& /*reply*/,
+                        std::string_view /*cause*/,
+                        Duration /*elapsed*/) override {}
+};
+
+/// Creates sessions of one database. Relays them if there are addresses.
+class FakeSessionFactory : public SessionFactory {
+ public:
+  FakeSessionFactory() {
+    routes.version = 1;
+    routes.databases["packs"].service = "registro";
+  }
+
+  std::shared_ptr<CallerSession> CreateSession(
+      CallerChannel& channel) override {
+    sessions.push_back(std::make_shared<CallerSession>(
+        router, observer, [this]() -> const RouteTable& { return routes; },
+        channel));
+    return sessions.back();
+  }
+  std::optional<std::vector<std::string>> RelayAddresses() override {
+    return addresses;
+  }
+  bool AcceptsRelayed() const override { return true; }
+
+  std::vector<std::string> addresses;
+  std::vector<std::shared_ptr<CallerSession>> sessions;
+  IgnoringObserver observer;
+  FakeSessionLink link;
+  SessionRouter router{link, observer, [](const DataCentreName&) {
+                         return std::chrono::milliseconds(1);
+                       }};
+  RouteTable routes;
+};
+
+/// A caller of a proxy that relays the session to the given addresses, or runs
+/// it if there are none.
+class LineCallerServerOfAProxy : public LoopFixture {
+ protected:
+  LineCallerServerOfAProxy() {
+    front_.SetSessionFactory(&front_factory_);
+    session_vm_.SetSessionFactory(&session_factory_);
+    loop_->OnRoundEnd([this] {
+      front_.Flush();
+      session_vm_.Flush();
+    });
+  }
+
+  /// Opens the caller's session.
+  void Connect(std::vector<std::string> addresses) {
+    front_factory_.addresses = std::move(addresses);
+    caller_.Write("CONNECT packs u1\r\n");
+    ASSERT_TRUE(RunUntil([this] {
+      return caller_.Read() && caller_.received() == "READY I -\r\n";
+    }));
+  }
+  /// Returns what the caller received after its session was opened.
+  std::string ReceiveUntilClosed() {
+    EXPECT_TRUE(RunUntil([&] { return !caller_.Read(); }));
+    return caller_.received().substr(std::string("READY I -\r\n").size());
+  }
+
+  FakeSessionFactory front_factory_;
+  FakeSessionFactory session_factory_;
+  LineCallerServer front_{*loop_, kFrontAddress, 100,
+                          LineCallerServer::Origin::kCallers};
+  LineCallerServer session_vm_{*loop_, kSessionVmAddress, 100,
+                               LineCallerServer::Origin::kPeers};
+  RawSocket caller_{kFrontPort};
+};
+
+// Guards against a statement that is lost because the session VM closes an idle
+// session while the statement is on its way from the relaying VM.
+TEST_F(LineCallerServerOfAProxy, RelayedSessionIsClosedOnlyAfterAnswers) {
+  Connect({kSessionVmAddress});
+  ASSERT_EQ(session_factory_.sessions.size(), 1U);
+  caller_.Write("QUERY q1 SET a b\r\n");
+  session_factory_.sessions.front()->Close(EventLoop::Now());
+  EXPECT_EQ(ReceiveUntilClosed(), "COMPLETE -\r\nREADY I -\r\n");
+}
+
+// Guards against an idle relayed session that survives its close.
+TEST_F(LineCallerServerOfAProxy, IdleRelayedSessionIsClosed) {
+  Connect({kSessionVmAddress});
+  session_factory_.sessions.front()->Close(EventLoop::Now());
+  EXPECT_EQ(ReceiveUntilClosed(), "");
+  EXPECT_TRUE(RunUntil([this] { return session_vm_.session_count() == 0; }));
+}
+
+}  // namespace
+}  // namespace carawayhaven::platform
