Sessions: answer unread statements before a session is closed

Callers saw connections that were closed although they had just sent a statement. A session is closed between two operations when its VM shuts down, is cut off or is no longer selected, and a relayed one when the relaying VM shuts down. The decision used only the bytes that had been read: a statement in the receive buffer of the socket, where it waits for as long as the loop is busy, was discarded with the connection, which the kernel then resets. A connection with unread bytes now stays open, and the session closes after the reply to the statement. Shutdown asks again until the session has ended; ShutdownUnreadStatementIsAnsweredFirst is a test of that. Before: UnreadStatementIsAnsweredBeforeTheClose and UnreadStatementIsRelayedBeforeTheClose fail (no reply, the connection is closed). After: they pass.

--- a/src/core/session/caller_channel.h
+++ b/src/core/session/caller_channel.h
@@ -21,8 +21,14 @@
   /// Sends the reply to one statement.
   virtual void Reply(const StatementReply& reply) = 0;
 
-  /// Closes the connection after all pending data has been sent.
-  virtual void Close() = 0;
+  /// Closes the connection between two operations, after all pending data has
+  /// been sent. If a statement of the caller is on its way, the connection
+  /// stays open, and the statement is passed to the session.
+  virtual void CloseBetweenOperations() = 0;
+
+  /// True if bytes of the caller have arrived that were not passed to the
+  /// session yet.
+  virtual bool HasUnreadInput() const = 0;
 };
 
 }  // namespace carawayhaven
--- a/src/core/session/caller_session.cc
+++ b/src/core/session/caller_session.cc
@@ -83,22 +83,22 @@
   return !busy_ && waiting_.empty() && state_ == TransactionState::kIdle;
 }
 
-void CallerSession::Close(TimePoint now) {
-  EndTransaction(TransactionState::kIdle, now);
-  if (channel_ != nullptr) channel_->Close();
+void CallerSession::CloseWhenIdle() {
+  closing_ = true;
+  if (IsIdle() && channel_ != nullptr) channel_->CloseBetweenOperations();
 }
 
 // Notifies the caller of the rollback without waiting for its next statement,
 // so that the caller can repeat the transaction on another proxy at once.
 void CallerSession::Shutdown(TimePoint now) {
   closing_ = true;
-  if (busy_ || channel_ == nullptr) return;
+  if (busy_ || channel_ == nullptr || channel_->HasUnreadInput()) return;
   const bool open = state_ == TransactionState::kOpen;
   EndTransaction(TransactionState::kIdle, now);
   if (open) {
     channel_->Reject(ReplyCode::kAborted, kShuttingDown);
   } else {
-    channel_->Close();
+    channel_->CloseBetweenOperations();
   }
 }
 
@@ -116,7 +116,9 @@
     received_ = now;
     Run(now);
   }
-  if (closing_ && IsIdle() && channel_ != nullptr) channel_->Close();
+  if (closing_ && IsIdle() && channel_ != nullptr) {
+    channel_->CloseBetweenOperations();
+  }
 }
 
 void CallerSession::Run(TimePoint now) {
--- a/src/core/session/caller_session.h
+++ b/src/core/session/caller_session.h
@@ -58,12 +58,12 @@
   bool disconnected() const { return channel_ == nullptr; }
   TimePoint last_active() const { return last_active_; }
 
-  /// Closes the session when it next becomes idle.
-  void CloseWhenIdle() { closing_ = true; }
-  /// Rolls back an open transaction and closes the session at once.
-  void Close(TimePoint now);
+  /// Closes the session when it is idle and no statement of the caller is on
+  /// its way.
+  void CloseWhenIdle();
   /// Closes the session and notifies the caller if an open transaction was
-  /// rolled back. A running statement is replied to first.
+  /// rolled back. A running statement is replied to first. To be called again
+  /// while the session is not disconnected.
   void Shutdown(TimePoint now);
   /// Rolls back the open transaction unless a statement is running.
   void EndIdleTransaction(TimePoint now);
--- a/src/net/stream_connection.cc
+++ b/src/net/stream_connection.cc
@@ -1,6 +1,7 @@
 #include "net/stream_connection.h"
 
 #include <libwebsockets.h>
+#include <sys/ioctl.h>
 
 #include <algorithm>
 #include <utility>
@@ -24,6 +25,12 @@
   return true;
 }
 
+bool StreamConnection::HasUnreadBytes() const {
+  if (wsi_ == nullptr || !connected_) return false;
+  int count = 0;
+  return ioctl(lws_get_socket_fd(wsi_), FIONREAD, &count) == 0 && count > 0;
+}
+
 void StreamConnection::CloseAfterSend() {
   if (closed_) return;
   events_ = nullptr;
--- a/src/net/stream_connection.h
+++ b/src/net/stream_connection.h
@@ -40,6 +40,9 @@
 
   bool connected() const { return connected_; }
 
+  /// True if bytes of the peer have arrived that were not delivered yet.
+  bool HasUnreadBytes() const;
+
  private:
   friend class StreamTransport;
 
--- a/src/proxy/session_proxy.h
+++ b/src/proxy/session_proxy.h
@@ -110,7 +110,7 @@
   std::vector<std::shared_ptr<CallerSession>> LiveSessions() const;
   /// Closes the sessions that are between two operations; their callers
   /// reconnect.
-  void CloseIdleSessions(std::string_view reason, TimePoint now);
+  void CloseIdleSessions(std::string_view reason);
   /// True when no lease of any primary has been valid for a while.
   bool IsCutOff() const { return cut_off_; }
   /// True when sessions may run on this VM: it is active, and its routes and
--- a/src/proxy/session_proxy_drain.cc
+++ b/src/proxy/session_proxy_drain.cc
@@ -44,15 +44,12 @@
       open = true;
       continue;
     }
-    if (session->IsIdle()) {
-      session->Close(now);
-    } else if (elapsed > part(kEndTransactionsPart)) {
+    if (elapsed > part(kEndTransactionsPart)) {
       session->Shutdown(now);
-      open = open || !session->disconnected();
     } else {
       session->CloseWhenIdle();
-      open = true;
     }
+    open = open || !session->disconnected();
   }
   if (elapsed >= kBalancerDelay && deps_.callers.CloseIdleRelays() > 0) {
     open = true;
--- a/src/proxy/session_proxy_placement.cc
+++ b/src/proxy/session_proxy_placement.cc
@@ -56,7 +56,7 @@
   Log(cut_off_ ? LogLevel::kWarning : LogLevel::kInfo,
       cut_off_ ? "cut_off_from_primaries" : "primaries_regained",
       {{"vm", settings_.vm}, {"services", leases.size()}});
-  if (cut_off_) CloseIdleSessions("cut_off", now);
+  if (cut_off_) CloseIdleSessions("cut_off");
 }
 
 std::vector<std::shared_ptr<CallerSession>> SessionProxy::LiveSessions() const {
@@ -70,11 +70,11 @@
   return live;
 }
 
-void SessionProxy::CloseIdleSessions(std::string_view reason, TimePoint now) {
+void SessionProxy::CloseIdleSessions(std::string_view reason) {
   std::size_t closed = 0;
   for (const std::shared_ptr<CallerSession>& session : LiveSessions()) {
     if (!session->IsIdle()) continue;
-    session->Close(now);
+    session->CloseWhenIdle();
     ++closed;
   }
   if (closed == 0) return;
@@ -113,7 +113,7 @@
                         failover.is_leader(now), LiveSessions().size()},
                        now);
   if (activity == SessionActivity::State::kDraining) {
-    CloseIdleSessions("not_selected", now);
+    CloseIdleSessions("not_selected");
   }
   const bool active = activity != SessionActivity::State::kInactive;
   if (std::exchange(active_, active) != active) {
--- a/test/platform/line_caller_server_test.cc
+++ b/test/platform/line_caller_server_test.cc
@@ -101,17 +101,34 @@
   Connect({kSessionVmAddress});
   ASSERT_EQ(session_factory_.sessions.size(), 1U);
   caller_.Write("QUERY q1 SET a b\r\n");
-  session_factory_.sessions.front()->Close(EventLoop::Now());
+  session_factory_.sessions.front()->CloseWhenIdle();
   EXPECT_EQ(ReceiveUntilClosed(), "COMPLETE -\r\nREADY I -\r\n");
 }
 
 // Guards against an idle relayed session that survives its close.
 TEST_F(LineCallerServerOfAProxy, IdleRelayedSessionIsClosed) {
   Connect({kSessionVmAddress});
-  session_factory_.sessions.front()->Close(EventLoop::Now());
+  session_factory_.sessions.front()->CloseWhenIdle();
   EXPECT_EQ(ReceiveUntilClosed(), "");
   EXPECT_TRUE(RunUntil([this] { return session_vm_.session_count() == 0; }));
 }
 
+// Guards against a statement that is lost because an idle session is closed
+// while the statement has arrived and was not read yet.
+TEST_F(LineCallerServerOfAProxy, UnreadStatementIsAnsweredBeforeTheClose) {
+  Connect({});
+  caller_.Write("QUERY q1 SET a b\r\n");
+  front_factory_.sessions.front()->CloseWhenIdle();
+  EXPECT_EQ(ReceiveUntilClosed(), "COMPLETE -\r\nREADY I -\r\n");
+}
+
+// As above, when the proxy that relays the session shuts down.
+TEST_F(LineCallerServerOfAProxy, UnreadStatementIsRelayedBeforeTheClose) {
+  Connect({kSessionVmAddress});
+  caller_.Write("QUERY q1 SET a b\r\n");
+  front_.CloseIdleRelays();
+  EXPECT_EQ(ReceiveUntilClosed(), "COMPLETE -\r\nREADY I -\r\n");
+}
+
 }  // namespace
 }  // namespace carawayhaven::platform
--- a/test/session/caller_session_test.cc
+++ b/test/session/caller_session_test.cc
@@ -21,10 +21,12 @@
     rejected.push_back(code);
   }
   void Reply(const StatementReply& reply) override { replies.push_back(reply); }
-  void Close() override { closed = true; }
+  void CloseBetweenOperations() override { closed = !unread_input; }
+  bool HasUnreadInput() const override { return unread_input; }
 
   bool accepted = false;
   bool closed = false;
+  bool unread_input = false;
   std::vector<ReplyCode> rejected;
   std::vector<StatementReply> replies;
 };
@@ -200,6 +202,18 @@
   EXPECT_EQ(channel_.rejected, std::vector<ReplyCode>{ReplyCode::kAborted});
 }
 
+// Guards against a statement that is lost because it was not read yet when its
+// transaction was ended by a shutdown.
+TEST_F(CallerSessionThatIsOpen, ShutdownUnreadStatementIsAnsweredFirst) {
+  Write();
+  channel_.unread_input = true;
+  session_->Shutdown(now_);
+  EXPECT_TRUE(channel_.rejected.empty());
+  channel_.unread_input = false;
+  session_->Shutdown(now_);
+  EXPECT_EQ(channel_.rejected, std::vector<ReplyCode>{ReplyCode::kAborted});
+}
+
 TEST_F(CallerSessionThatIsOpen, ShutdownDuringStatementAnswerComesFirst) {
   Run(StatementKind::kRead);
   session_->Shutdown(now_);
