Relays: close a relayed session by agreement of both VMs

Callers saw whole statements without an answer beside a change of the configuration. A VM that holds no primary lease for 2 s closes its idle sessions, so does one that is not selected any more. Most sessions are relayed: the session VM closed the stream while the relaying VM had read a statement and forwarded it, and the relaying VM then closed the caller's connection. Only the relaying VM knows whether a statement is on its way. The session VM now sends a close request and goes on serving; the relaying VM closes the session when it is outside a transaction, all statements have a reply and the caller's socket has no unread bytes. The connect line tells that the relaying VM understands the request, so VMs of earlier versions can be mixed in.

--- a/test/platform/line_codec_test.cc
+++ b/test/platform/line_codec_test.cc
@@ -78,10 +78,31 @@
 }
 
 TEST_F(LineCodecOfCallers, EndOfAnswerOutsideTransactionIsRecognised) {
-  EXPECT_TRUE(EndsOutsideTransaction("COMPLETE -\r\nREADY I -\r\n"));
-  EXPECT_FALSE(EndsOutsideTransaction("READY T -\r\n"));
-  EXPECT_FALSE(EndsOutsideTransaction("READY I -\r\nDATAROW x\r\n"));
-  EXPECT_FALSE(EndsOutsideTransaction("READY I -"));
+  EXPECT_EQ(ClassifyRelayedLine("READY I -"), RelayedLine::kReadyIdle);
+  EXPECT_EQ(ClassifyRelayedLine("READY T -"), RelayedLine::kReady);
+  EXPECT_EQ(ClassifyRelayedLine("READY E -"), RelayedLine::kReady);
+  EXPECT_EQ(ClassifyRelayedLine("COMPLETE -"), RelayedLine::kOther);
+  EXPECT_EQ(ClassifyRelayedLine("DATAROW READY I"), RelayedLine::kOther);
+}
+
+// Guards against a row that is taken for a request to close the session, and
+// against a caller that opens a session as if it were relayed.
+TEST_F(LineCodecOfCallers, CloseRequestIsOnlyUnderstoodOnRelayedSessions) {
+  const std::string request = EncodeCloseRequest();
+  ASSERT_TRUE(request.ends_with("\r\n"));
+  EXPECT_EQ(ClassifyRelayedLine(request.substr(0, request.size() - 2)),
+            RelayedLine::kCloseRequest);
+  EXPECT_EQ(ClassifyRelayedLine("DATAROW CLOSE"), RelayedLine::kOther);
+  std::string relayed = EncodeRelayedConnect("CONNECT packs u1");
+  ASSERT_TRUE(relayed.ends_with("\r\n"));
+  relayed.resize(relayed.size() - 2);
+  const CallerLine decoded = DecodeCallerLine(relayed);
+  const auto* connect = std::get_if<ConnectLine>(&decoded);
+  ASSERT_NE(connect, nullptr);
+  EXPECT_EQ(connect->database, "packs");
+  EXPECT_TRUE(connect->accepts_close_request);
+  const CallerLine direct = DecodeCallerLine("CONNECT packs u1");
+  EXPECT_FALSE(std::get<ConnectLine>(direct).accepts_close_request);
 }
 
 class LineCodecOfEndpoints : public ::testing::Test {
