--- a/test/platform/line_caller_server_test.cc
+++ b/test/platform/line_caller_server_test.cc
@@ -80,6 +80,18 @@
       return caller_.Read() && caller_.received() == "READY I -\r\n";
     }));
   }
+  /// Opens the caller's session through a session VM that the test plays.
+  RawSocket ConnectThrough(RawListener& listener) {
+    front_factory_.addresses = {listener.address()};
+    caller_.Write("CONNECT packs u1\r\n");
+    RunTicks(2);
+    RawSocket session_vm = listener.Accept();
+    session_vm.Write("READY I -\r\n");
+    EXPECT_TRUE(RunUntil([this] {
+      return caller_.Read() && caller_.received() == "READY I -\r\n";
+    }));
+    return session_vm;
+  }
   /// Returns what the caller received after its session was opened.
   std::string ReceiveUntilClosed() {
     EXPECT_TRUE(RunUntil([&] { return !caller_.Read(); }));
@@ -130,5 +142,79 @@
   EXPECT_EQ(ReceiveUntilClosed(), "COMPLETE -\r\nREADY I -\r\n");
 }
 
+// Guards against a connection that is closed without an answer when the session
+// VM ends while a statement runs there.
+TEST_F(LineCallerServerOfAProxy, LossOfTheSessionVmAnswersTheStatement) {
+  RawListener listener;
+  RawSocket session_vm = ConnectThrough(listener);
+  caller_.Write("QUERY q1 READ 1a4\r\n");
+  ASSERT_TRUE(RunUntil([&] {
+    return session_vm.Read() &&
+           session_vm.received().find("q1") != std::string::npos;
+  }));
+  session_vm.Close();
+  EXPECT_EQ(ReceiveUntilClosed(),
+            "ERROR TIMEOUT the session ended before the answer\r\n"
+            "READY I -\r\n");
+}
+
+// Guards against a promise that a write has no effect when its outcome is
+// unknown.
+TEST_F(LineCallerServerOfAProxy, LossOfTheSessionVmLeavesAWriteInDoubt) {
+  RawListener listener;
+  RawSocket session_vm = ConnectThrough(listener);
+  caller_.Write("QUERY q1 WRITE 1a4 x\r\n");
+  RunTicks(3);
+  session_vm.Close();
+  EXPECT_EQ(ReceiveUntilClosed(),
+            "ERROR INDOUBT the session ended before the answer\r\n"
+            "READY I -\r\n");
+}
+
+// As above, for the commit of a transaction, and for a statement whose
+// transaction was not committed.
+TEST_F(LineCallerServerOfAProxy, LossOfTheSessionVmEndsTheTransaction) {
+  for (const bool commits : {true, false}) {
+    SCOPED_TRACE(commits);
+    RawListener listener;
+    front_factory_.addresses = {listener.address()};
+    RawSocket caller(kFrontPort);
+    caller.Write("CONNECT packs u1\r\n");
+    RunTicks(2);
+    RawSocket session_vm = listener.Accept();
+    session_vm.Write("READY I -\r\n");
+    caller.Write("QUERY q1 BEGIN\r\n");
+    RunTicks(2);
+    session_vm.Write("COMPLETE -\r\nREADY T -\r\n");
+    RunTicks(2);
+    caller.Write(commits ? "QUERY q2 COMMIT\r\n" : "QUERY q2 WRITE 1 x\r\n");
+    RunTicks(2);
+    session_vm.Close();
+    EXPECT_TRUE(RunUntil([&] { return !caller.Read(); }));
+    const std::string answer =
+        commits ? "ERROR INDOUBT the session ended before the answer\r\n"
+                  "READY I -\r\n"
+                : "ERROR ABORTED the session ended before the answer\r\n"
+                  "READY E -\r\n";
+    EXPECT_EQ(caller.received(),
+              "READY I -\r\nCOMPLETE -\r\nREADY T -\r\n" + answer);
+  }
+}
+
+// Guards against an answer that stops in the middle of a line.
+TEST_F(LineCallerServerOfAProxy, LossOfTheSessionVmCompletesAPartialAnswer) {
+  RawListener listener;
+  RawSocket session_vm = ConnectThrough(listener);
+  caller_.Write("QUERY q1 READ 1a4\r\n");
+  RunTicks(2);
+  session_vm.Write("DATAROW abc\r\nCOMPL");
+  RunTicks(2);
+  session_vm.Close();
+  EXPECT_EQ(ReceiveUntilClosed(),
+            "DATAROW abc\r\n"
+            "ERROR TIMEOUT the session ended before the answer\r\n"
+            "READY I -\r\n");
+}
+
 }  // namespace
 }  // namespace carawayhaven::platform
--- a/test/platform/relayed_statements_test.cc
+++ b/test/platform/relayed_statements_test.cc
@@ -45,5 +45,28 @@
   EXPECT_EQ(statements_.first_id(), "q1");
 }
 
+// Guards against an answer that promises too much or that is sent twice.
+TEST_F(RelayedStatementsOfASession, LossRepliesPromiseOnlyWhatIsCertain) {
+  EXPECT_EQ(statements_.TakeLossReplies(), "");
+  statements_.OnCallerBytes("QUERY q1 EXECUTE s1 1\r\n");
+  EXPECT_TRUE(statements_.TakeLossReplies().starts_with("ERROR INDOUBT "));
+  EXPECT_EQ(statements_.outstanding(), 0U);
+  statements_.OnCallerBytes("QUERY q2 BEGIN\r\n");
+  statements_.OnReplyEnd(false);
+  EXPECT_TRUE(statements_.TakeLossReplies().starts_with("ERROR ABORTED "));
+  statements_.OnCallerBytes("QUERY " + std::string(300, 'i') + " COMMIT\r\n");
+  EXPECT_TRUE(statements_.TakeLossReplies().starts_with("ERROR INDOUBT "));
+}
+
+TEST_F(RelayedStatementsOfASession, LossCompletesAReplyThatHasItsError) {
+  statements_.OnCallerBytes("QUERY q1 BEGIN\r\n");
+  statements_.OnReplyEnd(false);
+  statements_.OnCallerBytes("QUERY q2 READ 1\r\n");
+  statements_.OnError();
+  EXPECT_EQ(statements_.TakeLossReplies(), "READY E -\r\n");
+  statements_.OnError();
+  EXPECT_EQ(statements_.TakeLossReplies(), "");
+}
+
 }  // namespace
 }  // namespace carawayhaven::platform
