--- a/test/platform/line_caller_server_test.cc
+++ b/test/platform/line_caller_server_test.cc
@@ -17,6 +17,7 @@
 constexpr std::uint16_t kFrontPort = 7860;
 constexpr char kFrontAddress[] = "127.0.0.1:7860";
 constexpr char kSessionVmAddress[] = "127.0.0.1:7861";
+constexpr char kClosedAddress[] = "127.0.0.1:7862";
 
 class IgnoringObserver : public RouterObserver, public SessionObserver {
  public:
@@ -92,7 +93,13 @@
     }));
     return session_vm;
   }
-  /// Returns what the caller received after its session was opened.
+  /// Returns what the caller received after its session was opened, until the
+  /// connection was closed or `end` was received.
+  std::string ReceiveUntil(const std::string& end) {
+    RunUntil(
+        [&] { return !caller_.Read() || caller_.received().ends_with(end); });
+    return caller_.received().substr(std::string("READY I -\r\n").size());
+  }
   std::string ReceiveUntilClosed() {
     EXPECT_TRUE(RunUntil([&] { return !caller_.Read(); }));
     return caller_.received().substr(std::string("READY I -\r\n").size());
@@ -216,5 +223,14 @@
             "READY I -\r\n");
 }
 
+// Guards against statements that are lost when they were sent together with the
+// connect line and the first session VM cannot be reached.
+TEST_F(LineCallerServerOfAProxy, StatementsBeforeTheFirstReplyAreSentAgain) {
+  front_factory_.addresses = {kClosedAddress, kSessionVmAddress};
+  caller_.Write("CONNECT packs u1\r\nQUERY q1 SET a b\r\n");
+  EXPECT_EQ(ReceiveUntil("READY I -\r\nCOMPLETE -\r\nREADY I -\r\n"),
+            "COMPLETE -\r\nREADY I -\r\n");
+}
+
 }  // namespace
 }  // namespace carawayhaven::platform
