--- a/test/platform/line_caller_server_test.cc
+++ b/test/platform/line_caller_server_test.cc
@@ -232,5 +232,21 @@
             "COMPLETE -\r\nREADY I -\r\n");
 }
 
+// Guards against a caller that waits for ever because the backlog to the
+// session VM is full.
+TEST_F(LineCallerServerOfAProxy, CallerOfABlockedRelayIsDisconnected) {
+  RawListener listener;
+  const RawSocket session_vm = ConnectThrough(listener);
+  const std::string statement =
+      "QUERY q1 WRITE 1a4 " + std::string(60'000, 'x') + "\r\n";
+  bool open = true;
+  for (int i = 0; i < 400 && open; ++i) {
+    caller_.Write(statement);
+    RunTicks(1);
+    open = caller_.Read();
+  }
+  EXPECT_FALSE(open);
+}
+
 }  // namespace
 }  // namespace carawayhaven::platform
