Streams: send what libwebsockets holds before a close

CloseAfterSend closed the socket at once when the own buffer was empty, although libwebsockets may hold a part of the last write that the socket did not take. The caller of a session that was closed after a long reply on a slow link got a truncated reply. Before: CloseAfterSendDeliversAllBytes fails with 2,623,040 of 4,194,304 bytes. After: it passes.

--- a/src/net/stream_connection.cc
+++ b/src/net/stream_connection.cc
@@ -35,7 +35,12 @@
   if (closed_) return;
   events_ = nullptr;
   closing_ = true;
-  if (!connected_ || send_buffer_.empty()) CloseSocket();
+  if (!connected_) {
+    CloseSocket();
+  } else if (send_buffer_.empty()) {
+    // libwebsockets may still hold bytes that the socket has not taken.
+    if (!HandleWritable()) CloseSocket();
+  }
 }
 
 void StreamConnection::Abort() {
