Routes: send a version to a peer once while it is in transit

Beside a change of a large configuration, statements were late and refused on all VMs for seconds. Each lease request (every 250 ms) and each heartbeat that showed an older version made the receiver send or request the whole text again, while the first copy was still in transit: the links of 10 Mbit/s carry a text of 2,867 routes in a third of a second or more.

--- a/src/proxy/session_proxy.cc
+++ b/src/proxy/session_proxy.cc
@@ -128,7 +128,7 @@
     if (request->config_version < routes_.version) {
       SendRoutes(vm);
     } else if (request->config_version > routes_.version) {
-      RequestRoutes(vm);
+      RequestRoutes(vm, request->config_version);
     }
   } else if (std::holds_alternative<ConfigRequestMessage>(message)) {
     SendRoutes(vm);
@@ -141,13 +141,14 @@
     const auto* heartbeat = std::get_if<HeartbeatMessage>(&message);
     if (heartbeat != nullptr && active_ &&
         heartbeat->digest.count > routes_.version) {
-      RequestRoutes(vm);
+      RequestRoutes(vm, heartbeat->digest.count);
     }
     cluster_->membership.OnPeerMessage(vm, message, now);
   }
 }
 
 void SessionProxy::OnPeerLost(const VmName& vm, TimePoint now) {
+  exchange_limiter_.OnPeerLost(vm);
   cluster_->membership.OnPeerLost(vm, now);
 }
 
--- a/src/proxy/session_proxy.h
+++ b/src/proxy/session_proxy.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "core/config/config_exchange_limiter.h"
 #include "core/config/object_watcher.h"
 #include "core/failover/failover_manager.h"
 #include "core/membership/membership.h"
@@ -97,7 +98,8 @@
   void OnPeerLost(const VmName& vm, TimePoint now) override;
 
   void SendRoutes(const VmName& vm);
-  void RequestRoutes(const VmName& vm);
+  /// `version` is the version that the peer has.
+  void RequestRoutes(const VmName& vm, std::uint64_t version);
   void RegisterVm();
   void OnRegistered(ObjectVersion version);
   void ApplyRoutes(const std::string& text, std::string_view source,
@@ -128,6 +130,7 @@
   SessionRouter router_;
   RouteTable routes_;
   std::string routes_text_;
+  ConfigExchangeLimiter exchange_limiter_;
   std::unique_ptr<RoutesWatcher> routes_watcher_;
   std::unique_ptr<EndpointsWatcher> endpoints_watcher_;
   /// Peers and failover; null until this VM is registered.
--- a/src/proxy/session_proxy_routes.cc
+++ b/src/proxy/session_proxy_routes.cc
@@ -58,15 +58,25 @@
   }
 }
 
-void SessionProxy::RequestRoutes(const VmName& vm) {
-  cluster_->peers.Send(vm,
-                       ConfigRequestMessage{{{kRoutesTeam, routes_.version}}});
+void SessionProxy::RequestRoutes(const VmName& vm, std::uint64_t version) {
+  const TimePoint now = EventLoop::Now();
+  if (!exchange_limiter_.MayRequest(version, now)) return;
+  if (cluster_->peers.Send(
+          vm, ConfigRequestMessage{{{kRoutesTeam, routes_.version}}})) {
+    exchange_limiter_.OnRequested(version, now);
+  }
 }
 
 void SessionProxy::SendRoutes(const VmName& vm) {
-  if (routes_.version == 0) return;
-  cluster_->peers.Send(
-      vm, ConfigUpdateMessage{kRoutesTeam, routes_.version, routes_text_});
+  const TimePoint now = EventLoop::Now();
+  if (routes_.version == 0 ||
+      !exchange_limiter_.MaySend(vm, routes_.version, now)) {
+    return;
+  }
+  if (cluster_->peers.Send(vm, ConfigUpdateMessage{kRoutesTeam, routes_.version,
+                                                   routes_text_})) {
+    exchange_limiter_.OnSent(vm, routes_.version, now);
+  }
 }
 
 }  // namespace carawayhaven
