Session proxy: an overloaded VM is not cut off

Beside a change of a large configuration, session VMs considered themselves cut off from the primaries and closed hundreds of idle sessions each, whose callers all reconnected at that moment, and whose statements on the way were lost. They were overloaded: leases expired while the loop was busy, and the leadership changed hands. A VM that reaches the store takes leases from the records, so without leases there is no primary for the other VMs either, and its callers are not served better elsewhere. A VM is now cut off when also the store has not answered it for 2 s, and only after several checks in a row, which do not run while the loop is busy.

--- a/src/core/failover/failover_manager.h
+++ b/src/core/failover/failover_manager.h
@@ -85,6 +85,7 @@
 
   /// Records that the store answered a call of this VM.
   void RecordStoreAnswer(TimePoint now) { store_answered_at_ = now; }
+  TimePoint store_answered_at() const { return store_answered_at_; }
 
  private:
   void TakeOverIfDue(TimePoint now);
--- a/src/proxy/session_proxy.h
+++ b/src/proxy/session_proxy.h
@@ -13,6 +13,7 @@
 #include "core/config/config_exchange_limiter.h"
 #include "core/config/object_watcher.h"
 #include "core/failover/failover_manager.h"
+#include "core/membership/cut_off_detector.h"
 #include "core/membership/membership.h"
 #include "core/membership/session_activity.h"
 #include "core/session/caller_session.h"
@@ -113,8 +114,8 @@
   /// Closes the sessions that are between two operations; their callers
   /// reconnect.
   void CloseIdleSessions(std::string_view reason);
-  /// True when no lease of any primary has been valid for a while.
-  bool IsCutOff() const { return cut_off_; }
+  bool IsCutOff() const { return cut_off_detector_.is_cut_off(); }
+  TimePoint store_answered_at() const;
   /// True when sessions may run on this VM: it is active, and its routes and
   /// endpoints were read from the store since it became active.
   bool CanRunSessions() const;
@@ -153,10 +154,7 @@
   bool stopping_ = false;
   TimePoint next_wakeup_ = TimePoint::max();
   ConnectionShare connection_share_;
-  /// Last time at which the lease of any primary was valid or this VM could not
-  /// run sessions.
-  TimePoint last_valid_lease_at_;
-  bool cut_off_ = false;
+  CutOffDetector cut_off_detector_;
 };
 
 }  // namespace carawayhaven
--- a/src/proxy/session_proxy_placement.cc
+++ b/src/proxy/session_proxy_placement.cc
@@ -17,9 +17,6 @@
 // remote one is for a data centre that is cut off from the leader.
 constexpr std::size_t kLocalRelayTargets = 2;
 constexpr std::size_t kRemoteRelayTargets = 1;
-// A VM that has had no valid primary lease for this long is cut off from the
-// other VMs and from the store; a change of leader takes less time.
-constexpr Duration kCutOffDelay = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -42,6 +39,11 @@
   return CanRunSessions() && !IsCutOff();
 }
 
+TimePoint SessionProxy::store_answered_at() const {
+  return cluster_ == nullptr ? TimePoint()
+                             : cluster_->failover.store_answered_at();
+}
+
 // When a VM is cut off, its idle sessions are closed, so that their callers
 // reconnect to VMs that may still have leases.
 void SessionProxy::CheckPrimaryLeases(TimePoint now) {
@@ -50,13 +52,13 @@
       leases.begin(), leases.end(),
       [now](const auto& entry) { return entry.second.expires > now; });
   const bool was_cut_off = IsCutOff();
-  if (any_valid || !CanRunSessions()) last_valid_lease_at_ = now;
-  cut_off_ = now - last_valid_lease_at_ > kCutOffDelay;
-  if (cut_off_ == was_cut_off) return;
-  Log(cut_off_ ? LogLevel::kWarning : LogLevel::kInfo,
-      cut_off_ ? "cut_off_from_primaries" : "primaries_regained",
+  const bool cut_off = cut_off_detector_.Update(
+      {any_valid || !CanRunSessions(), store_answered_at()}, now);
+  if (cut_off == was_cut_off) return;
+  Log(cut_off ? LogLevel::kWarning : LogLevel::kInfo,
+      cut_off ? "cut_off_from_primaries" : "primaries_regained",
       {{"vm", settings_.vm}, {"services", leases.size()}});
-  if (cut_off_) CloseIdleSessions("cut_off");
+  if (cut_off) CloseIdleSessions("cut_off");
 }
 
 std::vector<std::shared_ptr<CallerSession>> SessionProxy::LiveSessions() const {
