--- a/src/proxy/session_proxy.h
+++ b/src/proxy/session_proxy.h
@@ -7,10 +7,13 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "core/config/config_exchange_limiter.h"
 #include "core/config/object_watcher.h"
 #include "core/failover/failover_manager.h"
+#include "core/membership/cut_off_detector.h"
 #include "core/membership/membership.h"
 #include "core/membership/session_activity.h"
 #include "core/session/caller_session.h"
@@ -96,7 +99,8 @@
   void OnPeerLost(const VmName& vm, TimePoint now) override;
 
   void SendRoutes(const VmName& vm);
-  void RequestRoutes(const VmName& vm);
+  /// `version` is the version that the peer has.
+  void RequestRoutes(const VmName& vm, std::uint64_t version);
   void RegisterVm();
   void OnRegistered(ObjectVersion version);
   void ApplyRoutes(const std::string& text, std::string_view source,
@@ -109,9 +113,9 @@
   std::vector<std::shared_ptr<CallerSession>> LiveSessions() const;
   /// Closes the sessions that are between two operations; their callers
   /// reconnect.
-  void CloseIdleSessions(TimePoint now);
-  /// True when no lease of any primary has been valid for a while.
-  bool IsCutOff() const { return cut_off_; }
+  void CloseIdleSessions(std::string_view reason);
+  bool IsCutOff() const { return cut_off_detector_.is_cut_off(); }
+  TimePoint store_answered_at() const;
   /// True when sessions may run on this VM: it is active, and its routes and
   /// endpoints were read from the store since it became active.
   bool CanRunSessions() const;
@@ -127,6 +131,7 @@
   SessionRouter router_;
   RouteTable routes_;
   std::string routes_text_;
+  ConfigExchangeLimiter exchange_limiter_;
   std::unique_ptr<RoutesWatcher> routes_watcher_;
   std::unique_ptr<EndpointsWatcher> endpoints_watcher_;
   /// Peers and failover; null until this VM is registered.
@@ -149,10 +154,7 @@
   bool stopping_ = false;
   TimePoint next_wakeup_ = TimePoint::max();
   ConnectionShare connection_share_;
-  /// Last time at which the lease of any primary was valid or this VM could not
-  /// run sessions.
-  TimePoint last_valid_lease_at_;
-  bool cut_off_ = false;
+  CutOffDetector cut_off_detector_;
 };
 
 }  // namespace carawayhaven
--- a/src/proxy/session_proxy_placement.cc
+++ b/src/proxy/session_proxy_placement.cc
@@ -17,9 +17,6 @@
 // remote one is for a data centre that is cut off from the leader.
 constexpr std::size_t kLocalRelayTargets = 2;
 constexpr std::size_t kRemoteRelayTargets = 1;
-// A VM that has had no valid primary lease for this long is cut off from the
-// other VMs and from the store; a change of leader takes less time.
-constexpr Duration kCutOffDelay = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -42,6 +39,11 @@
   return CanRunSessions() && !IsCutOff();
 }
 
+TimePoint SessionProxy::store_answered_at() const {
+  return cluster_ == nullptr ? TimePoint()
+                             : cluster_->failover.store_answered_at();
+}
+
 // When a VM is cut off, its idle sessions are closed, so that their callers
 // reconnect to VMs that may still have leases.
 void SessionProxy::CheckPrimaryLeases(TimePoint now) {
@@ -50,13 +52,13 @@
       leases.begin(), leases.end(),
       [now](const auto& entry) { return entry.second.expires > now; });
   const bool was_cut_off = IsCutOff();
-  if (any_valid || !CanRunSessions()) last_valid_lease_at_ = now;
-  cut_off_ = now - last_valid_lease_at_ > kCutOffDelay;
-  if (cut_off_ == was_cut_off) return;
-  Log(cut_off_ ? LogLevel::kWarning : LogLevel::kInfo,
-      cut_off_ ? "cut_off_from_primaries" : "primaries_regained",
+  const bool cut_off = cut_off_detector_.Update(
+      {any_valid || !CanRunSessions(), store_answered_at()}, now);
+  if (cut_off == was_cut_off) return;
+  Log(cut_off ? LogLevel::kWarning : LogLevel::kInfo,
+      cut_off ? "cut_off_from_primaries" : "primaries_regained",
       {{"vm", settings_.vm}, {"services", leases.size()}});
-  if (cut_off_) CloseIdleSessions(now);
+  if (cut_off) CloseIdleSessions("cut_off");
 }
 
 std::vector<std::shared_ptr<CallerSession>> SessionProxy::LiveSessions() const {
@@ -70,10 +72,16 @@
   return live;
 }
 
-void SessionProxy::CloseIdleSessions(TimePoint now) {
+void SessionProxy::CloseIdleSessions(std::string_view reason) {
+  std::size_t closed = 0;
   for (const std::shared_ptr<CallerSession>& session : LiveSessions()) {
-    if (session->IsIdle()) session->Close(now);
+    if (!session->IsIdle()) continue;
+    session->CloseWhenIdle();
+    ++closed;
   }
+  if (closed == 0) return;
+  Log(LogLevel::kInfo, "idle_sessions_closed",
+      {{"vm", settings_.vm}, {"reason", reason}, {"sessions", closed}});
 }
 
 std::string SessionProxy::RelayAddressOf(const std::string& peer_address) {
@@ -106,7 +114,9 @@
       activity_.Update({cluster_->placement.IsSessionVm(),
                         failover.is_leader(now), LiveSessions().size()},
                        now);
-  if (activity == SessionActivity::State::kDraining) CloseIdleSessions(now);
+  if (activity == SessionActivity::State::kDraining) {
+    CloseIdleSessions("not_selected");
+  }
   const bool active = activity != SessionActivity::State::kInactive;
   if (std::exchange(active_, active) != active) {
     Log(LogLevel::kInfo, "session_placement",
--- /dev/null
+++ b/test/platform/line_caller_server_test.cc
@@ -0,0 +1,252 @@
+#include "platform/line_caller_server.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/session/caller_session.h"
+#include "net/loop_fixture.h"
+#include "session/fake_session_link.h"
+
+namespace carawayhaven::platform {
+namespace {
+
+constexpr std::uint16_t kFrontPort = 7860;
+constexpr char kFrontAddress[] = "127.0.0.1:7860";
+constexpr char kSessionVmAddress[] = "127.0.0.1:7861";
+constexpr char kClosedAddress[] = "127.0.0.1:7862";
+
+class IgnoringObserver : public RouterObserver, public SessionObserver {
+ public:
+  void OnRouting(const RoutingDecision& /*decision*/) override {}
+  void OnEndpointReachable(std::string_view /*endpoint*/, bool /*reachable*/,
+                           ReplyCode /*code*/) override {}
+  void OnStatementEnded(const CallerStatement& /*statement*/,
+                        const StatementReply& /*reply*/,
+                        std::string_view /*cause*/,
+                        Duration /*elapsed*/) override {}
+};
+
+/// Creates sessions of one database. Relays them if there are addresses.
+class FakeSessionFactory : public SessionFactory {
+ public:
+  FakeSessionFactory() {
+    routes.version = 1;
+    routes.databases["packs"].service = "registro";
+  }
+
+  std::shared_ptr<CallerSession> CreateSession(
+      CallerChannel& channel) override {
+    sessions.push_back(std::make_shared<CallerSession>(
+        router, observer, [this]() -> const RouteTable& { return routes; },
+        channel));
+    return sessions.back();
+  }
+  std::optional<std::vector<std::string>> RelayAddresses() override {
+    return addresses;
+  }
+  bool AcceptsRelayed() const override { return true; }
+
+  std::vector<std::string> addresses;
+  std::vector<std::shared_ptr<CallerSession>> sessions;
+  IgnoringObserver observer;
+  FakeSessionLink link;
+  SessionRouter router{link, observer, [](const DataCentreName&) {
+                         return std::chrono::milliseconds(1);
+                       }};
+  RouteTable routes;
+};
+
+/// A caller of a proxy that relays the session to the given addresses, or runs
+/// it if there are none.
+class LineCallerServerOfAProxy : public LoopFixture {
+ protected:
+  LineCallerServerOfAProxy() {
+    front_.SetSessionFactory(&front_factory_);
+    session_vm_.SetSessionFactory(&session_factory_);
+    loop_->OnRoundEnd([this] {
+      front_.Flush();
+      session_vm_.Flush();
+    });
+  }
+
+  /// Opens the caller's session.
+  void Connect(std::vector<std::string> addresses) {
+    front_factory_.addresses = std::move(addresses);
+    caller_.Write("CONNECT packs u1\r\n");
+    ASSERT_TRUE(RunUntil([this] {
+      return caller_.Read() && caller_.received() == "READY I -\r\n";
+    }));
+  }
+  /// Opens the caller's session through a session VM that the test plays.
+  RawSocket ConnectThrough(RawListener& listener) {
+    front_factory_.addresses = {listener.address()};
+    caller_.Write("CONNECT packs u1\r\n");
+    RunTicks(2);
+    RawSocket session_vm = listener.Accept();
+    session_vm.Write("READY I -\r\n");
+    EXPECT_TRUE(RunUntil([this] {
+      return caller_.Read() && caller_.received() == "READY I -\r\n";
+    }));
+    return session_vm;
+  }
+  /// Returns what the caller received after its session was opened, until the
+  /// connection was closed or `end` was received.
+  std::string ReceiveUntil(const std::string& end) {
+    RunUntil(
+        [&] { return !caller_.Read() || caller_.received().ends_with(end); });
+    return caller_.received().substr(std::string("READY I -\r\n").size());
+  }
+  std::string ReceiveUntilClosed() {
+    EXPECT_TRUE(RunUntil([&] { return !caller_.Read(); }));
+    return caller_.received().substr(std::string("READY I -\r\n").size());
+  }
+
+  FakeSessionFactory front_factory_;
+  FakeSessionFactory session_factory_;
+  LineCallerServer front_{*loop_, kFrontAddress, 100,
+                          LineCallerServer::Origin::kCallers};
+  LineCallerServer session_vm_{*loop_, kSessionVmAddress, 100,
+                               LineCallerServer::Origin::kPeers};
+  RawSocket caller_{kFrontPort};
+};
+
+// Guards against a statement that is lost because the session VM closes an idle
+// session while the statement is on its way from the relaying VM.
+TEST_F(LineCallerServerOfAProxy, RelayedSessionIsClosedOnlyAfterAnswers) {
+  Connect({kSessionVmAddress});
+  ASSERT_EQ(session_factory_.sessions.size(), 1U);
+  caller_.Write("QUERY q1 SET a b\r\n");
+  session_factory_.sessions.front()->CloseWhenIdle();
+  EXPECT_EQ(ReceiveUntilClosed(), "COMPLETE -\r\nREADY I -\r\n");
+}
+
+// Guards against an idle relayed session that survives its close.
+TEST_F(LineCallerServerOfAProxy, IdleRelayedSessionIsClosed) {
+  Connect({kSessionVmAddress});
+  session_factory_.sessions.front()->CloseWhenIdle();
+  EXPECT_EQ(ReceiveUntilClosed(), "");
+  EXPECT_TRUE(RunUntil([this] { return session_vm_.session_count() == 0; }));
+}
+
+// Guards against a statement that is lost because an idle session is closed
+// while the statement has arrived and was not read yet.
+TEST_F(LineCallerServerOfAProxy, UnreadStatementIsAnsweredBeforeTheClose) {
+  Connect({});
+  caller_.Write("QUERY q1 SET a b\r\n");
+  front_factory_.sessions.front()->CloseWhenIdle();
+  EXPECT_EQ(ReceiveUntilClosed(), "COMPLETE -\r\nREADY I -\r\n");
+}
+
+// As above, when the proxy that relays the session shuts down.
+TEST_F(LineCallerServerOfAProxy, UnreadStatementIsRelayedBeforeTheClose) {
+  Connect({kSessionVmAddress});
+  caller_.Write("QUERY q1 SET a b\r\n");
+  front_.CloseIdleRelays();
+  EXPECT_EQ(ReceiveUntilClosed(), "COMPLETE -\r\nREADY I -\r\n");
+}
+
+// Guards against a connection that is closed without an answer when the session
+// VM ends while a statement runs there.
+TEST_F(LineCallerServerOfAProxy, LossOfTheSessionVmAnswersTheStatement) {
+  RawListener listener;
+  RawSocket session_vm = ConnectThrough(listener);
+  caller_.Write("QUERY q1 READ 1a4\r\n");
+  ASSERT_TRUE(RunUntil([&] {
+    return session_vm.Read() &&
+           session_vm.received().find("q1") != std::string::npos;
+  }));
+  session_vm.Close();
+  EXPECT_EQ(ReceiveUntilClosed(),
+            "ERROR TIMEOUT the session ended before the answer\r\n"
+            "READY I -\r\n");
+}
+
+// Guards against a promise that a write has no effect when its outcome is
+// unknown.
+TEST_F(LineCallerServerOfAProxy, LossOfTheSessionVmLeavesAWriteInDoubt) {
+  RawListener listener;
+  RawSocket session_vm = ConnectThrough(listener);
+  caller_.Write("QUERY q1 WRITE 1a4 x\r\n");
+  RunTicks(3);
+  session_vm.Close();
+  EXPECT_EQ(ReceiveUntilClosed(),
+            "ERROR INDOUBT the session ended before the answer\r\n"
+            "READY I -\r\n");
+}
+
+// As above, for the commit of a transaction, and for a statement whose
+// transaction was not committed.
+TEST_F(LineCallerServerOfAProxy, LossOfTheSessionVmEndsTheTransaction) {
+  for (const bool commits : {true, false}) {
+    SCOPED_TRACE(commits);
+    RawListener listener;
+    front_factory_.addresses = {listener.address()};
+    RawSocket caller(kFrontPort);
+    caller.Write("CONNECT packs u1\r\n");
+    RunTicks(2);
+    RawSocket session_vm = listener.Accept();
+    session_vm.Write("READY I -\r\n");
+    caller.Write("QUERY q1 BEGIN\r\n");
+    RunTicks(2);
+    session_vm.Write("COMPLETE -\r\nREADY T -\r\n");
+    RunTicks(2);
+    caller.Write(commits ? "QUERY q2 COMMIT\r\n" : "QUERY q2 WRITE 1 x\r\n");
+    RunTicks(2);
+    session_vm.Close();
+    EXPECT_TRUE(RunUntil([&] { return !caller.Read(); }));
+    const std::string answer =
+        commits ? "ERROR INDOUBT the session ended before the answer\r\n"
+                  "READY I -\r\n"
+                : "ERROR ABORTED the session ended before the answer\r\n"
+                  "READY E -\r\n";
+    EXPECT_EQ(caller.received(),
+              "READY I -\r\nCOMPLETE -\r\nREADY T -\r\n" + answer);
+  }
+}
+
+// Guards against an answer that stops in the middle of a line.
+TEST_F(LineCallerServerOfAProxy, LossOfTheSessionVmCompletesAPartialAnswer) {
+  RawListener listener;
+  RawSocket session_vm = ConnectThrough(listener);
+  caller_.Write("QUERY q1 READ 1a4\r\n");
+  RunTicks(2);
+  session_vm.Write("DATAROW abc\r\nCOMPL");
+  RunTicks(2);
+  session_vm.Close();
+  EXPECT_EQ(ReceiveUntilClosed(),
+            "DATAROW abc\r\n"
+            "ERROR TIMEOUT the session ended before the answer\r\n"
+            "READY I -\r\n");
+}
+
+// Guards against statements that are lost when they were sent together with the
+// connect line and the first session VM cannot be reached.
+TEST_F(LineCallerServerOfAProxy, StatementsBeforeTheFirstReplyAreSentAgain) {
+  front_factory_.addresses = {kClosedAddress, kSessionVmAddress};
+  caller_.Write("CONNECT packs u1\r\nQUERY q1 SET a b\r\n");
+  EXPECT_EQ(ReceiveUntil("READY I -\r\nCOMPLETE -\r\nREADY I -\r\n"),
+            "COMPLETE -\r\nREADY I -\r\n");
+}
+
+// Guards against a caller that waits for ever because the backlog to the
+// session VM is full.
+TEST_F(LineCallerServerOfAProxy, CallerOfABlockedRelayIsDisconnected) {
+  RawListener listener;
+  const RawSocket session_vm = ConnectThrough(listener);
+  const std::string statement =
+      "QUERY q1 WRITE 1a4 " + std::string(60'000, 'x') + "\r\n";
+  bool open = true;
+  for (int i = 0; i < 400 && open; ++i) {
+    caller_.Write(statement);
+    RunTicks(1);
+    open = caller_.Read();
+  }
+  EXPECT_FALSE(open);
+}
+
+}  // namespace
+}  // namespace carawayhaven::platform
