Streams: close a socket at once

A connection that was closed between two operations stayed in the loop until libwebsockets ran its timeouts, which with libev happens only after a further socket event. A statement that arrived meanwhile was read and dropped. CloseAfterSend now writes the queued bytes and closes the socket before it returns, or at the end of the callback that runs for this socket. Before: CloseAfterSendClosesAtOnce fails (the peer sees no close). After: it passes.

--- a/src/net/stream_connection.cc
+++ b/src/net/stream_connection.cc
@@ -31,16 +31,13 @@
   return ioctl(lws_get_socket_fd(wsi_), FIONREAD, &count) == 0 && count > 0;
 }
 
+// Bytes that arrive before the socket is closed are lost, so it is closed
+// without waiting for the end of the round.
 void StreamConnection::CloseAfterSend() {
   if (closed_) return;
   events_ = nullptr;
   closing_ = true;
-  if (!connected_) {
-    CloseSocket();
-  } else if (send_buffer_.empty()) {
-    // libwebsockets may still hold bytes that the socket has not taken.
-    if (!HandleWritable()) CloseSocket();
-  }
+  if (!connected_ || !Flush()) CloseSocket();
 }
 
 void StreamConnection::Abort() {
@@ -52,26 +49,34 @@
 }
 
 void StreamConnection::CloseSocket() {
-  if (wsi_ != nullptr) {
-    lws_set_timeout(wsi_, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+  if (wsi_ == nullptr) return;
+  if (in_callback_) {
+    close_after_callback_ = true;
+    return;
   }
+  const std::shared_ptr<StreamConnection> self = shared_from_this();
+  lws_set_timeout(wsi_, PENDING_TIMEOUT_USER_OK,
+                  connected_ ? LWS_TO_KILL_SYNC : LWS_TO_KILL_ASYNC);
 }
 
-void StreamConnection::Attach(lws* wsi) {
+bool StreamConnection::Attach(lws* wsi) {
   wsi_ = wsi;
   self_ = shared_from_this();
-  if (wsi_ == nullptr) return;
+  if (wsi_ == nullptr) return true;
   connected_ = true;
-  if (closing_) {
-    CloseSocket();
-  } else if (events_ != nullptr) {
-    events_->OnStreamOpened();
-  }
+  if (closing_) return false;
+  in_callback_ = true;
+  if (events_ != nullptr) events_->OnStreamOpened();
+  in_callback_ = false;
+  return !close_after_callback_;
 }
 
-void StreamConnection::HandleReceive(std::string_view bytes) {
+bool StreamConnection::HandleReceive(std::string_view bytes) {
   const std::shared_ptr<StreamConnection> self = shared_from_this();
+  in_callback_ = true;
   if (events_ != nullptr) events_->OnStreamBytes(bytes);
+  in_callback_ = false;
+  return !close_after_callback_;
 }
 
 // Writes without waiting for a writable event, since the send buffers of the
@@ -83,10 +88,17 @@
     lws_callback_on_writable(wsi_);
     return true;
   }
-  return HandleWritable();
+  return Write();
 }
 
 bool StreamConnection::HandleWritable() {
+  in_callback_ = true;
+  const bool stays_open = Write();
+  in_callback_ = false;
+  return stays_open && !close_after_callback_;
+}
+
+bool StreamConnection::Write() {
   if (!send_buffer_.empty()) {
     std::vector<unsigned char> buffer(LWS_PRE + send_buffer_.size());
     std::copy(send_buffer_.begin(), send_buffer_.end(),
--- a/src/net/stream_connection.h
+++ b/src/net/stream_connection.h
@@ -46,18 +46,21 @@
  private:
   friend class StreamTransport;
 
-  /// Called by StreamTransport only. If HandleWritable returns false, the
-  /// socket is closed.
-  void Attach(lws* wsi);
-  void HandleReceive(std::string_view bytes);
+  /// Called by StreamTransport only, from the callbacks of the socket. If one
+  /// returns false, the socket is closed.
+  bool Attach(lws* wsi);
+  bool HandleReceive(std::string_view bytes);
   bool HandleWritable();
   /// Calls HandleClose and Discard.
   template <typename Connection>
   friend void ReleaseConnection(lws* wsi);
   void HandleClose();
   void Discard();
+  /// Closes the socket at once, or at the end of the callback that runs for it.
   void CloseSocket();
   bool Flush();
+  /// Sends the queued bytes; returns false if the socket is to be closed.
+  bool Write();
 
   StreamTransport& transport_;
   StreamEvents* events_ = nullptr;
@@ -67,6 +70,9 @@
   bool closed_ = false;
   bool closing_ = false;
   bool flush_pending_ = false;
+  /// A callback of the socket runs, in which libwebsockets must not close it.
+  bool in_callback_ = false;
+  bool close_after_callback_ = false;
   std::shared_ptr<StreamConnection> self_;
 };
 
--- a/src/net/stream_transport.cc
+++ b/src/net/stream_transport.cc
@@ -84,18 +84,20 @@
       lws_set_opaque_user_data(wsi, accepted.get());
       transport->SetSocketOptions(wsi);
       accepted->Attach(wsi);
+      accepted->in_callback_ = true;
       transport->accept_(accepted);
-      return 0;
+      accepted->in_callback_ = false;
+      return accepted->close_after_callback_ ? -1 : 0;
     }
     case LWS_CALLBACK_RAW_CONNECTED:
       if (connection == nullptr) return 0;
       connection->transport_.SetSocketOptions(wsi);
-      connection->Attach(wsi);
-      return 0;
+      return connection->Attach(wsi) ? 0 : -1;
     case LWS_CALLBACK_RAW_RX:
       if (connection == nullptr) return -1;
-      connection->HandleReceive({static_cast<const char*>(in), length});
-      return 0;
+      return connection->HandleReceive({static_cast<const char*>(in), length})
+                 ? 0
+                 : -1;
     case LWS_CALLBACK_RAW_WRITEABLE:
       if (connection == nullptr) return 0;
       return connection->HandleWritable() ? 0 : -1;
