Session router: retire connections of an endpoint whose record changed

Seen by callers: none reported. A statement could run on a connection that belongs to the former address of an endpoint, or to another service.

Cause: when the address or the process of an endpoint changed, only the idle connections were closed. Connections that were being opened went on to the former address, and connections in use were kept after their statement. A change of the service was not treated as a change at all, so that idle connections of the former service ran the statements of the new one. A retry of a statement of the former service waited for its deadline, since the queue of the new service was dispatched.

Connections now know their service, and are marked as outdated when the record of their endpoint changes. They end with their statement or transaction, and their log positions are ignored.

Failed before: RecordMovesOldConnectionsAreNotReused (opened to 10.0.0.1 after the move to 10.0.0.2, one connection left), and RecordChangesServiceConnectionsAreClosed (one connection left).

--- a/src/core/session/session_router.cc
+++ b/src/core/session/session_router.cc
@@ -45,7 +45,8 @@
   services_[record.service].endpoints[record.name] = &endpoint;
   const bool restarted = !is_new && endpoint.record.started_ms != 0 &&
                          record.started_ms != endpoint.record.started_ms;
-  const bool moved = endpoint.record.address != record.address;
+  const bool moved = endpoint.record.address != record.address ||
+                     endpoint.record.service != record.service;
   endpoint.record = record;
   endpoint.missing_since = TimePoint::max();
   if (!record.leaving) {
@@ -56,8 +57,9 @@
   if (restarted || moved) {
     endpoint.next_open = now;
     endpoint.position = {};
+    RetireConnections(endpoint, now);
   }
-  if (restarted || moved || (record.leaving && !record.claims_primary)) {
+  if (record.leaving && !record.claims_primary) {
     TrimConnections(endpoint, 0, now);
   }
   Dispatch(record.service, now);
@@ -80,6 +82,17 @@
   }
 }
 
+void SessionRouter::RetireConnections(EndpointState& endpoint, TimePoint now) {
+  const std::set<ConnectionId> retired = endpoint.connections;
+  for (const ConnectionId id : retired) {
+    Connection& connection = connections_.at(id);
+    connection.outdated = true;
+    if (!connection.open || endpoint.idle.contains(id)) {
+      CloseConnection(id, now);
+    }
+  }
+}
+
 void SessionRouter::TrimConnections(EndpointState& endpoint, std::size_t limit,
                                     TimePoint now) {
   while (endpoint.connections.size() > limit && !endpoint.idle.empty()) {
--- a/src/core/session/session_router.h
+++ b/src/core/session/session_router.h
@@ -102,7 +102,11 @@
 
   struct Connection {
     EndpointName endpoint;
+    ServiceName service;
     bool open = false;
+    /// Opened with an earlier address, service or process of the endpoint;
+    /// closed when its statement or transaction ends.
+    bool outdated = false;
     bool in_transaction = false;
     ConnectionContext context;
     JobPtr job;
@@ -147,6 +151,8 @@
                                 const StatementJob& job) const;
   bool CanOpenConnection(const EndpointState& endpoint, const Service& service,
                          TimePoint now) const;
+  /// Closes the connections that run nothing and marks the others as outdated.
+  void RetireConnections(EndpointState& endpoint, TimePoint now);
   /// Closes idle connections until at most `limit` connections remain or none
   /// is idle.
   void TrimConnections(EndpointState& endpoint, std::size_t limit,
--- a/src/core/session/session_router_reply.cc
+++ b/src/core/session/session_router_reply.cc
@@ -55,7 +55,7 @@
   const std::shared_ptr<JobOwner> transaction_owner =
       found->second.transaction_owner;
   EndpointState& endpoint = endpoints_.at(name);
-  const ServiceName service = endpoint.record.service;
+  const ServiceName service = found->second.service;
   const JobPtr job = DetachJob(id, false, now);
   if (!was_open) {
     if (endpoint.failed_opens++ == 0) {
@@ -94,7 +94,7 @@
   if (found == connections_.end()) return;
   Connection& connection = found->second;
   EndpointState& endpoint = endpoints_.at(connection.endpoint);
-  const ServiceName service = endpoint.record.service;
+  const ServiceName service = connection.service;
   endpoint.RecordAnswer(now);
   RecordPosition(connection, reply);
   if (connection.step >= connection.steps.size()) {
@@ -111,7 +111,7 @@
 
 void SessionRouter::RecordPosition(const Connection& connection,
                                    const StatementReply& reply) {
-  if (!reply.position) return;
+  if (!reply.position || connection.outdated) return;
   EndpointState& endpoint = endpoints_.at(connection.endpoint);
   endpoint.position = *reply.position;
   if (connection.sent_with_lease) {
@@ -244,7 +244,8 @@
   }
   const bool leaving = endpoint.leaving_since != TimePoint::max() &&
                        !endpoint.record.claims_primary;
-  if (!keep || (leaving && !connection.in_transaction)) {
+  const bool ending = leaving || connection.outdated;
+  if (!keep || (ending && !connection.in_transaction)) {
     CloseConnection(id, now);
   } else if (!connection.in_transaction) {
     connection.transaction_owner.reset();
--- a/src/core/session/session_router_send.cc
+++ b/src/core/session/session_router_send.cc
@@ -140,6 +140,7 @@
                  endpoint.record.name, *this);
   Connection& connection = connections_[id];
   connection.endpoint = endpoint.record.name;
+  connection.service = endpoint.record.service;
   connection.give_up_at = now + kOpenTimeout;
   endpoint.connections.insert(id);
   ++endpoint.opening;
@@ -193,7 +194,7 @@
 void SessionRouter::SendStep(ConnectionId id, TimePoint now) {
   Connection& connection = connections_.at(id);
   EndpointState& endpoint = endpoints_.at(connection.endpoint);
-  const PrimaryLease* lease = leases_.FindValid(endpoint.record.service, now);
+  const PrimaryLease* lease = leases_.FindValid(connection.service, now);
   connection.sent_at = now;
   connection.sent_with_lease =
       lease != nullptr && lease->endpoint == connection.endpoint;
--- a/test/session/fake_session_link.h
+++ b/test/session/fake_session_link.h
@@ -17,15 +17,17 @@
 class FakeSessionLink : public SessionLink {
  public:
   struct Session {
+    std::string address;
     std::string endpoint;
     SessionLinkEvents* events = nullptr;
     bool open = false;
     std::deque<EndpointStatement> unanswered;
   };
 
-  ConnectionId Open(std::string_view /*address*/, std::string_view /*service*/,
+  ConnectionId Open(std::string_view address, std::string_view /*service*/,
                     std::string_view endpoint,
                     SessionLinkEvents& events) override {
+    sessions[next_].address = address;
     sessions[next_].endpoint = endpoint;
     sessions[next_].events = &events;
     ++opened;
@@ -97,6 +99,15 @@
     return count;
   }
 
+  /// Addresses of the sessions to the endpoint, oldest session first.
+  std::vector<std::string> AddressesOf(const std::string& endpoint) const {
+    std::vector<std::string> addresses;
+    for (const auto& [id, session] : sessions) {
+      if (session.endpoint == endpoint) addresses.push_back(session.address);
+    }
+    return addresses;
+  }
+
   std::map<ConnectionId, Session> sessions;
   std::size_t opened = 0;
 
--- a/test/session/session_router_test.cc
+++ b/test/session/session_router_test.cc
@@ -385,5 +385,38 @@
   EXPECT_EQ(link_.Running("near"), 0U);
 }
 
+// Guards against statements that are sent to the endpoint's former address or
+// service over a connection that was in use when the record changed.
+TEST_F(SessionRouterWithThreeEndpoints, RecordMovesOldConnectionsAreNotReused) {
+  router_.SetConnectionLimit("registro", 1, now_);
+  EndpointRecord record = router_.endpoints().at("primary").record;
+  router_.Submit(Job(true), now_);
+  record.address = "10.0.0.2:5000";
+  router_.SetEndpoint(record, now_);
+  EXPECT_EQ(link_.AddressesOf("primary"),
+            std::vector<std::string>{"10.0.0.2:5000"});
+  link_.AcceptAll(now_);
+  EXPECT_EQ(link_.Running("primary"), 1U);
+  record.address = "10.0.0.3:5000";
+  router_.SetEndpoint(record, now_);
+  ASSERT_TRUE(link_.Answer("primary", OkReply({1, 1}), now_));
+  ASSERT_EQ(owner_->results.size(), 1U);
+  EXPECT_EQ(owner_->results[0].end, JobResult::End::kAnswered);
+  EXPECT_EQ(router_.connections(), 0U);
+}
+
+// Guards against a statement that runs on a connection of another service.
+TEST_F(SessionRouterWithThreeEndpoints,
+       RecordChangesServiceConnectionsAreClosed) {
+  router_.Submit(Job(true), now_);
+  link_.AcceptAll(now_);
+  ASSERT_TRUE(link_.Answer("primary", OkReply({1, 1}), now_));
+  EXPECT_EQ(router_.connections(), 1U);
+  EndpointRecord record = router_.endpoints().at("primary").record;
+  record.service = "other";
+  router_.SetEndpoint(record, now_);
+  EXPECT_EQ(router_.connections(), 0U);
+}
+
 }  // namespace
 }  // namespace carawayhaven
