Session router: close new connections that the limits no longer allow

Connections leaked: the endpoint counted them against its limit, up to refusing those of other VMs.

Cause: connections were trimmed when the record or the limit changed and when a statement ended, but not when a connection opened, so that one that was being opened at the change stayed. Idle connections to an endpoint that is gone from the registry were never closed.

The limit of an endpoint is zero once it accepts no work, and it is applied when a connection opens and when the registry's grace period ends.

Failed before: LimitShrinksNewConnectionsAreClosed (2 connections, limit 1), EndpointLeavesNewConnectionIsClosed and RecordIsGoneConnectionsAreClosed (one connection left).

--- a/src/core/session/endpoint_state.cc
+++ b/src/core/session/endpoint_state.cc
@@ -60,14 +60,17 @@
          position < required;
 }
 
-bool EndpointState::AcceptsWork(TimePoint now) const {
-  if (missing_since != TimePoint::max() &&
-      now - missing_since > kMissingGracePeriod) {
-    return false;
+TimePoint EndpointState::WorkEnd() const {
+  TimePoint end = TimePoint::max();
+  if (missing_since != TimePoint::max()) {
+    end = missing_since + kMissingGracePeriod;
   }
-  return leaving_since == TimePoint::max() ||
-         (record.claims_primary &&
-          now - leaving_since < kLeavingPrimaryGracePeriod);
+  if (leaving_since != TimePoint::max()) {
+    end = std::min(end, record.claims_primary
+                            ? leaving_since + kLeavingPrimaryGracePeriod
+                            : leaving_since);
+  }
+  return end;
 }
 
 }  // namespace carawayhaven
--- a/src/core/session/endpoint_state.h
+++ b/src/core/session/endpoint_state.h
@@ -63,8 +63,11 @@
     return 1.0 + kRefusalWeight * refused_share_;
   }
 
+  /// When new work may no longer be sent to the endpoint; max() if its record
+  /// sets no end.
+  TimePoint WorkEnd() const;
   /// True if new work may be sent to the endpoint.
-  bool AcceptsWork(TimePoint now) const;
+  bool AcceptsWork(TimePoint now) const { return now < WorkEnd(); }
 
   void RecordAnswer(TimePoint now) {
     last_answer = now;
--- a/src/core/session/session_router.cc
+++ b/src/core/session/session_router.cc
@@ -59,9 +59,7 @@
     endpoint.position = {};
     RetireConnections(endpoint, now);
   }
-  if (record.leaving && !record.claims_primary) {
-    TrimConnections(endpoint, 0, now);
-  }
+  TrimConnections(endpoint, now);
   Dispatch(record.service, now);
 }
 
@@ -70,6 +68,7 @@
   if (found == endpoints_.end()) return;
   if (found->second.missing_since == TimePoint::max()) {
     found->second.missing_since = now;
+    ScheduleTick(found->second.WorkEnd());
   }
 }
 
@@ -78,7 +77,7 @@
   Service& limited = services_[service];
   limited.connection_limit = std::max(limit, 1U);
   for (const auto& [name, endpoint] : limited.endpoints) {
-    TrimConnections(*endpoint, limited.connection_limit, now);
+    TrimConnections(*endpoint, now);
   }
 }
 
@@ -93,15 +92,22 @@
   }
 }
 
-void SessionRouter::TrimConnections(EndpointState& endpoint, std::size_t limit,
-                                    TimePoint now) {
+void SessionRouter::TrimConnections(EndpointState& endpoint, TimePoint now) {
+  const std::size_t limit =
+      endpoint.AcceptsWork(now)
+          ? services_[endpoint.record.service].connection_limit
+          : 0;
   while (endpoint.connections.size() > limit && !endpoint.idle.empty()) {
     CloseConnection(*endpoint.idle.begin(), now);
   }
 }
 
 void SessionRouter::CloseIdleConnections(TimePoint now) {
-  for (auto& [name, endpoint] : endpoints_) TrimConnections(endpoint, 0, now);
+  for (auto& [name, endpoint] : endpoints_) {
+    while (!endpoint.idle.empty()) {
+      CloseConnection(*endpoint.idle.begin(), now);
+    }
+  }
 }
 
 void SessionRouter::GrantLease(const ServiceName& service,
@@ -296,8 +302,13 @@
     }
     Dispatch(name, now);
   }
-  for (const auto& [name, endpoint] : endpoints_) {
+  for (auto& [name, endpoint] : endpoints_) {
     if (endpoint.next_open > now) ScheduleTick(endpoint.next_open);
+    if (endpoint.WorkEnd() > now) {
+      ScheduleTick(endpoint.WorkEnd());
+    } else {
+      TrimConnections(endpoint, now);
+    }
   }
   for (const JobPtr& job : expired) Refuse(job, job->last_refusal, now);
 }
--- a/src/core/session/session_router.h
+++ b/src/core/session/session_router.h
@@ -153,10 +153,9 @@
                          TimePoint now) const;
   /// Closes the connections that run nothing and marks the others as outdated.
   void RetireConnections(EndpointState& endpoint, TimePoint now);
-  /// Closes idle connections until at most `limit` connections remain or none
-  /// is idle.
-  void TrimConnections(EndpointState& endpoint, std::size_t limit,
-                       TimePoint now);
+  /// Closes idle connections above the limit of the service; all of them if the
+  /// endpoint accepts no work.
+  void TrimConnections(EndpointState& endpoint, TimePoint now);
   void OpenConnection(EndpointState& endpoint, TimePoint now);
   void Start(ConnectionId id, const JobPtr& job,
              std::optional<LogPosition> required, TimePoint now);
--- a/src/core/session/session_router_reply.cc
+++ b/src/core/session/session_router_reply.cc
@@ -41,7 +41,9 @@
   endpoint.RecordAnswer(now);
   if (reply.position) endpoint.position = *reply.position;
   endpoint.idle.insert(id);
-  Dispatch(endpoint.record.service, now);
+  const ServiceName service = connection.service;
+  TrimConnections(endpoint, now);
+  Dispatch(service, now);
 }
 
 void SessionRouter::OnSessionClosed(ConnectionId id, ReplyCode code,
@@ -242,16 +244,13 @@
     --endpoint.running;
     --job->running;
   }
-  const bool leaving = endpoint.leaving_since != TimePoint::max() &&
-                       !endpoint.record.claims_primary;
-  const bool ending = leaving || connection.outdated;
+  const bool ending = !endpoint.AcceptsWork(now) || connection.outdated;
   if (!keep || (ending && !connection.in_transaction)) {
     CloseConnection(id, now);
   } else if (!connection.in_transaction) {
     connection.transaction_owner.reset();
     endpoint.idle.insert(id);
-    TrimConnections(endpoint,
-                    services_[endpoint.record.service].connection_limit, now);
+    TrimConnections(endpoint, now);
   }
   return job;
 }
--- a/test/session/session_router_test.cc
+++ b/test/session/session_router_test.cc
@@ -418,5 +418,43 @@
   EXPECT_EQ(router_.connections(), 0U);
 }
 
+// Guards against a connection that stays open beyond the limit because it was
+// being opened when the limit was lowered.
+TEST_F(SessionRouterWithThreeEndpoints, LimitShrinksNewConnectionsAreClosed) {
+  const std::vector<std::shared_ptr<StatementJob>> jobs{Job(true), Job(true)};
+  for (const auto& job : jobs) router_.Submit(job, now_);
+  for (const auto& job : jobs) router_.Abandon(job, now_);
+  ASSERT_EQ(link_.opened, 2U);
+  router_.SetConnectionLimit("registro", 1, now_);
+  link_.AcceptAll(now_);
+  EXPECT_EQ(router_.connections(), 1U);
+}
+
+// Guards against a connection to a leaving endpoint that stays open because it
+// was being opened when the endpoint began to leave.
+TEST_F(SessionRouterWithThreeEndpoints, EndpointLeavesNewConnectionIsClosed) {
+  router_.AddPosition("registro", now_, {1, 90});
+  router_.Submit(Job(false), now_);
+  ASSERT_EQ(link_.AddressesOf("near").size(), 1U);
+  EndpointRecord record = router_.endpoints().at("near").record;
+  record.leaving = true;
+  router_.SetEndpoint(record, now_);
+  Pass(milliseconds(50));
+  EXPECT_TRUE(link_.AddressesOf("near").empty());
+}
+
+// Guards against idle connections to an endpoint that is gone from the
+// registry.
+TEST_F(SessionRouterWithThreeEndpoints, RecordIsGoneConnectionsAreClosed) {
+  router_.Submit(Job(true), now_);
+  link_.AcceptAll(now_);
+  ASSERT_TRUE(link_.Answer("primary", OkReply({1, 1}), now_));
+  router_.RemoveEndpoint("primary", now_);
+  Pass(seconds(1));
+  EXPECT_EQ(router_.connections(), 1U);
+  Pass(seconds(2));
+  EXPECT_EQ(router_.connections(), 0U);
+}
+
 }  // namespace
 }  // namespace carawayhaven
