Session router: traverse a queue only once at a time

Seen by callers: none reported; the process could crash.

Cause: Dispatch traverses the queue while it starts jobs. A job whose send fails after its deadline is refused there and then; its session submits its next statement, and the nested Dispatch erases the entry of the refused job, which the outer one erases again.

A nested call now only makes the outermost one traverse the queue once more.

Failed before: DoneJobsOwnerSubmitsInDispatch under the address sanitizer (heap-use-after-free in the erase of Dispatch).

--- a/src/core/session/session_router.cc
+++ b/src/core/session/session_router.cc
@@ -244,8 +244,22 @@
   ScheduleTick(job->deadline);
 }
 
+// A job that ends here may submit another one, so the queue is traversed by the
+// outermost call only.
 void SessionRouter::Dispatch(const ServiceName& name, TimePoint now) {
   Service& service = services_[name];
+  if (std::exchange(service.dispatching, true)) {
+    service.dispatch_again = true;
+    return;
+  }
+  do {
+    service.dispatch_again = false;
+    DispatchQueue(service, now);
+  } while (service.dispatch_again);
+  service.dispatching = false;
+}
+
+void SessionRouter::DispatchQueue(Service& service, TimePoint now) {
   bool primary_blocked = false;
   int blocked = 0;
   for (auto entry = service.queue.begin();
--- a/src/core/session/session_router.h
+++ b/src/core/session/session_router.h
@@ -130,6 +130,10 @@
     RetryBudget retries;
     /// When a primary lease is expected; ignored while there is a valid lease.
     TimePoint primary_ready_at;
+    /// Dispatch traverses the queue.
+    bool dispatching = false;
+    /// Dispatch was called meanwhile.
+    bool dispatch_again = false;
   };
   /// A successful write whose endpoint may already have been replaced as the
   /// primary when it replied.
@@ -140,7 +144,9 @@
   };
 
   void Enqueue(const JobPtr& job);
+  /// Starts the queued jobs that can be started.
   void Dispatch(const ServiceName& name, TimePoint now);
+  void DispatchQueue(Service& service, TimePoint now);
   bool TryStart(const JobPtr& job, Service& service, TimePoint now);
   std::optional<LogPosition> RequiredPosition(const StatementJob& job,
                                               const Service& service) const;
--- a/test/session/fake_session_link.h
+++ b/test/session/fake_session_link.h
@@ -36,7 +36,9 @@
   bool Send(ConnectionId connection,
             const EndpointStatement& statement) override {
     const auto found = sessions.find(connection);
-    if (found == sessions.end() || !found->second.open) return false;
+    if (refuses_sends || found == sessions.end() || !found->second.open) {
+      return false;
+    }
     found->second.unanswered.push_back(statement);
     return true;
   }
@@ -110,6 +112,7 @@
 
   std::map<ConnectionId, Session> sessions;
   std::size_t opened = 0;
+  bool refuses_sends = false;
 
  private:
   std::vector<ConnectionId> Ids() const {
--- a/test/session/session_router_test.cc
+++ b/test/session/session_router_test.cc
@@ -456,5 +456,43 @@
   EXPECT_EQ(router_.connections(), 0U);
 }
 
+/// Submits another job when one of its jobs is done.
+class ResubmittingOwner : public RecordingOwner {
+ public:
+  void OnJobDone(const JobResult& result, TimePoint now) override {
+    RecordingOwner::OnJobDone(result, now);
+    if (next != nullptr) router->Submit(std::exchange(next, nullptr), now);
+  }
+
+  SessionRouter* router = nullptr;
+  std::shared_ptr<StatementJob> next;
+};
+
+// Guards against the removal of a queued job by the statement that its caller
+// sends when it is refused. The queue is traversed at that moment.
+TEST_F(SessionRouterWithThreeEndpoints, DoneJobsOwnerSubmitsInDispatch) {
+  router_.SetConnectionLimit("registro", 1, now_);
+  router_.Submit(Job(true), now_);
+  link_.AcceptAll(now_);
+  const auto owner = std::make_shared<ResubmittingOwner>();
+  owner->router = &router_;
+  owner->next = Job(true);
+  owner->next->deadline = now_ + seconds(5);
+  const auto waiting = Job(true);
+  waiting->owner = owner;
+  router_.Submit(waiting, now_);
+  router_.Submit(Job(true), now_);
+  now_ += milliseconds(1100);
+  link_.refuses_sends = true;
+  ASSERT_TRUE(link_.Answer("primary", OkReply({1, 1}), now_));
+  link_.refuses_sends = false;
+  Pass(milliseconds(300));
+  EXPECT_EQ(owner->results.size(), 1U);
+  EXPECT_EQ(owner_->results.size(), 2U);
+  EXPECT_EQ(router_.waiting(), 0U);
+  EXPECT_TRUE(link_.Answer("primary", OkReply({1, 1}), now_));
+  EXPECT_EQ(owner_->results.size(), 3U);
+}
+
 }  // namespace
 }  // namespace carawayhaven
