Session router: send no statement after its deadline

Seen by callers: a write that had waited in the queue until its deadline was reported as in doubt, where a refusal would have allowed a retry.

Cause: Dispatch started each job that was not done. When the event loop was late and a reply freed a connection before the next tick, a job whose deadline had passed was sent, and the tick that followed timed it out.

Dispatch leaves such jobs to the tick, which refuses them.

Failed before: DeadlineHasPassedJobIsNotSent (one statement sent, the job ended as timed out).

--- a/src/core/session/session_router.cc
+++ b/src/core/session/session_router.cc
@@ -269,6 +269,12 @@
       entry = service.queue.erase(entry);
       continue;
     }
+    // TickQueues refuses jobs whose deadline has passed.
+    if (job->deadline <= now) {
+      ScheduleTick(now);
+      ++entry;
+      continue;
+    }
     if (job->not_before > now) {
       ScheduleTick(job->not_before);
       ++entry;
--- a/test/session/session_router_test.cc
+++ b/test/session/session_router_test.cc
@@ -494,5 +494,22 @@
   EXPECT_EQ(owner_->results.size(), 3U);
 }
 
+// Guards against a statement that is sent to an endpoint after its deadline, so
+// that its outcome is unknown although it could have been refused.
+TEST_F(SessionRouterWithThreeEndpoints, DeadlineHasPassedJobIsNotSent) {
+  router_.SetConnectionLimit("registro", 1, now_);
+  const auto running = Job(true, true);
+  running->deadline = now_ + seconds(5);
+  router_.Submit(running, now_);
+  link_.AcceptAll(now_);
+  router_.Submit(Job(true, true), now_);
+  now_ += milliseconds(1100);
+  ASSERT_TRUE(link_.Answer("primary", OkReply({1, 1}), now_));
+  EXPECT_EQ(link_.Running("primary"), 0U);
+  router_.Tick(now_);
+  ASSERT_EQ(owner_->results.size(), 2U);
+  EXPECT_EQ(owner_->results[1].end, JobResult::End::kNotRun);
+}
+
 }  // namespace
 }  // namespace carawayhaven
