Sessions: roll back only a transaction that the session still has

Seen by callers: a whole statement got neither a reply nor a refusal, and its session stayed open, busy for good.

Cause: a commit that succeeds after the primary lease has expired is held until the lease is renewed, for 3 s at most. Its connection is free again at once and runs the statements of other sessions, but the session still has the number of the connection until the commit is reported. If its caller disconnects meanwhile, the session rolls back its transaction on that connection: the router marks the job that runs there as done and closes the connection. The job is that of another caller. If the connection is idle, the ROLLBACK shifts the replies of the next statement.

The router rolls back, and runs statements of a transaction, only on a connection that runs a transaction of this session.

Failed before: HeldCommitIsAbandonedOthersKeepTheConnection (no reply to the other caller).

--- a/src/core/session/caller_session.cc
+++ b/src/core/session/caller_session.cc
@@ -275,7 +275,7 @@
 void CallerSession::OnJobDone(const JobResult& result, TimePoint now) {
   const std::shared_ptr<StatementJob> job = std::exchange(job_, nullptr);
   if (channel_ == nullptr) {
-    if (result.connection != 0) router_.RollBack(result.connection, now);
+    if (result.connection != 0) router_.RollBack(result.connection, *this, now);
     return;
   }
   const bool in_transaction = state_ == TransactionState::kOpen;
@@ -380,7 +380,9 @@
 }
 
 void CallerSession::EndTransaction(TransactionState state, TimePoint now) {
-  if (connection_ != 0) router_.RollBack(std::exchange(connection_, 0), now);
+  if (connection_ != 0) {
+    router_.RollBack(std::exchange(connection_, 0), *this, now);
+  }
   state_ = state;
 }
 
--- a/src/core/session/session_router.cc
+++ b/src/core/session/session_router.cc
@@ -198,23 +198,35 @@
 void SessionRouter::SubmitInTransaction(
     ConnectionId id, const std::shared_ptr<StatementJob>& job, TimePoint now) {
   job->transaction_connection = id;
-  if (!connections_.contains(id)) {
+  const auto found = connections_.find(id);
+  if (found == connections_.end() ||
+      found->second.transaction_owner != job->owner) {
     Finish(job, UnansweredResult(JobResult::End::kLost, ""), now);
     return;
   }
   Start(id, job, std::nullopt, now);
 }
 
-void SessionRouter::RollBack(ConnectionId id, TimePoint now) {
+void SessionRouter::RollBack(ConnectionId id, const JobOwner& owner,
+                             TimePoint now) {
   const auto found = connections_.find(id);
-  if (found == connections_.end()) return;
-  Connection& connection = found->second;
-  connection.transaction_owner.reset();
-  if (connection.job != nullptr) {
-    connection.job->done = true;
+  if (found == connections_.end() ||
+      found->second.transaction_owner.get() != &owner) {
+    return;
+  }
+  if (found->second.job != nullptr) {
+    found->second.job->done = true;
     CloseConnection(id, now);
     return;
   }
+  SendRollback(id, now);
+}
+
+void SessionRouter::SendRollback(ConnectionId id, TimePoint now) {
+  const auto found = connections_.find(id);
+  if (found == connections_.end()) return;
+  Connection& connection = found->second;
+  connection.transaction_owner.reset();
   connection.steps = {EndpointStatement{}};
   connection.steps.front().kind = EndpointStatementKind::kRollback;
   connection.step = 0;
--- a/src/core/session/session_router.h
+++ b/src/core/session/session_router.h
@@ -69,12 +69,14 @@
 
   /// Runs a statement on any suitable connection.
   void Submit(const std::shared_ptr<StatementJob>& job, TimePoint now);
-  /// Runs a statement on the connection of its transaction.
+  /// Runs a statement on the connection of its transaction. The job is lost if
+  /// the connection no longer runs a transaction of the job's owner.
   void SubmitInTransaction(ConnectionId connection,
                            const std::shared_ptr<StatementJob>& job,
                            TimePoint now);
-  /// Rolls back the transaction on the connection.
-  void RollBack(ConnectionId connection, TimePoint now);
+  /// Rolls back the owner's transaction on the connection. Does nothing if the
+  /// connection no longer runs a transaction of the owner.
+  void RollBack(ConnectionId connection, const JobOwner& owner, TimePoint now);
   /// Abandons a job whose caller has disconnected; its result is discarded.
   void Abandon(const std::shared_ptr<StatementJob>& job, TimePoint now);
 
@@ -166,6 +168,7 @@
   void Start(ConnectionId id, const JobPtr& job,
              std::optional<LogPosition> required, TimePoint now);
   void SendStep(ConnectionId id, TimePoint now);
+  void SendRollback(ConnectionId id, TimePoint now);
   void OnSetupReply(ConnectionId id, const StatementReply& reply,
                     TimePoint now);
   void OnFinalReply(ConnectionId id, const StatementReply& reply,
--- a/src/core/session/session_router_reply.cc
+++ b/src/core/session/session_router_reply.cc
@@ -138,7 +138,7 @@
     if (connection.job->done) {
       const bool open = connection.in_transaction;
       DetachJob(id, true, now);
-      if (open) RollBack(id, now);
+      if (open) SendRollback(id, now);
       return;
     }
     ++connection.step;
@@ -197,7 +197,7 @@
   if (stays_open && !done) connection.transaction_owner = connection.job->owner;
   const bool roll_back = connection.in_transaction && (done || !stays_open);
   const JobPtr job = DetachJob(id, true, now);
-  if (roll_back) RollBack(id, now);
+  if (roll_back) SendRollback(id, now);
   if (done) return;
   const bool not_run = GuaranteesNotRun(reply.code) && !job->commits;
   if (not_run && (first_in_transaction || !in_transaction)) {
--- a/test/session/caller_session_test.cc
+++ b/test/session/caller_session_test.cc
@@ -273,5 +273,35 @@
   EXPECT_EQ(first->kind, EndpointStatementKind::kReset);
 }
 
+// Guards against a statement without a reply: the caller of a commit that waits
+// for the renewal of the primary lease disconnects, and the connection of the
+// commit runs the statement of another caller by then.
+TEST_F(CallerSessionThatIsOpen, HeldCommitIsAbandonedOthersKeepTheConnection) {
+  router_.SetConnectionLimit("registro", 1, now_);
+  Write();
+  router_.GrantLease("registro", {"db", 2, now_ + milliseconds(10)}, now_);
+  Run(StatementKind::kCommit);
+  now_ += milliseconds(20);
+  AnswerOk(TransactionState::kIdle);
+  routes_.databases["packs"].consistency = Consistency::kBoundedStaleness;
+  routes_.databases["packs"].max_age = seconds(1);
+  router_.AddPosition("registro", now_, {1, 90});
+  RecordingChannel other_channel;
+  auto other = std::make_shared<CallerSession>(
+      router_, observer_, [this]() -> const RouteTable& { return routes_; },
+      other_channel);
+  other->OnConnect("packs");
+  CallerStatement read;
+  read.kind = StatementKind::kRead;
+  read.id = "other";
+  read.text = "READ 1";
+  other->OnStatement(read, now_);
+  EXPECT_EQ(link_.Running("db"), 1U);
+  session_->OnDisconnected(now_);
+  AnswerOk(TransactionState::kIdle);
+  ASSERT_EQ(other_channel.replies.size(), 1U);
+  EXPECT_EQ(other_channel.replies[0].code, ReplyCode::kOk);
+}
+
 }  // namespace
 }  // namespace carawayhaven
