Session router: confirm a held write only in the term in which it was sent

Seen by callers: none reported; a write that was reported as done could be missing.

Cause: a write whose reply arrives without a valid primary lease is confirmed by the next lease of the same endpoint. If another endpoint was promoted in between and this VM did not receive its lease, the first one may have run the write as a former primary, and discarded it when it followed its successor, before it was promoted again in a later term. A reply that arrived after the second promotion was not held at all.

A write is confirmed by a lease of the term that the endpoint had when the write was sent; otherwise its outcome is unknown.

Failed before: PrimaryIsPromotedAgainOldWriteIsInDoubt and PrimaryIsPromotedAgainLateReplyIsInDoubt (acknowledged).

--- a/src/core/session/session_router.h
+++ b/src/core/session/session_router.h
@@ -123,6 +123,9 @@
     TimePoint give_up_at = TimePoint::max();
     /// The endpoint had a valid primary lease when the step was sent.
     bool sent_with_lease = false;
+    /// Term of the latest primary lease when the step was sent, if it was the
+    /// endpoint's; zero otherwise.
+    Term sent_term = 0;
   };
   struct Service {
     std::list<JobPtr> queue;
@@ -142,6 +145,8 @@
   struct UnconfirmedWrite {
     JobPtr job;
     JobResult result;
+    /// Term of the endpoint when the write was sent.
+    Term term = 0;
     TimePoint until;
   };
 
--- a/src/core/session/session_router_outcome.cc
+++ b/src/core/session/session_router_outcome.cc
@@ -107,8 +107,8 @@
 }
 
 // Settles writes that succeeded on an endpoint whose primary lease had expired.
-// If the lease was renewed, no other endpoint was promoted and the write is
-// confirmed; otherwise the write may be lost.
+// If the lease was renewed in the same term, no other endpoint was promoted and
+// the write is confirmed; otherwise the write may be lost.
 void SessionRouter::SettleUnconfirmedWrites(TimePoint now) {
   std::list<UnconfirmedWrite> settled;
   for (auto entry = unconfirmed_.begin(); entry != unconfirmed_.end();) {
@@ -117,7 +117,8 @@
       ++entry;
       continue;
     }
-    if (lease == nullptr || lease->endpoint != entry->result.endpoint) {
+    if (lease == nullptr || lease->endpoint != entry->result.endpoint ||
+        lease->term != entry->term) {
       entry->result.end = JobResult::End::kLost;
     }
     settled.splice(settled.end(), unconfirmed_, entry++);
--- a/src/core/session/session_router_reply.cc
+++ b/src/core/session/session_router_reply.cc
@@ -194,6 +194,7 @@
       in_transaction && answered_ok && reply.state == TransactionState::kOpen;
   connection.in_transaction = reply.state != TransactionState::kIdle;
   const bool done = connection.job->done;
+  const Term term = connection.sent_term;
   if (stays_open && !done) connection.transaction_owner = connection.job->owner;
   const bool roll_back = connection.in_transaction && (done || !stays_open);
   const JobPtr job = DetachJob(id, true, now);
@@ -218,11 +219,12 @@
   const bool committed =
       job->has_effect && answered_ok && (job->commits || !in_transaction);
   const PrimaryLease* lease = leases_.FindValid(job->service, now);
-  if (committed && (lease == nullptr || lease->endpoint != name)) {
+  if (committed &&
+      (lease == nullptr || lease->endpoint != name || lease->term != term)) {
     ReportDecision(RoutingDecision::Kind::kHeldForLease, *job, name, reply.code,
                    now);
     unconfirmed_.push_back(
-        {job, std::move(result), now + kLeaseConfirmTimeout});
+        {job, std::move(result), term, now + kLeaseConfirmTimeout});
     ScheduleTick(now + kLeaseConfirmTimeout);
     SettleUnconfirmedWrites(now);
     return;
--- a/src/core/session/session_router_send.cc
+++ b/src/core/session/session_router_send.cc
@@ -194,10 +194,12 @@
 void SessionRouter::SendStep(ConnectionId id, TimePoint now) {
   Connection& connection = connections_.at(id);
   EndpointState& endpoint = endpoints_.at(connection.endpoint);
-  const PrimaryLease* lease = leases_.FindValid(connection.service, now);
-  connection.sent_at = now;
-  connection.sent_with_lease =
+  const PrimaryLease* lease = leases_.FindLatest(connection.service);
+  const bool is_primary =
       lease != nullptr && lease->endpoint == connection.endpoint;
+  connection.sent_at = now;
+  connection.sent_with_lease = is_primary && now < lease->expires;
+  connection.sent_term = is_primary ? lease->term : 0;
   if (!link_.Send(id, connection.steps[connection.step])) {
     const EndpointName name = connection.endpoint;
     const JobPtr job = DetachJob(id, false, now);
--- a/test/session/session_router_test.cc
+++ b/test/session/session_router_test.cc
@@ -276,6 +276,31 @@
   EXPECT_EQ(owner_->results[0].end, JobResult::End::kLost);
 }
 
+// Guards against the loss of an acknowledged write: the endpoint ran it after
+// another endpoint had been promoted, and was promoted again before the reply.
+TEST_F(SessionRouterWithoutLease, PrimaryIsPromotedAgainOldWriteIsInDoubt) {
+  Grant(milliseconds(100));
+  router_.Submit(Job(true, true), now_);
+  link_.AcceptAll(now_);
+  Pass(milliseconds(200));
+  ASSERT_TRUE(link_.Answer("primary", OkReply({1, 101}), now_));
+  Grant(milliseconds(500), "primary", 3);
+  ASSERT_EQ(owner_->results.size(), 1U);
+  EXPECT_EQ(owner_->results[0].end, JobResult::End::kLost);
+}
+
+// As above, with a reply that arrives after the second promotion.
+TEST_F(SessionRouterWithoutLease, PrimaryIsPromotedAgainLateReplyIsInDoubt) {
+  Grant(milliseconds(100));
+  router_.Submit(Job(true, true), now_);
+  link_.AcceptAll(now_);
+  Pass(milliseconds(200));
+  Grant(milliseconds(500), "primary", 3);
+  ASSERT_TRUE(link_.Answer("primary", OkReply({1, 101}), now_));
+  ASSERT_EQ(owner_->results.size(), 1U);
+  EXPECT_EQ(owner_->results[0].end, JobResult::End::kLost);
+}
+
 TEST_F(SessionRouterWithoutLease, FailoverEndsWaitingWritesGoToTheNewPrimary) {
   router_.Submit(Job(true, true), now_);
   Pass(milliseconds(300));
