--- a/src/core/session/session_router.cc
+++ b/src/core/session/session_router.cc
@@ -45,7 +45,8 @@
   services_[record.service].endpoints[record.name] = &endpoint;
   const bool restarted = !is_new && endpoint.record.started_ms != 0 &&
                          record.started_ms != endpoint.record.started_ms;
-  const bool moved = endpoint.record.address != record.address;
+  const bool moved = endpoint.record.address != record.address ||
+                     endpoint.record.service != record.service;
   endpoint.record = record;
   endpoint.missing_since = TimePoint::max();
   if (!record.leaving) {
@@ -56,10 +57,9 @@
   if (restarted || moved) {
     endpoint.next_open = now;
     endpoint.position = {};
+    RetireConnections(endpoint, now);
   }
-  if (restarted || moved || (record.leaving && !record.claims_primary)) {
-    TrimConnections(endpoint, 0, now);
-  }
+  TrimConnections(endpoint, now);
   Dispatch(record.service, now);
 }
 
@@ -68,6 +68,7 @@
   if (found == endpoints_.end()) return;
   if (found->second.missing_since == TimePoint::max()) {
     found->second.missing_since = now;
+    ScheduleTick(found->second.WorkEnd());
   }
 }
 
@@ -76,19 +77,37 @@
   Service& limited = services_[service];
   limited.connection_limit = std::max(limit, 1U);
   for (const auto& [name, endpoint] : limited.endpoints) {
-    TrimConnections(*endpoint, limited.connection_limit, now);
+    TrimConnections(*endpoint, now);
   }
 }
 
-void SessionRouter::TrimConnections(EndpointState& endpoint, std::size_t limit,
-                                    TimePoint now) {
+void SessionRouter::RetireConnections(EndpointState& endpoint, TimePoint now) {
+  const std::set<ConnectionId> retired = endpoint.connections;
+  for (const ConnectionId id : retired) {
+    Connection& connection = connections_.at(id);
+    connection.outdated = true;
+    if (!connection.open || endpoint.idle.contains(id)) {
+      CloseConnection(id, now);
+    }
+  }
+}
+
+void SessionRouter::TrimConnections(EndpointState& endpoint, TimePoint now) {
+  const std::size_t limit =
+      endpoint.AcceptsWork(now)
+          ? services_[endpoint.record.service].connection_limit
+          : 0;
   while (endpoint.connections.size() > limit && !endpoint.idle.empty()) {
     CloseConnection(*endpoint.idle.begin(), now);
   }
 }
 
 void SessionRouter::CloseIdleConnections(TimePoint now) {
-  for (auto& [name, endpoint] : endpoints_) TrimConnections(endpoint, 0, now);
+  for (auto& [name, endpoint] : endpoints_) {
+    while (!endpoint.idle.empty()) {
+      CloseConnection(*endpoint.idle.begin(), now);
+    }
+  }
 }
 
 void SessionRouter::GrantLease(const ServiceName& service,
@@ -179,23 +198,35 @@
 void SessionRouter::SubmitInTransaction(
     ConnectionId id, const std::shared_ptr<StatementJob>& job, TimePoint now) {
   job->transaction_connection = id;
-  if (!connections_.contains(id)) {
+  const auto found = connections_.find(id);
+  if (found == connections_.end() ||
+      found->second.transaction_owner != job->owner) {
     Finish(job, UnansweredResult(JobResult::End::kLost, ""), now);
     return;
   }
   Start(id, job, std::nullopt, now);
 }
 
-void SessionRouter::RollBack(ConnectionId id, TimePoint now) {
+void SessionRouter::RollBack(ConnectionId id, const JobOwner& owner,
+                             TimePoint now) {
   const auto found = connections_.find(id);
-  if (found == connections_.end()) return;
-  Connection& connection = found->second;
-  connection.transaction_owner.reset();
-  if (connection.job != nullptr) {
-    connection.job->done = true;
+  if (found == connections_.end() ||
+      found->second.transaction_owner.get() != &owner) {
+    return;
+  }
+  if (found->second.job != nullptr) {
+    found->second.job->done = true;
     CloseConnection(id, now);
     return;
   }
+  SendRollback(id, now);
+}
+
+void SessionRouter::SendRollback(ConnectionId id, TimePoint now) {
+  const auto found = connections_.find(id);
+  if (found == connections_.end()) return;
+  Connection& connection = found->second;
+  connection.transaction_owner.reset();
   connection.steps = {EndpointStatement{}};
   connection.steps.front().kind = EndpointStatementKind::kRollback;
   connection.step = 0;
@@ -225,8 +256,22 @@
   ScheduleTick(job->deadline);
 }
 
+// A job that ends here may submit another one, so the queue is traversed by the
+// outermost call only.
 void SessionRouter::Dispatch(const ServiceName& name, TimePoint now) {
   Service& service = services_[name];
+  if (std::exchange(service.dispatching, true)) {
+    service.dispatch_again = true;
+    return;
+  }
+  do {
+    service.dispatch_again = false;
+    DispatchQueue(service, now);
+  } while (service.dispatch_again);
+  service.dispatching = false;
+}
+
+void SessionRouter::DispatchQueue(Service& service, TimePoint now) {
   bool primary_blocked = false;
   int blocked = 0;
   for (auto entry = service.queue.begin();
@@ -236,6 +281,12 @@
       entry = service.queue.erase(entry);
       continue;
     }
+    // TickQueues refuses jobs whose deadline has passed.
+    if (job->deadline <= now) {
+      ScheduleTick(now);
+      ++entry;
+      continue;
+    }
     if (job->not_before > now) {
       ScheduleTick(job->not_before);
       ++entry;
@@ -283,8 +334,13 @@
     }
     Dispatch(name, now);
   }
-  for (const auto& [name, endpoint] : endpoints_) {
+  for (auto& [name, endpoint] : endpoints_) {
     if (endpoint.next_open > now) ScheduleTick(endpoint.next_open);
+    if (endpoint.WorkEnd() > now) {
+      ScheduleTick(endpoint.WorkEnd());
+    } else {
+      TrimConnections(endpoint, now);
+    }
   }
   for (const JobPtr& job : expired) Refuse(job, job->last_refusal, now);
 }
--- a/src/core/session/session_router_send.cc
+++ b/src/core/session/session_router_send.cc
@@ -140,6 +140,7 @@
                  endpoint.record.name, *this);
   Connection& connection = connections_[id];
   connection.endpoint = endpoint.record.name;
+  connection.service = endpoint.record.service;
   connection.give_up_at = now + kOpenTimeout;
   endpoint.connections.insert(id);
   ++endpoint.opening;
@@ -193,10 +194,12 @@
 void SessionRouter::SendStep(ConnectionId id, TimePoint now) {
   Connection& connection = connections_.at(id);
   EndpointState& endpoint = endpoints_.at(connection.endpoint);
-  const PrimaryLease* lease = leases_.FindValid(endpoint.record.service, now);
-  connection.sent_at = now;
-  connection.sent_with_lease =
+  const PrimaryLease* lease = leases_.FindLatest(connection.service);
+  const bool is_primary =
       lease != nullptr && lease->endpoint == connection.endpoint;
+  connection.sent_at = now;
+  connection.sent_with_lease = is_primary && now < lease->expires;
+  connection.sent_term = is_primary ? lease->term : 0;
   if (!link_.Send(id, connection.steps[connection.step])) {
     const EndpointName name = connection.endpoint;
     const JobPtr job = DetachJob(id, false, now);
--- a/test/session/session_router_test.cc
+++ b/test/session/session_router_test.cc
@@ -276,6 +276,31 @@
   EXPECT_EQ(owner_->results[0].end, JobResult::End::kLost);
 }
 
+// Guards against the loss of an acknowledged write: the endpoint ran it after
+// another endpoint had been promoted, and was promoted again before the reply.
+TEST_F(SessionRouterWithoutLease, PrimaryIsPromotedAgainOldWriteIsInDoubt) {
+  Grant(milliseconds(100));
+  router_.Submit(Job(true, true), now_);
+  link_.AcceptAll(now_);
+  Pass(milliseconds(200));
+  ASSERT_TRUE(link_.Answer("primary", OkReply({1, 101}), now_));
+  Grant(milliseconds(500), "primary", 3);
+  ASSERT_EQ(owner_->results.size(), 1U);
+  EXPECT_EQ(owner_->results[0].end, JobResult::End::kLost);
+}
+
+// As above, with a reply that arrives after the second promotion.
+TEST_F(SessionRouterWithoutLease, PrimaryIsPromotedAgainLateReplyIsInDoubt) {
+  Grant(milliseconds(100));
+  router_.Submit(Job(true, true), now_);
+  link_.AcceptAll(now_);
+  Pass(milliseconds(200));
+  Grant(milliseconds(500), "primary", 3);
+  ASSERT_TRUE(link_.Answer("primary", OkReply({1, 101}), now_));
+  ASSERT_EQ(owner_->results.size(), 1U);
+  EXPECT_EQ(owner_->results[0].end, JobResult::End::kLost);
+}
+
 TEST_F(SessionRouterWithoutLease, FailoverEndsWaitingWritesGoToTheNewPrimary) {
   router_.Submit(Job(true, true), now_);
   Pass(milliseconds(300));
@@ -385,5 +410,131 @@
   EXPECT_EQ(link_.Running("near"), 0U);
 }
 
+// Guards against statements that are sent to the endpoint's former address or
+// service over a connection that was in use when the record changed.
+TEST_F(SessionRouterWithThreeEndpoints, RecordMovesOldConnectionsAreNotReused) {
+  router_.SetConnectionLimit("registro", 1, now_);
+  EndpointRecord record = router_.endpoints().at("primary").record;
+  router_.Submit(Job(true), now_);
+  record.address = "10.0.0.2:5000";
+  router_.SetEndpoint(record, now_);
+  EXPECT_EQ(link_.AddressesOf("primary"),
+            std::vector<std::string>{"10.0.0.2:5000"});
+  link_.AcceptAll(now_);
+  EXPECT_EQ(link_.Running("primary"), 1U);
+  record.address = "10.0.0.3:5000";
+  router_.SetEndpoint(record, now_);
+  ASSERT_TRUE(link_.Answer("primary", OkReply({1, 1}), now_));
+  ASSERT_EQ(owner_->results.size(), 1U);
+  EXPECT_EQ(owner_->results[0].end, JobResult::End::kAnswered);
+  EXPECT_EQ(router_.connections(), 0U);
+}
+
+// Guards against a statement that runs on a connection of another service.
+TEST_F(SessionRouterWithThreeEndpoints,
+       RecordChangesServiceConnectionsAreClosed) {
+  router_.Submit(Job(true), now_);
+  link_.AcceptAll(now_);
+  ASSERT_TRUE(link_.Answer("primary", OkReply({1, 1}), now_));
+  EXPECT_EQ(router_.connections(), 1U);
+  EndpointRecord record = router_.endpoints().at("primary").record;
+  record.service = "other";
+  router_.SetEndpoint(record, now_);
+  EXPECT_EQ(router_.connections(), 0U);
+}
+
+// Guards against a connection that stays open beyond the limit because it was
+// being opened when the limit was lowered.
+TEST_F(SessionRouterWithThreeEndpoints, LimitShrinksNewConnectionsAreClosed) {
+  const std::vector<std::shared_ptr<StatementJob>> jobs{Job(true), Job(true)};
+  for (const auto& job : jobs) router_.Submit(job, now_);
+  for (const auto& job : jobs) router_.Abandon(job, now_);
+  ASSERT_EQ(link_.opened, 2U);
+  router_.SetConnectionLimit("registro", 1, now_);
+  link_.AcceptAll(now_);
+  EXPECT_EQ(router_.connections(), 1U);
+}
+
+// Guards against a connection to a leaving endpoint that stays open because it
+// was being opened when the endpoint began to leave.
+TEST_F(SessionRouterWithThreeEndpoints, EndpointLeavesNewConnectionIsClosed) {
+  router_.AddPosition("registro", now_, {1, 90});
+  router_.Submit(Job(false), now_);
+  ASSERT_EQ(link_.AddressesOf("near").size(), 1U);
+  EndpointRecord record = router_.endpoints().at("near").record;
+  record.leaving = true;
+  router_.SetEndpoint(record, now_);
+  Pass(milliseconds(50));
+  EXPECT_TRUE(link_.AddressesOf("near").empty());
+}
+
+// Guards against idle connections to an endpoint that is gone from the
+// registry.
+TEST_F(SessionRouterWithThreeEndpoints, RecordIsGoneConnectionsAreClosed) {
+  router_.Submit(Job(true), now_);
+  link_.AcceptAll(now_);
+  ASSERT_TRUE(link_.Answer("primary", OkReply({1, 1}), now_));
+  router_.RemoveEndpoint("primary", now_);
+  Pass(seconds(1));
+  EXPECT_EQ(router_.connections(), 1U);
+  Pass(seconds(2));
+  EXPECT_EQ(router_.connections(), 0U);
+}
+
+/// Submits another job when one of its jobs is done.
+class ResubmittingOwner : public RecordingOwner {
+ public:
+  void OnJobDone(const JobResult& result, TimePoint now) override {
+    RecordingOwner::OnJobDone(result, now);
+    if (next != nullptr) router->Submit(std::exchange(next, nullptr), now);
+  }
+
+  SessionRouter* router = nullptr;
+  std::shared_ptr<StatementJob> next;
+};
+
+// Guards against the removal of a queued job by the statement that its caller
+// sends when it is refused. The queue is traversed at that moment.
+TEST_F(SessionRouterWithThreeEndpoints, DoneJobsOwnerSubmitsInDispatch) {
+  router_.SetConnectionLimit("registro", 1, now_);
+  router_.Submit(Job(true), now_);
+  link_.AcceptAll(now_);
+  const auto owner = std::make_shared<ResubmittingOwner>();
+  owner->router = &router_;
+  owner->next = Job(true);
+  owner->next->deadline = now_ + seconds(5);
+  const auto waiting = Job(true);
+  waiting->owner = owner;
+  router_.Submit(waiting, now_);
+  router_.Submit(Job(true), now_);
+  now_ += milliseconds(1100);
+  link_.refuses_sends = true;
+  ASSERT_TRUE(link_.Answer("primary", OkReply({1, 1}), now_));
+  link_.refuses_sends = false;
+  Pass(milliseconds(300));
+  EXPECT_EQ(owner->results.size(), 1U);
+  EXPECT_EQ(owner_->results.size(), 2U);
+  EXPECT_EQ(router_.waiting(), 0U);
+  EXPECT_TRUE(link_.Answer("primary", OkReply({1, 1}), now_));
+  EXPECT_EQ(owner_->results.size(), 3U);
+}
+
+// Guards against a statement that is sent to an endpoint after its deadline, so
+// that its outcome is unknown although it could have been refused.
+TEST_F(SessionRouterWithThreeEndpoints, DeadlineHasPassedJobIsNotSent) {
+  router_.SetConnectionLimit("registro", 1, now_);
+  const auto running = Job(true, true);
+  running->deadline = now_ + seconds(5);
+  router_.Submit(running, now_);
+  link_.AcceptAll(now_);
+  router_.Submit(Job(true, true), now_);
+  now_ += milliseconds(1100);
+  ASSERT_TRUE(link_.Answer("primary", OkReply({1, 1}), now_));
+  EXPECT_EQ(link_.Running("primary"), 0U);
+  router_.Tick(now_);
+  ASSERT_EQ(owner_->results.size(), 2U);
+  EXPECT_EQ(owner_->results[1].end, JobResult::End::kNotRun);
+}
+
 }  // namespace
 }  // namespace carawayhaven
