Peers: treat a malformed address as an unknown one

The address of a peer comes from its entry in the store or from another peer. With a port out of range, ParseAddress threw NetworkError from a timer of the loop when the first message was sent to the peer. The exception left the loop and ended the process, and all requests of its callers ended without an answer; the process ended again after each start, as long as the entry existed. PeerTransport::Send now returns false for such a peer, as for one without an address. A host name is malformed as well, since its resolution would block the loop. Before: PeerWithAMalformedAddressIsUnreachable fails with "not an address of the form IP:port: 127.0.0.1:70000", thrown from the loop. After: it passes.

--- a/src/net/address.cc
+++ b/src/net/address.cc
@@ -1,13 +1,16 @@
 #include "net/address.h"
 
+#include <arpa/inet.h>
+
 #include <charconv>
 
 #include "carawayhaven/error_messages.h"
 #include "carawayhaven/exceptions.h"
 
 namespace carawayhaven {
+namespace {
 
-Address ParseAddress(std::string_view text) {
+std::optional<Address> SplitAddress(std::string_view text) {
   const std::size_t colon = text.rfind(':');
   Address address;
   if (colon != std::string_view::npos && colon > 0) {
@@ -19,7 +22,23 @@
       return address;
     }
   }
+  return std::nullopt;
+}
+
+}  // namespace
+
+Address ParseAddress(std::string_view text) {
+  if (std::optional<Address> address = SplitAddress(text)) return *address;
   throw NetworkError(error_messages::kMalformedAddress + std::string(text));
 }
 
+std::optional<Address> ParseIpAddress(std::string_view text) {
+  std::optional<Address> address = SplitAddress(text);
+  in_addr parsed{};
+  if (!address || inet_pton(AF_INET, address->ip.c_str(), &parsed) != 1) {
+    return std::nullopt;
+  }
+  return address;
+}
+
 }  // namespace carawayhaven
--- a/src/net/address.h
+++ b/src/net/address.h
@@ -2,6 +2,7 @@
 #define CARAWAYHAVEN_NET_ADDRESS_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -17,6 +18,10 @@
 /// is no IP part or the port is not a number from 1 to 65535.
 Address ParseAddress(std::string_view text);
 
+/// Parses "IP:port" with an IPv4 address. Returns nothing if it is malformed.
+/// For addresses from other processes, which must not end this one.
+std::optional<Address> ParseIpAddress(std::string_view text);
+
 }  // namespace carawayhaven
 
 #endif  // CARAWAYHAVEN_NET_ADDRESS_H_
--- a/src/net/peer_transport.cc
+++ b/src/net/peer_transport.cc
@@ -44,7 +44,12 @@
       links_.erase(vm);
       return false;
     }
-    connection = Connect(address->second);
+    const std::optional<Address> parsed = ParseIpAddress(address->second);
+    if (!parsed) {
+      links_.erase(vm);
+      return false;
+    }
+    connection = Connect(*parsed);
     connection->set_peer(vm);
     connection->Send(EncodePeerMessage(self_, EventLoop::Now()));
   }
@@ -63,13 +68,12 @@
   link->Abort();
 }
 
-std::shared_ptr<PeerConnection> PeerTransport::Connect(
-    const std::string& address_text) {
+std::shared_ptr<PeerConnection> PeerTransport::Connect(const Address& address) {
   auto connection = std::make_shared<PeerConnection>(*this, true);
-  loop_.Post([this, connection, address_text] {
+  loop_.Post([this, connection, address] {
     connection->Attach(nullptr);
-    if (!ConnectRaw(loop_, vhost_, protocols_.data(),
-                    ParseAddress(address_text), connection.get())) {
+    if (!ConnectRaw(loop_, vhost_, protocols_.data(), address,
+                    connection.get())) {
       connection->HandleClose();
     }
   });
--- a/src/net/peer_transport.h
+++ b/src/net/peer_transport.h
@@ -14,6 +14,7 @@
 
 namespace carawayhaven {
 
+struct Address;
 class EventLoop;
 class PeerConnection;
 
@@ -57,7 +58,7 @@
   static int HandleEvent(lws* wsi, lws_callback_reasons reason, void* user,
                          void* in, size_t length);
 
-  std::shared_ptr<PeerConnection> Connect(const std::string& address);
+  std::shared_ptr<PeerConnection> Connect(const Address& address);
   void OnMessage(PeerConnection& connection, const PeerMessage& message);
   void OnHello(PeerConnection& connection, const HelloMessage& hello);
   void OnClosed(PeerConnection& connection);
--- a/test/net/peer_transport_test.cc
+++ b/test/net/peer_transport_test.cc
@@ -200,5 +200,18 @@
   EXPECT_EQ(b_.transport.connections(), 1U);
 }
 
+// Guards against a process that ends because of the address of one peer, which
+// comes from an entry of the store or from another peer.
+TEST_F(PeerTransports, PeerWithAMalformedAddressIsUnreachable) {
+  for (const char* address : {"127.0.0.1:70000", "127.0.0.1", "", ":1",
+                              "127.0.0.1:0", "not an address:7811"}) {
+    SCOPED_TRACE(address);
+    a_.transport.SetAddress("vm-9", address);
+    EXPECT_FALSE(a_.transport.Send("vm-9", Update(1)));
+    RunTicks(2);
+  }
+  ExpectArrives(a_, b_, 2);
+}
+
 }  // namespace
 }  // namespace carawayhaven
