WebSocket: test of a close with a partly sent message

CloseAfterSend returns false from the writable event although libwebsockets may still hold a part of the message. Unlike for raw sockets, libwebsockets sends that part before it closes a WebSocket, within 5 s, so no answer is truncated.

--- a/test/net/websocket_test.cc
+++ b/test/net/websocket_test.cc
@@ -45,6 +45,19 @@
     return socket;
   }
 
+  // Opens a connection that is read only when the test does so.
+  RawSocket OpenRaw() {
+    RawSocket socket(kPort);
+    EXPECT_TRUE(socket.connected());
+    socket.Write(
+        "GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\n"
+        "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+        "Sec-WebSocket-Protocol: carawayhaven\r\n"
+        "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n");
+    EXPECT_TRUE(RunUntil([&] { return !remote_.sockets.empty(); }));
+    return socket;
+  }
+
   Recorder remote_{true};
   Recorder local_{false};
   WebSocketServer server_{*loop_, "127.0.0.1", kPort, remote_};
@@ -110,14 +123,7 @@
 // Guards against a connection over its backlog limit that is never closed,
 // because its socket does not become writable again.
 TEST_F(WebSocketServerAndClient, PeerThatDoesNotReadIsDisconnectedAtTheLimit) {
-  RawSocket silent(kPort);
-  ASSERT_TRUE(silent.connected());
-  silent.Write(
-      "GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\n"
-      "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
-      "Sec-WebSocket-Protocol: carawayhaven\r\n"
-      "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n");
-  ASSERT_TRUE(RunUntil([&] { return !remote_.sockets.empty(); }));
+  RawSocket silent = OpenRaw();
   const std::string part(256 * 1024, 'x');
   // Fills the socket buffers of the system first, then the backlog.
   for (int i = 0; i < 30; ++i) remote_.sockets.front()->Send(part);
@@ -127,5 +133,18 @@
   EXPECT_TRUE(RunUntil([&] { return remote_.closed == 1; }));
 }
 
+// Guards against an answer that is truncated because the connection is closed
+// while a part of the answer has not reached the socket yet.
+TEST_F(WebSocketServerAndClient, CloseAfterSendDeliversTheQueuedMessages) {
+  RawSocket slow = OpenRaw();
+  // More than the buffers of the sockets hold.
+  const std::string message(WebSocketConnection::kMaxBacklogBytes, 'x');
+  remote_.sockets.front()->Send(message);
+  remote_.sockets.front()->CloseAfterSend();
+  RunTicks(10);
+  EXPECT_TRUE(RunUntil([&] { return !slow.Read(); }));
+  EXPECT_GE(slow.received().size(), message.size());
+}
+
 }  // namespace
 }  // namespace carawayhaven
