Callers: leave the verdict of a refused resolve or commit open

A resolve that exceeded the 128 requests in flight of its session was answered with not_run, which tells the caller that its write had no effect and never will have one. The write may have run. The same holds for a repeated commit. The router already answers may_have_run when it refuses such a request. Before: RefusedResolveAndCommitMayHaveRun fails with not_run. After: it passes.

--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -68,9 +68,7 @@
     CallerRequest decoded =
         DecodeCallerRequest(message, limits_, EventLoop::Now());
     if (found->second.in_flight >= kMaxInFlightPerSession) {
-      Outcome refusal;
-      refusal.reason = Reason::kOverloaded;
-      socket->Send(EncodeCallerAnswer(decoded.id, refusal, decoded.token, ""));
+      Refuse(*socket, decoded, Reason::kOverloaded);
       return;
     }
     StartRequest(socket, std::move(decoded));
@@ -92,6 +90,19 @@
   }
 }
 
+void CallerServer::Refuse(WebSocketConnection& socket,
+                          const CallerRequest& message, Reason reason) {
+  Outcome refusal;
+  refusal.reason = reason;
+  // kNotRun would be wrong here: the verdict of a resolve is about the write
+  // with its id, and a commit may be a copy of one that ran.
+  const RequestKind kind = message.request.kind;
+  if (kind == RequestKind::kResolve || kind == RequestKind::kCommit) {
+    refusal.verdict = Verdict::kMayHaveRun;
+  }
+  socket.Send(EncodeCallerAnswer(message.id, refusal, message.token, ""));
+}
+
 void CallerServer::StartRequest(
     const std::shared_ptr<WebSocketConnection>& socket, CallerRequest message) {
   ++sessions_.at(socket).in_flight;
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -86,6 +86,10 @@
                        const CallerRequest& message, const Outcome& outcome,
                        std::string_view transaction);
 
+  /// Answers a request that is not accepted.
+  static void Refuse(WebSocketConnection& socket, const CallerRequest& message,
+                     Reason reason);
+
   std::size_t max_sessions_;
   CallerLimits limits_;
   CallerHandler& handler_;
--- a/test/net/caller_server_test.cc
+++ b/test/net/caller_server_test.cc
@@ -106,6 +106,22 @@
   EXPECT_TRUE(WaitForRequests(limit + 1));
 }
 
+// Guards against a refusal that says that a write had no effect, although an
+// earlier copy of the commit or the write of the resolve may have run.
+TEST_F(CallerServerWithCallers, RefusedResolveAndCommitMayHaveRun) {
+  const auto socket = Open();
+  const std::size_t limit = CallerServer::kMaxInFlightPerSession;
+  for (std::size_t id = 1; id <= limit; ++id) Send(socket, "request", id);
+  Send(socket, "resolve", limit + 1, {{"request_id", "r"}});
+  Send(socket, "commit", limit + 2,
+       {{"transaction", "t"}, {"request_id", "r"}});
+  ASSERT_TRUE(WaitForAnswers(socket, 2));
+  for (const json& refusal : callers_.answers[socket]) {
+    EXPECT_EQ(refusal["verdict"], "may_have_run");
+    EXPECT_EQ(refusal["reason"], "overloaded");
+  }
+}
+
 // Guards against a malformed message of one caller that ends other sessions,
 // and against requests that are accepted after it on the same connection.
 TEST_F(CallerServerWithCallers, MalformedMessageClosesOnlyItsSession) {
