Callers: refuse the requests of a refused session

A session beyond the limit, or one that was opened while the proxy leaves, got the leaving notice and was closed at once. A caller that sends its request as soon as the session is open had not read the notice yet: the request was read and dropped, and the connection closed without an answer to it. A refused session now stays open for 1 s, and its requests are refused with leaving meanwhile. Before: RequestOnARefusedSessionIsRefused fails with one message, the notice. After: it passes.

--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -32,7 +32,8 @@
 CallerServer::CallerServer(EventLoop& loop, const std::string& address,
                            std::size_t max_sessions, CallerLimits limits,
                            CallerHandler& handler)
-    : max_sessions_(max_sessions),
+    : loop_(loop),
+      max_sessions_(max_sessions),
       limits_(limits),
       handler_(handler),
       server_(loop, ParseAddress(address).ip, ParseAddress(address).port,
@@ -48,8 +49,10 @@
 void CallerServer::OnOpen(const std::shared_ptr<WebSocketConnection>& socket) {
   if (leaving_ || sessions_.size() >= max_sessions_) {
     ++stats_.sessions_refused;
+    refused_.insert(socket);
     socket->Send(EncodeLeavingNotice());
-    socket->CloseAfterSend();
+    loop_.RunAfter(kRefusedSessionLinger,
+                   [socket] { socket->CloseAfterSend(); });
     return;
   }
   ++stats_.sessions_opened;
@@ -62,11 +65,16 @@
 void CallerServer::OnMessage(const std::shared_ptr<WebSocketConnection>& socket,
                              std::string_view message) {
   const auto found = sessions_.find(socket);
-  if (found == sessions_.end()) return;
+  const bool refused = refused_.contains(socket);
+  if (found == sessions_.end() && !refused) return;
   ++stats_.requests;
   try {
     CallerRequest decoded =
         DecodeCallerRequest(message, limits_, EventLoop::Now());
+    if (refused) {
+      Refuse(*socket, decoded, Reason::kLeaving);
+      return;
+    }
     if (found->second.in_flight >= kMaxInFlightPerSession) {
       Refuse(*socket, decoded, Reason::kOverloaded);
       return;
@@ -81,6 +89,7 @@
 }
 
 void CallerServer::OnClose(const std::shared_ptr<WebSocketConnection>& socket) {
+  refused_.erase(socket);
   const auto found = sessions_.find(socket);
   if (found == sessions_.end()) return;
   const Session session = std::move(found->second);
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -6,10 +6,12 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 
 #include "carawayhaven/outcome.h"
+#include "carawayhaven/time.h"
 #include "net/websocket_connection.h"
 #include "net/websocket_server.h"
 #include "wire/caller_codec.h"
@@ -52,6 +54,9 @@
  public:
   /// Further requests are refused with reason kOverloaded.
   static constexpr std::size_t kMaxInFlightPerSession = 128;
+  /// Time for which a refused session stays open. Requests that the caller sent
+  /// before it received the notice are refused during that time.
+  static constexpr Duration kRefusedSessionLinger = std::chrono::seconds(1);
 
   /// Listens on `address` ("IP:port"). `handler` must outlive the server.
   /// Throws NetworkError if the address is malformed or listening on it fails.
@@ -60,7 +65,8 @@
                CallerHandler& handler);
 
   /// Notifies all callers that this proxy accepts no new work, and refuses new
-  /// sessions from then on. Requests of open sessions are still handled.
+  /// sessions and their requests from then on. Requests of open sessions are
+  /// still handled.
   void AnnounceLeaving();
 
   /// Number of requests without an answer, including those of callers that have
@@ -90,10 +96,12 @@
   static void Refuse(WebSocketConnection& socket, const CallerRequest& message,
                      Reason reason);
 
+  EventLoop& loop_;
   std::size_t max_sessions_;
   CallerLimits limits_;
   CallerHandler& handler_;
   std::map<std::shared_ptr<WebSocketConnection>, Session> sessions_;
+  std::set<std::shared_ptr<WebSocketConnection>> refused_;
   std::size_t in_flight_ = 0;
   bool leaving_ = false;
   CallerServerStats stats_;
--- a/test/net/caller_server_test.cc
+++ b/test/net/caller_server_test.cc
@@ -213,5 +213,20 @@
   EXPECT_EQ(callers_.closed.front(), late);
 }
 
+// Guards against a request without an answer: a caller that sends its request
+// as soon as the session is open has not read yet that the session is refused.
+TEST_F(CallerServerWithCallers, RequestOnARefusedSessionIsRefused) {
+  server_.AnnounceLeaving();
+  const auto socket = client_.Connect(kAddress, callers_);
+  Send(socket, "request", 7);
+  EXPECT_TRUE(RunUntil([&] { return callers_.closed.size() == 1; }));
+  ASSERT_EQ(callers_.answers[socket].size(), 2U);
+  const json refusal = callers_.answers[socket].at(1);
+  EXPECT_EQ(refusal["id"], 7);
+  EXPECT_EQ(refusal["verdict"], "not_run");
+  EXPECT_EQ(refusal["reason"], "leaving");
+  EXPECT_TRUE(requests_.empty());
+}
+
 }  // namespace
 }  // namespace carawayhaven
