Callers: answer requests in flight before a session is closed

A message without a readable id closed its session at once. Requests that had been read from the same session and were running, writes among them, ended without an answer. Such a session now accepts no further messages and is closed when its requests in flight are answered, which their deadlines bound. Before: MalformedMessageClosesAfterTheAnswersInFlight fails: the session is closed after the first of three answers. After: it passes.

--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -60,13 +60,14 @@
 }
 
 // A message without a valid id ends its session, since the messages that follow
-// cannot be trusted either. A message with a valid id and another invalid field
-// gets an error answer, and the session continues.
+// cannot be trusted either. Requests that arrived before it are answered. A
+// message with a valid id and another invalid field gets an error answer, and
+// the session continues.
 void CallerServer::OnMessage(const std::shared_ptr<WebSocketConnection>& socket,
                              std::string_view message) {
   const auto found = sessions_.find(socket);
   const bool refused = refused_.contains(socket);
-  if (found == sessions_.end() && !refused) return;
+  if (!refused && (found == sessions_.end() || found->second.closing)) return;
   ++stats_.requests;
   try {
     CallerRequest decoded =
@@ -81,10 +82,13 @@
     }
     StartRequest(socket, std::move(decoded));
   } catch (const Error& error) {
-    ++stats_.invalid_messages;
     const std::uint64_t id = PeekCallerRequestId(message);
+    if (id == 0) {
+      RejectMessage(socket, error.what());
+      return;
+    }
+    ++stats_.invalid_messages;
     socket->Send(EncodeCallerError(id, error.what()));
-    if (id == 0) socket->CloseAfterSend();
   }
 }
 
@@ -112,6 +116,19 @@
   socket.Send(EncodeCallerAnswer(message.id, refusal, message.token, ""));
 }
 
+void CallerServer::RejectMessage(
+    const std::shared_ptr<WebSocketConnection>& socket,
+    std::string_view error) {
+  ++stats_.invalid_messages;
+  socket->Send(EncodeCallerError(0, error));
+  const auto found = sessions_.find(socket);
+  if (found != sessions_.end() && found->second.in_flight > 0) {
+    found->second.closing = true;
+  } else {
+    socket->CloseAfterSend();
+  }
+}
+
 void CallerServer::StartRequest(
     const std::shared_ptr<WebSocketConnection>& socket, CallerRequest message) {
   ++sessions_.at(socket).in_flight;
@@ -155,6 +172,7 @@
     token.Advance(request.service, outcome.position);
   }
   socket->Send(EncodeCallerAnswer(message.id, outcome, token, transaction));
+  if (session.closing && session.in_flight == 0) socket->CloseAfterSend();
 }
 
 }  // namespace carawayhaven
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -78,6 +78,9 @@
  private:
   struct Session {
     std::size_t in_flight = 0;
+    /// True once a message was invalid. Further messages are dropped, and the
+    /// session is closed when its requests in flight are answered.
+    bool closing = false;
     std::map<TransactionId, ServiceName> transactions;
   };
 
@@ -88,6 +91,9 @@
 
   void StartRequest(const std::shared_ptr<WebSocketConnection>& socket,
                     CallerRequest message);
+  /// Answers a message whose id is unknown and ends its session.
+  void RejectMessage(const std::shared_ptr<WebSocketConnection>& socket,
+                     std::string_view error);
   void CompleteRequest(const std::shared_ptr<WebSocketConnection>& socket,
                        const CallerRequest& message, const Outcome& outcome,
                        std::string_view transaction);
--- a/test/net/caller_server_test.cc
+++ b/test/net/caller_server_test.cc
@@ -228,5 +228,26 @@
   EXPECT_TRUE(requests_.empty());
 }
 
+// Guards against requests without an answer because a later message of the
+// session is malformed.
+TEST_F(CallerServerWithCallers, MalformedMessageClosesAfterTheAnswersInFlight) {
+  const auto socket = Open();
+  Send(socket, "request", 1);
+  Send(socket, "request", 2);
+  Send(socket, "request", 0, {{"id", "x"}});
+  ASSERT_TRUE(WaitForAnswers(socket, 1));
+  RunTicks(4);
+  EXPECT_TRUE(callers_.closed.empty());
+  Send(socket, "request", 3);
+  responders_[1](Ran(), "");
+  ASSERT_TRUE(WaitForAnswers(socket, 2));
+  responders_[0](Ran(), "");
+  EXPECT_TRUE(RunUntil([&] { return callers_.closed.size() == 1; }));
+  ASSERT_EQ(callers_.answers[socket].size(), 3U);
+  EXPECT_EQ(callers_.answers[socket].at(1)["id"], 2);
+  EXPECT_EQ(callers_.answers[socket].at(2)["id"], 1);
+  EXPECT_EQ(requests_.size(), 2U);
+}
+
 }  // namespace
 }  // namespace carawayhaven
