Callers: answer requests in flight when a message is too large

A message above 256 KiB closed its connection from within the receive callback: queued answers were discarded, and requests of the session in flight ended without an answer, as did the message itself. The rest of such a message is now dropped, it is answered as invalid, and the session is closed when its requests in flight are answered. Connections to endpoints still close. Before: OversizedMessageClosesAfterTheAnswersInFlight fails: no answer arrives. After: it passes.

--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -92,6 +92,11 @@
   }
 }
 
+void CallerServer::OnMessageTooLarge(
+    const std::shared_ptr<WebSocketConnection>& socket) {
+  RejectMessage(socket, error_messages::kMessageTooLarge);
+}
+
 void CallerServer::OnClose(const std::shared_ptr<WebSocketConnection>& socket) {
   refused_.erase(socket);
   const auto found = sessions_.find(socket);
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -87,6 +87,8 @@
   void OnOpen(const std::shared_ptr<WebSocketConnection>& socket) override;
   void OnMessage(const std::shared_ptr<WebSocketConnection>& socket,
                  std::string_view message) override;
+  void OnMessageTooLarge(
+      const std::shared_ptr<WebSocketConnection>& socket) override;
   void OnClose(const std::shared_ptr<WebSocketConnection>& socket) override;
 
   void StartRequest(const std::shared_ptr<WebSocketConnection>& socket,
--- a/src/net/websocket_connection.cc
+++ b/src/net/websocket_connection.cc
@@ -19,6 +19,11 @@
               lws_remaining_packet_payload(wsi) == 0};
 }
 
+void WebSocketHandler::OnMessageTooLarge(
+    const std::shared_ptr<WebSocketConnection>& connection) {
+  connection->CloseAfterSend();
+}
+
 WebSocketConnection::WebSocketConnection(WebSocketHandler& handler)
     : handler_(handler) {}
 
@@ -68,8 +73,13 @@
 
 bool WebSocketConnection::HandleReceive(const MessagePart& part) {
   if (aborted_) return false;
-  if (close_after_send_) return true;
-  if (partial_text_.size() + part.text.size() > kMaxMessageBytes) return false;
+  if (close_after_send_ || drops_messages_) return true;
+  if (partial_text_.size() + part.text.size() > kMaxMessageBytes) {
+    drops_messages_ = true;
+    std::string().swap(partial_text_);
+    handler_.OnMessageTooLarge(shared_from_this());
+    return true;
+  }
   partial_text_.append(part.text);
   if (!part.final) return true;
   const std::string message = std::move(partial_text_);
--- a/src/net/websocket_connection.h
+++ b/src/net/websocket_connection.h
@@ -26,6 +26,11 @@
   virtual void OnMessage(const std::shared_ptr<WebSocketConnection>& connection,
                          std::string_view message) = 0;
 
+  /// A message exceeded kMaxMessageBytes. It and all messages after it are
+  /// dropped. The handler must close the connection, now or later.
+  virtual void OnMessageTooLarge(
+      const std::shared_ptr<WebSocketConnection>& connection);
+
   /// The connection was closed or could not be opened. This is its last event.
   virtual void OnClose(
       const std::shared_ptr<WebSocketConnection>& connection) = 0;
@@ -47,10 +52,9 @@
 class WebSocketConnection
     : public std::enable_shared_from_this<WebSocketConnection> {
  public:
-  /// The connection is closed if a received message or the unsent backlog
-  /// exceeds its limit, so that a peer that does not read cannot exhaust the
-  /// memory.
   static constexpr std::size_t kMaxMessageBytes = 256 * 1024;
+  /// The connection is closed if the unsent backlog exceeds this limit, so that
+  /// a peer that does not read cannot exhaust the memory.
   static constexpr std::size_t kMaxBacklogBytes = 8 * 1024 * 1024;
 
   explicit WebSocketConnection(WebSocketHandler& handler);
@@ -86,6 +90,8 @@
   std::deque<std::string> send_queue_;
   std::size_t backlog_bytes_ = 0;
   std::string partial_text_;
+  /// True after a message that exceeded the limit.
+  bool drops_messages_ = false;
   bool close_after_send_ = false;
   bool aborted_ = false;
   bool closed_ = false;
--- a/test/net/caller_server_test.cc
+++ b/test/net/caller_server_test.cc
@@ -249,5 +249,21 @@
   EXPECT_EQ(requests_.size(), 2U);
 }
 
+// Guards against requests without an answer because a later message of the
+// session exceeds the size limit.
+TEST_F(CallerServerWithCallers, OversizedMessageClosesAfterTheAnswersInFlight) {
+  const auto socket = Open();
+  Send(socket, "request", 1);
+  ASSERT_TRUE(WaitForRequests(1));
+  socket->Send(std::string(WebSocketConnection::kMaxMessageBytes + 1, 'x'));
+  ASSERT_TRUE(WaitForAnswers(socket, 1));
+  EXPECT_EQ(callers_.answers[socket].at(0)["reason"], "invalid_request");
+  EXPECT_TRUE(callers_.closed.empty());
+  responders_[0](Ran(), "");
+  EXPECT_TRUE(RunUntil([&] { return callers_.closed.size() == 1; }));
+  ASSERT_EQ(callers_.answers[socket].size(), 2U);
+  EXPECT_EQ(callers_.answers[socket].at(1)["id"], 1);
+}
+
 }  // namespace
 }  // namespace carawayhaven
