--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -32,7 +32,8 @@
 CallerServer::CallerServer(EventLoop& loop, const std::string& address,
                            std::size_t max_sessions, CallerLimits limits,
                            CallerHandler& handler)
-    : max_sessions_(max_sessions),
+    : loop_(loop),
+      max_sessions_(max_sessions),
       limits_(limits),
       handler_(handler),
       server_(loop, ParseAddress(address).ip, ParseAddress(address).port,
@@ -48,8 +49,10 @@
 void CallerServer::OnOpen(const std::shared_ptr<WebSocketConnection>& socket) {
   if (leaving_ || sessions_.size() >= max_sessions_) {
     ++stats_.sessions_refused;
+    refused_.insert(socket);
     socket->Send(EncodeLeavingNotice());
-    socket->CloseAfterSend();
+    loop_.RunAfter(kRefusedSessionLinger,
+                   [socket] { socket->CloseAfterSend(); });
     return;
   }
   ++stats_.sessions_opened;
@@ -57,32 +60,45 @@
 }
 
 // A message without a valid id ends its session, since the messages that follow
-// cannot be trusted either. A message with a valid id and another invalid field
-// gets an error answer, and the session continues.
+// cannot be trusted either. Requests that arrived before it are answered. A
+// message with a valid id and another invalid field gets an error answer, and
+// the session continues.
 void CallerServer::OnMessage(const std::shared_ptr<WebSocketConnection>& socket,
                              std::string_view message) {
   const auto found = sessions_.find(socket);
-  if (found == sessions_.end()) return;
+  const bool refused = refused_.contains(socket);
+  if (!refused && (found == sessions_.end() || found->second.closing)) return;
   ++stats_.requests;
   try {
     CallerRequest decoded =
         DecodeCallerRequest(message, limits_, EventLoop::Now());
+    if (refused) {
+      Refuse(*socket, decoded, Reason::kLeaving);
+      return;
+    }
     if (found->second.in_flight >= kMaxInFlightPerSession) {
-      Outcome refusal;
-      refusal.reason = Reason::kOverloaded;
-      socket->Send(EncodeCallerAnswer(decoded.id, refusal, decoded.token, ""));
+      Refuse(*socket, decoded, Reason::kOverloaded);
       return;
     }
     StartRequest(socket, std::move(decoded));
   } catch (const Error& error) {
-    ++stats_.invalid_messages;
     const std::uint64_t id = PeekCallerRequestId(message);
+    if (id == 0) {
+      RejectMessage(socket, error.what());
+      return;
+    }
+    ++stats_.invalid_messages;
     socket->Send(EncodeCallerError(id, error.what()));
-    if (id == 0) socket->CloseAfterSend();
   }
 }
 
+void CallerServer::OnMessageTooLarge(
+    const std::shared_ptr<WebSocketConnection>& socket) {
+  RejectMessage(socket, error_messages::kMessageTooLarge);
+}
+
 void CallerServer::OnClose(const std::shared_ptr<WebSocketConnection>& socket) {
+  refused_.erase(socket);
   const auto found = sessions_.find(socket);
   if (found == sessions_.end()) return;
   const Session session = std::move(found->second);
@@ -92,6 +108,32 @@
   }
 }
 
+void CallerServer::Refuse(WebSocketConnection& socket,
+                          const CallerRequest& message, Reason reason) {
+  Outcome refusal;
+  refusal.reason = reason;
+  // kNotRun would be wrong here: the verdict of a resolve is about the write
+  // with its id, and a commit may be a copy of one that ran.
+  const RequestKind kind = message.request.kind;
+  if (kind == RequestKind::kResolve || kind == RequestKind::kCommit) {
+    refusal.verdict = Verdict::kMayHaveRun;
+  }
+  socket.Send(EncodeCallerAnswer(message.id, refusal, message.token, ""));
+}
+
+void CallerServer::RejectMessage(
+    const std::shared_ptr<WebSocketConnection>& socket,
+    std::string_view error) {
+  ++stats_.invalid_messages;
+  socket->Send(EncodeCallerError(0, error));
+  const auto found = sessions_.find(socket);
+  if (found != sessions_.end() && found->second.in_flight > 0) {
+    found->second.closing = true;
+  } else {
+    socket->CloseAfterSend();
+  }
+}
+
 void CallerServer::StartRequest(
     const std::shared_ptr<WebSocketConnection>& socket, CallerRequest message) {
   ++sessions_.at(socket).in_flight;
@@ -135,6 +177,7 @@
     token.Advance(request.service, outcome.position);
   }
   socket->Send(EncodeCallerAnswer(message.id, outcome, token, transaction));
+  if (session.closing && session.in_flight == 0) socket->CloseAfterSend();
 }
 
 }  // namespace carawayhaven
