Net: a malformed address fails its connection, not the process

Callers saw: all sessions of a VM ended when an entry in the store had an address without a port, with port 0 or with port 70000.

Cause: ParseAddress throws NetworkError, and the callbacks that open a stream, a peer link, a WebSocket or an HTTP exchange called it from the loop, where nothing catches.

Change: TryParseAddress returns nothing for such an address, and the connection ends as one that could not be opened.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -120,16 +120,20 @@
   exchange->request = std::move(request);
   exchange->done = std::move(done);
   loop_.Post([this, exchange, address_text] {
-    const Address address = ParseAddress(address_text);
+    const std::optional<Address> address = TryParseAddress(address_text);
+    if (!address) {
+      exchange->InvokeCallback();
+      return;
+    }
     std::string path = exchange->request.path;
     if (!exchange->request.query.empty()) path += '?' + exchange->request.query;
     lws_client_connect_info info{};
     info.context = loop_.context();
     info.vhost = vhost_;
-    info.address = address.ip.c_str();
+    info.address = address->ip.c_str();
     info.host = info.address;
     info.origin = info.address;
-    info.port = address.port;
+    info.port = address->port;
     info.path = path.c_str();
     info.method = exchange->request.method.c_str();
     info.protocol = kProtocolName;
--- a/src/net/peer_transport.cc
+++ b/src/net/peer_transport.cc
@@ -68,8 +68,9 @@
   auto connection = std::make_shared<PeerConnection>(*this, true);
   loop_.Post([this, connection, address_text] {
     connection->Attach(nullptr);
-    if (!ConnectRaw(loop_, vhost_, protocols_.data(),
-                    ParseAddress(address_text), connection.get())) {
+    const std::optional<Address> address = TryParseAddress(address_text);
+    if (!address || !ConnectRaw(loop_, vhost_, protocols_.data(), *address,
+                                connection.get())) {
       connection->HandleClose();
     }
   });
--- a/src/net/stream_transport.cc
+++ b/src/net/stream_transport.cc
@@ -42,9 +42,9 @@
   loop_.Post([this, connection, address_text] {
     if (connection->closing_) return;
     connection->self_ = connection;
-    if (!ConnectRaw(loop_, vhost_, protocols_.data(),
-                    ParseAddress(address_text), connection.get(),
-                    &connection->wsi_)) {
+    const std::optional<Address> address = TryParseAddress(address_text);
+    if (!address || !ConnectRaw(loop_, vhost_, protocols_.data(), *address,
+                                connection.get(), &connection->wsi_)) {
       connection->HandleClose();
     }
   });
--- a/src/net/websocket_client.cc
+++ b/src/net/websocket_client.cc
@@ -37,21 +37,25 @@
   // reports immediately does not reach the handler from within this call.
   loop_.Post([this, connection, address_copy] {
     if (connection->closed()) return;
-    const Address address = ParseAddress(address_copy);
+    connection->Attach(nullptr);
+    const std::optional<Address> address = TryParseAddress(address_copy);
+    if (!address) {
+      connection->HandleClose();
+      return;
+    }
     lws_client_connect_info info{};
     info.context = loop_.context();
     info.vhost = vhost_;
-    info.address = address.ip.c_str();
+    info.address = address->ip.c_str();
     info.host = info.address;
     info.origin = info.address;
-    info.port = address.port;
+    info.port = address->port;
     info.path = "/";
     info.protocol = kProtocolName;
     info.local_protocol_name = kProtocolName;
     info.opaque_user_data = connection.get();
     lws* wsi = nullptr;
     info.pwsi = &wsi;
-    connection->Attach(nullptr);
     if (lws_client_connect_via_info(&info) == nullptr) {
       connection->HandleClose();
     } else if (!connection->closed()) {
