--- a/src/core/session/session_router_outcome.cc
+++ b/src/core/session/session_router_outcome.cc
@@ -75,7 +75,7 @@
   result.end = JobResult::End::kNotRun;
   result.reason = reason;
   const Service& service = services_[job->service];
-  std::uint32_t slots = 1;
+  std::int64_t slots = 1;
   for (const auto& [name, endpoint] : service.endpoints) {
     slots += endpoint->record.slots;
   }
--- a/test/platform/documents_test.cc
+++ b/test/platform/documents_test.cc
@@ -63,6 +63,67 @@
   }
 }
 
+// Guards against a field of another writer that ends the process, blocks it, or
+// adds commands to the lines that are sent to an endpoint.
+TEST_F(DocumentsOfThePlatform, FieldIsOutOfRangeEntryNamesNoEndpoint) {
+  const struct {
+    const char* field;
+    const char* value;
+  } cases[] = {{"Address", "\"10.1.0.9\""},
+               {"Address", "\"10.1.0.9:0\""},
+               {"Address", "\"10.1.0.9:70000\""},
+               {"Address", "\"database.example:80\""},
+               {"Address", "\"\""},
+               {"Address", "[]"},
+               {"Slots", "1099511627776"},
+               {"Slots", "4294967296"},
+               {"Slots", "4294967295"},
+               {"Slots", "-1"},
+               {"Slots", "1.5"},
+               {"Slots", "1e300"},
+               {"Slots", "1e999"},
+               {"Slots", "\"3\""},
+               {"born", "-1"},
+               {"born", "1e19"},
+               {"born", "18446744073709551616"},
+               {"Service", "\"\""},
+               {"Service", "\"hu vo\""},
+               {"Service", "\"huvo\\r\\nQUERY - STATUS\""},
+               {"Service", "\"huvo\\u0000\""},
+               {"Zone", "\"\""},
+               {"Zone", "\"men\\tdoza\""},
+               {"State", "\"\""}};
+  for (const auto& entry : cases) {
+    // The last one of two fields counts.
+    std::string text = kEntry;
+    text.insert(text.rfind('}'),
+                std::string(",\"") + entry.field + "\":" + entry.value);
+    EXPECT_THROW(documents_.DecodeEndpoint(Entry(text)), DecodeError) << text;
+  }
+  for (const std::string& name :
+       {std::string(), std::string("a b"), std::string("a\r\nb"),
+        std::string("a\0b", 3), std::string(100'000, 'n')}) {
+    EXPECT_THROW(
+        documents_.DecodeEndpoint({"servers/" + name, kEntry, 5, false}),
+        DecodeError)
+        << name.substr(0, 20);
+  }
+  std::string long_service = kEntry;
+  long_service.replace(long_service.find("huvo"), 4, std::string(100'000, 's'));
+  EXPECT_THROW(documents_.DecodeEndpoint(Entry(long_service)), DecodeError);
+}
+
+// Guards against numbers that wrap to small ones.
+TEST_F(DocumentsOfThePlatform, LimitsAreHugeTheyStayHuge) {
+  const RouteTable table = documents_.DecodeRoutes(
+      R"({"Version":7,"Routes":[{"Host":"f","Service":"h",
+          "Priority":4294967296}],"Services":[{"Name":"h",
+          "MaxConnections":4294967297,"SyncReplicas":4294967296}]})");
+  EXPECT_GE(table.databases.at("f").priority, 1'000U);
+  EXPECT_GE(table.services.at("h").connections, 1'000U);
+  EXPECT_GE(table.services.at("h").sync_replicas, 1'000U);
+}
+
 TEST_F(DocumentsOfThePlatform, RoutesWithoutVersionAreRefused) {
   EXPECT_THROW(documents_.DecodeRoutes("{}"), DecodeError);
   EXPECT_THROW(documents_.DecodeRoutes(R"({"Version":1})"), DecodeError);
--- a/test/session/session_router_test.cc
+++ b/test/session/session_router_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdint>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -152,6 +154,27 @@
   EXPECT_EQ(link_.Running("primary"), 2U);
 }
 
+// Guards against a sum of slots that wraps to a small number, or to zero as a
+// divisor, because of an entry of another writer.
+TEST_F(SessionRouterWithThreeEndpoints, SlotsAreHugeRefusalIsNotDelayed) {
+  EndpointRecord record = router_.endpoints().at("far").record;
+  record.slots = std::numeric_limits<std::uint32_t>::max() - 5;
+  router_.SetEndpoint(record, now_);
+  const auto submit = [this](Duration time_limit) {
+    const auto job = Job(true, true);
+    job->deadline = now_ + time_limit;
+    router_.Submit(job, now_);
+  };
+  for (int busy = 0; busy < 2; ++busy) submit(seconds(9));
+  link_.AcceptAll(now_);
+  submit(seconds(1));
+  for (int waiting = 0; waiting < 40; ++waiting) submit(seconds(9));
+  Pass(milliseconds(1100));
+  ASSERT_EQ(owner_->results.size(), 1U);
+  EXPECT_EQ(owner_->results[0].end, JobResult::End::kNotRun);
+  EXPECT_EQ(owner_->results[0].retry_after, milliseconds(10));
+}
+
 TEST_F(SessionRouterWithThreeEndpoints,
        OnlyLessUrgentJobsWaitUrgentJobIsQueued) {
   for (int busy = 0; busy < 2; ++busy) router_.Submit(Job(true, true), now_);
