Session proxy: an entry that cannot be read ends the use of its endpoint

Callers saw: statements were sent to an endpoint whose entry another writer had replaced by one that cannot be read.

Cause: a malformed version was logged and otherwise ignored, so the record of the version before stayed in force without an end. An entry that cannot be read names no endpoint to use.

Change: the endpoint is treated as removed: it gets no work after the grace period for entries that are missing, and a readable version puts it back. A removal of an entry that was never in use is not logged any more.

Evidence, arm64: SessionProxyWithOddEntries.EndpointsAreOddTheOthersAreFollowed runs a session proxy with an HTTP stand-in of the store. It failed on the former watcher (the endpoint was not removed) and passes with the change. Four other odd entries in the list are each reported once, before and after.

--- a/src/proxy/session_proxy_watchers.h
+++ b/src/proxy/session_proxy_watchers.h
@@ -79,10 +79,17 @@
       proxy_.router_.SetEndpoint(record, now);
     } catch (const DecodeError& error) {
       proxy_.log_.OnMalformedObject(object.path, error.what());
+      // What an earlier version said does not hold any more.
+      RemoveKnown(EndpointName(object.path.substr(prefix_.size())), now);
     }
   }
   void OnObjectRemoved(std::string_view path, TimePoint now) override {
-    const EndpointName name(path.substr(prefix_.size()));
+    RemoveKnown(EndpointName(path.substr(prefix_.size())), now);
+  }
+
+ private:
+  void RemoveKnown(const EndpointName& name, TimePoint now) {
+    if (!proxy_.router_.endpoints().contains(name)) return;
     Log(LogLevel::kInfo, "endpoint_record_removed", {{"endpoint", name}});
     proxy_.router_.RemoveEndpoint(name, now);
   }
