--- a/src/net/peer_transport.cc
+++ b/src/net/peer_transport.cc
@@ -44,7 +44,7 @@
       links_.erase(vm);
       return false;
     }
-    const std::optional<Address> parsed = ParseIpAddress(address->second);
+    const std::optional<Address> parsed = TryParseAddress(address->second);
     if (!parsed) {
       links_.erase(vm);
       return false;
