--- a/src/core/session/session_router.h
+++ b/src/core/session/session_router.h
@@ -69,12 +69,14 @@
 
   /// Runs a statement on any suitable connection.
   void Submit(const std::shared_ptr<StatementJob>& job, TimePoint now);
-  /// Runs a statement on the connection of its transaction.
+  /// Runs a statement on the connection of its transaction. The job is lost if
+  /// the connection no longer runs a transaction of the job's owner.
   void SubmitInTransaction(ConnectionId connection,
                            const std::shared_ptr<StatementJob>& job,
                            TimePoint now);
-  /// Rolls back the transaction on the connection.
-  void RollBack(ConnectionId connection, TimePoint now);
+  /// Rolls back the owner's transaction on the connection. Does nothing if the
+  /// connection no longer runs a transaction of the owner.
+  void RollBack(ConnectionId connection, const JobOwner& owner, TimePoint now);
   /// Abandons a job whose caller has disconnected; its result is discarded.
   void Abandon(const std::shared_ptr<StatementJob>& job, TimePoint now);
 
@@ -102,7 +104,11 @@
 
   struct Connection {
     EndpointName endpoint;
+    ServiceName service;
     bool open = false;
+    /// Opened with an earlier address, service or process of the endpoint;
+    /// closed when its statement or transaction ends.
+    bool outdated = false;
     bool in_transaction = false;
     ConnectionContext context;
     JobPtr job;
@@ -117,6 +123,9 @@
     TimePoint give_up_at = TimePoint::max();
     /// The endpoint had a valid primary lease when the step was sent.
     bool sent_with_lease = false;
+    /// Term of the latest primary lease when the step was sent, if it was the
+    /// endpoint's; zero otherwise.
+    Term sent_term = 0;
   };
   struct Service {
     std::list<JobPtr> queue;
@@ -126,17 +135,25 @@
     RetryBudget retries;
     /// When a primary lease is expected; ignored while there is a valid lease.
     TimePoint primary_ready_at;
+    /// Dispatch traverses the queue.
+    bool dispatching = false;
+    /// Dispatch was called meanwhile.
+    bool dispatch_again = false;
   };
   /// A successful write whose endpoint may already have been replaced as the
   /// primary when it replied.
   struct UnconfirmedWrite {
     JobPtr job;
     JobResult result;
+    /// Term of the endpoint when the write was sent.
+    Term term = 0;
     TimePoint until;
   };
 
   void Enqueue(const JobPtr& job);
+  /// Starts the queued jobs that can be started.
   void Dispatch(const ServiceName& name, TimePoint now);
+  void DispatchQueue(Service& service, TimePoint now);
   bool TryStart(const JobPtr& job, Service& service, TimePoint now);
   std::optional<LogPosition> RequiredPosition(const StatementJob& job,
                                               const Service& service) const;
@@ -147,14 +164,16 @@
                                 const StatementJob& job) const;
   bool CanOpenConnection(const EndpointState& endpoint, const Service& service,
                          TimePoint now) const;
-  /// Closes idle connections until at most `limit` connections remain or none
-  /// is idle.
-  void TrimConnections(EndpointState& endpoint, std::size_t limit,
-                       TimePoint now);
+  /// Closes the connections that run nothing and marks the others as outdated.
+  void RetireConnections(EndpointState& endpoint, TimePoint now);
+  /// Closes idle connections above the limit of the service; all of them if the
+  /// endpoint accepts no work.
+  void TrimConnections(EndpointState& endpoint, TimePoint now);
   void OpenConnection(EndpointState& endpoint, TimePoint now);
   void Start(ConnectionId id, const JobPtr& job,
              std::optional<LogPosition> required, TimePoint now);
   void SendStep(ConnectionId id, TimePoint now);
+  void SendRollback(ConnectionId id, TimePoint now);
   void OnSetupReply(ConnectionId id, const StatementReply& reply,
                     TimePoint now);
   void OnFinalReply(ConnectionId id, const StatementReply& reply,
--- a/src/core/session/session_router_outcome.cc
+++ b/src/core/session/session_router_outcome.cc
@@ -75,7 +75,7 @@
   result.end = JobResult::End::kNotRun;
   result.reason = reason;
   const Service& service = services_[job->service];
-  std::uint32_t slots = 1;
+  std::int64_t slots = 1;
   for (const auto& [name, endpoint] : service.endpoints) {
     slots += endpoint->record.slots;
   }
@@ -107,8 +107,8 @@
 }
 
 // Settles writes that succeeded on an endpoint whose primary lease had expired.
-// If the lease was renewed, no other endpoint was promoted and the write is
-// confirmed; otherwise the write may be lost.
+// If the lease was renewed in the same term, no other endpoint was promoted and
+// the write is confirmed; otherwise the write may be lost.
 void SessionRouter::SettleUnconfirmedWrites(TimePoint now) {
   std::list<UnconfirmedWrite> settled;
   for (auto entry = unconfirmed_.begin(); entry != unconfirmed_.end();) {
@@ -117,7 +117,8 @@
       ++entry;
       continue;
     }
-    if (lease == nullptr || lease->endpoint != entry->result.endpoint) {
+    if (lease == nullptr || lease->endpoint != entry->result.endpoint ||
+        lease->term != entry->term) {
       entry->result.end = JobResult::End::kLost;
     }
     settled.splice(settled.end(), unconfirmed_, entry++);
--- a/src/core/session/session_router_reply.cc
+++ b/src/core/session/session_router_reply.cc
@@ -41,7 +41,9 @@
   endpoint.RecordAnswer(now);
   if (reply.position) endpoint.position = *reply.position;
   endpoint.idle.insert(id);
-  Dispatch(endpoint.record.service, now);
+  const ServiceName service = connection.service;
+  TrimConnections(endpoint, now);
+  Dispatch(service, now);
 }
 
 void SessionRouter::OnSessionClosed(ConnectionId id, ReplyCode code,
@@ -55,7 +57,7 @@
   const std::shared_ptr<JobOwner> transaction_owner =
       found->second.transaction_owner;
   EndpointState& endpoint = endpoints_.at(name);
-  const ServiceName service = endpoint.record.service;
+  const ServiceName service = found->second.service;
   const JobPtr job = DetachJob(id, false, now);
   if (!was_open) {
     if (endpoint.failed_opens++ == 0) {
@@ -94,7 +96,7 @@
   if (found == connections_.end()) return;
   Connection& connection = found->second;
   EndpointState& endpoint = endpoints_.at(connection.endpoint);
-  const ServiceName service = endpoint.record.service;
+  const ServiceName service = connection.service;
   endpoint.RecordAnswer(now);
   RecordPosition(connection, reply);
   if (connection.step >= connection.steps.size()) {
@@ -111,7 +113,7 @@
 
 void SessionRouter::RecordPosition(const Connection& connection,
                                    const StatementReply& reply) {
-  if (!reply.position) return;
+  if (!reply.position || connection.outdated) return;
   EndpointState& endpoint = endpoints_.at(connection.endpoint);
   endpoint.position = *reply.position;
   if (connection.sent_with_lease) {
@@ -136,7 +138,7 @@
     if (connection.job->done) {
       const bool open = connection.in_transaction;
       DetachJob(id, true, now);
-      if (open) RollBack(id, now);
+      if (open) SendRollback(id, now);
       return;
     }
     ++connection.step;
@@ -192,10 +194,11 @@
       in_transaction && answered_ok && reply.state == TransactionState::kOpen;
   connection.in_transaction = reply.state != TransactionState::kIdle;
   const bool done = connection.job->done;
+  const Term term = connection.sent_term;
   if (stays_open && !done) connection.transaction_owner = connection.job->owner;
   const bool roll_back = connection.in_transaction && (done || !stays_open);
   const JobPtr job = DetachJob(id, true, now);
-  if (roll_back) RollBack(id, now);
+  if (roll_back) SendRollback(id, now);
   if (done) return;
   const bool not_run = GuaranteesNotRun(reply.code) && !job->commits;
   if (not_run && (first_in_transaction || !in_transaction)) {
@@ -216,11 +219,12 @@
   const bool committed =
       job->has_effect && answered_ok && (job->commits || !in_transaction);
   const PrimaryLease* lease = leases_.FindValid(job->service, now);
-  if (committed && (lease == nullptr || lease->endpoint != name)) {
+  if (committed &&
+      (lease == nullptr || lease->endpoint != name || lease->term != term)) {
     ReportDecision(RoutingDecision::Kind::kHeldForLease, *job, name, reply.code,
                    now);
     unconfirmed_.push_back(
-        {job, std::move(result), now + kLeaseConfirmTimeout});
+        {job, std::move(result), term, now + kLeaseConfirmTimeout});
     ScheduleTick(now + kLeaseConfirmTimeout);
     SettleUnconfirmedWrites(now);
     return;
@@ -242,15 +246,13 @@
     --endpoint.running;
     --job->running;
   }
-  const bool leaving = endpoint.leaving_since != TimePoint::max() &&
-                       !endpoint.record.claims_primary;
-  if (!keep || (leaving && !connection.in_transaction)) {
+  const bool ending = !endpoint.AcceptsWork(now) || connection.outdated;
+  if (!keep || (ending && !connection.in_transaction)) {
     CloseConnection(id, now);
   } else if (!connection.in_transaction) {
     connection.transaction_owner.reset();
     endpoint.idle.insert(id);
-    TrimConnections(endpoint,
-                    services_[endpoint.record.service].connection_limit, now);
+    TrimConnections(endpoint, now);
   }
   return job;
 }
--- a/test/net/caller_server_test.cc
+++ b/test/net/caller_server_test.cc
@@ -106,6 +106,22 @@
   EXPECT_TRUE(WaitForRequests(limit + 1));
 }
 
+// Guards against a refusal that says that a write had no effect, although an
+// earlier copy of the commit or the write of the resolve may have run.
+TEST_F(CallerServerWithCallers, RefusedResolveAndCommitMayHaveRun) {
+  const auto socket = Open();
+  const std::size_t limit = CallerServer::kMaxInFlightPerSession;
+  for (std::size_t id = 1; id <= limit; ++id) Send(socket, "request", id);
+  Send(socket, "resolve", limit + 1, {{"request_id", "r"}});
+  Send(socket, "commit", limit + 2,
+       {{"transaction", "t"}, {"request_id", "r"}});
+  ASSERT_TRUE(WaitForAnswers(socket, 2));
+  for (const json& refusal : callers_.answers[socket]) {
+    EXPECT_EQ(refusal["verdict"], "may_have_run");
+    EXPECT_EQ(refusal["reason"], "overloaded");
+  }
+}
+
 // Guards against a malformed message of one caller that ends other sessions,
 // and against requests that are accepted after it on the same connection.
 TEST_F(CallerServerWithCallers, MalformedMessageClosesOnlyItsSession) {
@@ -197,5 +213,57 @@
   EXPECT_EQ(callers_.closed.front(), late);
 }
 
+// Guards against a request without an answer: a caller that sends its request
+// as soon as the session is open has not read yet that the session is refused.
+TEST_F(CallerServerWithCallers, RequestOnARefusedSessionIsRefused) {
+  server_.AnnounceLeaving();
+  const auto socket = client_.Connect(kAddress, callers_);
+  Send(socket, "request", 7);
+  EXPECT_TRUE(RunUntil([&] { return callers_.closed.size() == 1; }));
+  ASSERT_EQ(callers_.answers[socket].size(), 2U);
+  const json refusal = callers_.answers[socket].at(1);
+  EXPECT_EQ(refusal["id"], 7);
+  EXPECT_EQ(refusal["verdict"], "not_run");
+  EXPECT_EQ(refusal["reason"], "leaving");
+  EXPECT_TRUE(requests_.empty());
+}
+
+// Guards against requests without an answer because a later message of the
+// session is malformed.
+TEST_F(CallerServerWithCallers, MalformedMessageClosesAfterTheAnswersInFlight) {
+  const auto socket = Open();
+  Send(socket, "request", 1);
+  Send(socket, "request", 2);
+  Send(socket, "request", 0, {{"id", "x"}});
+  ASSERT_TRUE(WaitForAnswers(socket, 1));
+  RunTicks(4);
+  EXPECT_TRUE(callers_.closed.empty());
+  Send(socket, "request", 3);
+  responders_[1](Ran(), "");
+  ASSERT_TRUE(WaitForAnswers(socket, 2));
+  responders_[0](Ran(), "");
+  EXPECT_TRUE(RunUntil([&] { return callers_.closed.size() == 1; }));
+  ASSERT_EQ(callers_.answers[socket].size(), 3U);
+  EXPECT_EQ(callers_.answers[socket].at(1)["id"], 2);
+  EXPECT_EQ(callers_.answers[socket].at(2)["id"], 1);
+  EXPECT_EQ(requests_.size(), 2U);
+}
+
+// Guards against requests without an answer because a later message of the
+// session exceeds the size limit.
+TEST_F(CallerServerWithCallers, OversizedMessageClosesAfterTheAnswersInFlight) {
+  const auto socket = Open();
+  Send(socket, "request", 1);
+  ASSERT_TRUE(WaitForRequests(1));
+  socket->Send(std::string(WebSocketConnection::kMaxMessageBytes + 1, 'x'));
+  ASSERT_TRUE(WaitForAnswers(socket, 1));
+  EXPECT_EQ(callers_.answers[socket].at(0)["reason"], "invalid_request");
+  EXPECT_TRUE(callers_.closed.empty());
+  responders_[0](Ran(), "");
+  EXPECT_TRUE(RunUntil([&] { return callers_.closed.size() == 1; }));
+  ASSERT_EQ(callers_.answers[socket].size(), 2U);
+  EXPECT_EQ(callers_.answers[socket].at(1)["id"], 1);
+}
+
 }  // namespace
 }  // namespace carawayhaven
