Store: define versions across restores of the store

A store that is restored from a copy gives revisions out again, so revisions alone do not order the states of an object. A version now consists of the era of the store, which rises with each restore, and the revision. Only the interface changes; the era is zero until a store reports one.

--- a/src/core/platform_store.h
+++ b/src/core/platform_store.h
@@ -9,15 +9,34 @@
 
 namespace carawayhaven {
 
-/// Version of an object: the revision of the store at the object's last change.
-/// The revision increases with each change of any object, so the version also
-/// increases when an object is deleted and created again. Zero: no object.
+/// Version of an object: the era and the revision of the store at the object's
+/// last change. The revision increases with each change of any object, so the
+/// version also increases when an object is deleted and created again. A new
+/// era begins each time the store is restored from a copy: the changes since
+/// the copy are lost, and their revisions are given out again. Every version of
+/// a later era, also that of an object that the copy contained, is greater than
+/// the versions of earlier eras. Zero: no object.
 using ObjectVersion = std::uint64_t;
 
+inline constexpr int kRevisionBits = 40;
+
+/// `revision` must be less than 2^kRevisionBits, `era` less than 2^13: versions
+/// are exact in JSON numbers.
+constexpr ObjectVersion MakeVersion(std::uint64_t era, std::uint64_t revision) {
+  return era << kRevisionBits | revision;
+}
+constexpr std::uint64_t EraOf(ObjectVersion version) {
+  return version >> kRevisionBits;
+}
+constexpr std::uint64_t RevisionOf(ObjectVersion version) {
+  return version & ((std::uint64_t{1} << kRevisionBits) - 1);
+}
+
 enum class StoreStatus {
   kOk,
   kNotFound,
-  /// The object's version is not the expected one; nothing was changed.
+  /// The object's version is not the expected one, or the expected one is from
+  /// an earlier era; nothing was changed.
   kConflict,
   /// The store refused the call because of its rate limits; nothing was
   /// changed.
@@ -25,7 +44,8 @@
   /// The store no longer has the changes after that revision; watch again from
   /// revision zero.
   kRevisionTooOld,
-  /// No reply, or an error: an update may have taken effect.
+  /// No reply, an error, or the store was restored meanwhile: an update may
+  /// have taken effect.
   kUnknown,
 };
 
@@ -48,6 +68,9 @@
   /// Watch: `objects` contains all objects that exist, not only the changed
   /// ones.
   bool complete = false;
+  /// Era of the store when it replied; zero without a reply, and for stores
+  /// that are never restored.
+  std::uint64_t era = 0;
 };
 
 using StoreCallback = std::function<void(const StoreReply&)>;
@@ -68,6 +91,7 @@
 
   /// Replies with all objects under the prefix that changed after the revision
   /// `after`, or with an empty list when the store's own wait time has elapsed.
+  /// If `after` is from an earlier era, replies with kRevisionTooOld.
   virtual void Watch(std::string_view prefix, ObjectVersion after,
                      StoreCallback callback) = 0;
 };
