Object watcher: report that the store was restored

With the versions of the store's eras the watcher lists all objects again after a restore and reports those that differ, removals included. What it could not tell its user is that objects may be missing or outdated until their writers have written them again; OnStoreRestored does.

--- a/src/core/config/object_watcher.cc
+++ b/src/core/config/object_watcher.cc
@@ -79,9 +79,12 @@
     }
     listed_ = true;
   }
-  revision_ = reply.revision;
+  const bool restored =
+      synced_revision_ != 0 && EraOf(reply.revision) > EraOf(synced_revision_);
+  revision_ = synced_revision_ = reply.revision;
   synced_at_ = sent;
   next_ = now;
+  if (restored) events_.OnStoreRestored(now);
   events_.OnObjectsSynced(sent, now);
 }
 
--- a/src/core/config/object_watcher.h
+++ b/src/core/config/object_watcher.h
@@ -26,13 +26,18 @@
   /// been delivered.
   virtual void OnObjectsSynced(TimePoint sent, TimePoint now) = 0;
 
+  /// The store was restored from a copy: all objects have been reported again.
+  /// Those that were written since the copy are missing or outdated until
+  /// their writers have written them again.
+  virtual void OnStoreRestored(TimePoint /*now*/) {}
+
   /// The store has stopped or started to answer.
   virtual void OnStoreReachabilityChanged(bool reachable, TimePoint now) = 0;
 };
 
 /// Watches the objects under a prefix of the store: lists them once, then
-/// receives changes, and lists them again when changes were missed. Not
-/// thread-safe.
+/// receives changes, and lists them again when changes were missed or the store
+/// was restored. Not thread-safe.
 class ObjectWatcher {
  public:
   using Clock = std::function<TimePoint()>;
@@ -63,7 +68,10 @@
   std::mt19937_64& random_;
   ObjectWatcherEvents& events_;
   Backoff backoff_;
+  /// The `after` argument of the next call.
   ObjectVersion revision_ = 0;
+  /// Revision of the latest reply that has been delivered.
+  ObjectVersion synced_revision_ = 0;
   std::map<std::string, ObjectVersion> known_;
   TimePoint next_;
   TimePoint synced_at_;
