Session router: ignore outdated records of a restored registry

What callers saw: an endpoint that had reported that it leaves got statements again until it had written its record again, also after it had stopped; one that had restarted was taken out of use by the record of its previous process.

Cause: after a restore the copy's record is reported as the newest one.

Change: the first record of an era is ignored if the known one is of a later process, or of the same process and leaving. Later records of the era were written after the restore and are accepted. Ignored records are logged as endpoint_record_outdated.

--- a/src/core/session/endpoint_record.h
+++ b/src/core/session/endpoint_record.h
@@ -22,6 +22,9 @@
   bool claims_primary = false;
   /// Wall-clock start time of its process in ms; differs after each restart.
   std::uint64_t started_ms = 0;
+  /// Era of the registry when the record was read; rises each time the registry
+  /// is restored from a copy.
+  std::uint64_t registry_era = 0;
 
   friend bool operator==(const EndpointRecord&,
                          const EndpointRecord&) = default;
--- a/src/core/session/endpoint_state.cc
+++ b/src/core/session/endpoint_state.cc
@@ -23,6 +23,18 @@
 
 }  // namespace
 
+bool EndpointState::IsOutdated(const EndpointRecord& restored) const {
+  if (restored.registry_era <= registry_era || restored.started_ms == 0 ||
+      record.started_ms == 0) {
+    return false;
+  }
+  if (restored.started_ms != record.started_ms) {
+    return restored.started_ms < record.started_ms;
+  }
+  // A process that is about to stop does not change its mind.
+  return record.leaving && !restored.leaving;
+}
+
 void EndpointState::RecordResponseTime(Duration response, TimePoint now) {
   if (response_time_ == Duration{0}) {
     response_time_ = response;
--- a/src/core/session/endpoint_state.h
+++ b/src/core/session/endpoint_state.h
@@ -15,9 +15,11 @@
 class EndpointState {
  public:
   explicit EndpointState(EndpointRecord endpoint_record)
-      : record(std::move(endpoint_record)) {}
+      : record(std::move(endpoint_record)), registry_era(record.registry_era) {}
 
   EndpointRecord record;
+  /// Highest era of a record of the endpoint, also of one that was ignored.
+  std::uint64_t registry_era = 0;
   /// When the record first marked the endpoint as leaving; max() otherwise.
   TimePoint leaving_since = TimePoint::max();
   /// When the record disappeared from the registry; max() while it exists.
@@ -42,6 +44,11 @@
   LogPosition behind_position;
   unsigned behind_count = 0;
 
+  /// True if the record is probably of the copy from which the registry was
+  /// restored, and older than the known one. Only the first record of an era
+  /// can be: later ones were written after the restore.
+  bool IsOutdated(const EndpointRecord& restored) const;
+
   /// Records that the endpoint's log has not reached the position.
   void RecordBehind(LogPosition required, TimePoint now);
   /// True if the endpoint's log has probably not reached the position yet.
--- a/src/core/session/session_router.cc
+++ b/src/core/session/session_router.cc
@@ -36,9 +36,12 @@
   for (const UnconfirmedWrite& write : unconfirmed_) write.job->owner.reset();
 }
 
-void SessionRouter::SetEndpoint(const EndpointRecord& record, TimePoint now) {
+bool SessionRouter::SetEndpoint(const EndpointRecord& record, TimePoint now) {
   auto [entry, is_new] = endpoints_.try_emplace(record.name, record);
   EndpointState& endpoint = entry->second;
+  const bool outdated = !is_new && endpoint.IsOutdated(record);
+  endpoint.registry_era = std::max(endpoint.registry_era, record.registry_era);
+  if (outdated) return false;
   if (endpoint.record.service != record.service) {
     services_[endpoint.record.service].endpoints.erase(record.name);
   }
@@ -61,6 +64,7 @@
     TrimConnections(endpoint, 0, now);
   }
   Dispatch(record.service, now);
+  return true;
 }
 
 void SessionRouter::RemoveEndpoint(const EndpointName& name, TimePoint now) {
--- a/src/core/session/session_router.h
+++ b/src/core/session/session_router.h
@@ -44,8 +44,9 @@
   SessionRouter(const SessionRouter&) = delete;
   SessionRouter& operator=(const SessionRouter&) = delete;
 
-  /// Adds or updates an endpoint.
-  void SetEndpoint(const EndpointRecord& record, TimePoint now);
+  /// Adds or updates an endpoint. Returns false if the record is from an
+  /// outdated copy of the registry and was ignored.
+  bool SetEndpoint(const EndpointRecord& record, TimePoint now);
   /// The registry no longer has a record of the endpoint.
   void RemoveEndpoint(const EndpointName& endpoint, TimePoint now);
   /// Sets how many connections this VM may have to each endpoint of a service
--- a/src/proxy/session_proxy_watchers.h
+++ b/src/proxy/session_proxy_watchers.h
@@ -66,9 +66,12 @@
       const EndpointRecord record =
           proxy_.deps_.documents.DecodeEndpoint(object);
       const auto known = proxy_.router_.endpoints().find(record.name);
-      if (known == proxy_.router_.endpoints().end() ||
-          known->second.record != record) {
-        Log(LogLevel::kInfo, "endpoint_record",
+      const bool changed = known == proxy_.router_.endpoints().end() ||
+                           known->second.record != record;
+      const bool accepted = proxy_.router_.SetEndpoint(record, now);
+      if (changed) {
+        Log(LogLevel::kInfo,
+            accepted ? "endpoint_record" : "endpoint_record_outdated",
             {{"endpoint", record.name},
              {"service", record.service},
              {"data_centre", record.data_centre},
@@ -76,7 +79,6 @@
              {"primary", record.claims_primary},
              {"version", object.version}});
       }
-      proxy_.router_.SetEndpoint(record, now);
     } catch (const DecodeError& error) {
       proxy_.log_.OnMalformedObject(object.path, error.what());
     }
--- a/test/platform/documents_test.cc
+++ b/test/platform/documents_test.cc
@@ -22,7 +22,7 @@
         "State":"ready","DbRole":"replica","Sequence":4,"born":1700000000000})";
 
 StoredObject Entry(const std::string& text) {
-  return {"servers/i-7f3a", text, 5, false};
+  return {"servers/i-7f3a", text, MakeVersion(3, 5), false};
 }
 
 class DocumentsOfThePlatform : public ::testing::Test {
@@ -51,6 +51,7 @@
   EXPECT_FALSE(record.leaving);
   EXPECT_FALSE(record.claims_primary);
   EXPECT_EQ(record.started_ms, 1700000000000U);
+  EXPECT_EQ(record.registry_era, 3U);
 }
 
 TEST_F(DocumentsOfThePlatform, EntryOfAnotherWriterNamesNoEndpoint) {
--- a/test/session/session_router_test.cc
+++ b/test/session/session_router_test.cc
@@ -385,5 +385,64 @@
   EXPECT_EQ(link_.Running("near"), 0U);
 }
 
+class SessionRouterWithARestoredRegistry
+    : public SessionRouterWithThreeEndpoints {
+ protected:
+  bool SetNear(std::uint64_t era, std::uint64_t started_ms, bool leaving) {
+    EndpointRecord record = router_.endpoints().at("near").record;
+    record.registry_era = era;
+    record.started_ms = started_ms;
+    record.leaving = leaving;
+    return router_.SetEndpoint(record, now_);
+  }
+
+  bool NearAcceptsWork() {
+    return router_.endpoints().at("near").AcceptsWork(now_);
+  }
+};
+
+// Guards against requests to an endpoint that is about to stop, whose report of
+// it was lost in the restore.
+TEST_F(SessionRouterWithARestoredRegistry, LeavingEndpointIsNotReadyAgain) {
+  EXPECT_TRUE(SetNear(0, 1000, false));
+  EXPECT_TRUE(SetNear(0, 1000, true));
+  EXPECT_FALSE(SetNear(1, 1000, false));
+  EXPECT_FALSE(NearAcceptsWork());
+  router_.RemoveEndpoint("near", now_);
+  EXPECT_FALSE(SetNear(3, 1000, false));
+  EXPECT_FALSE(NearAcceptsWork());
+  EXPECT_TRUE(SetNear(3, 1000, true));
+  EXPECT_FALSE(NearAcceptsWork());
+  EXPECT_TRUE(SetNear(3, 2000, false));
+  EXPECT_TRUE(NearAcceptsWork());
+}
+
+// Guards against an endpoint that is taken out of use, or whose state is
+// discarded, because the copy has the record of its previous process.
+TEST_F(SessionRouterWithARestoredRegistry, RecordOfAPreviousProcessIsIgnored) {
+  EXPECT_TRUE(SetNear(0, 1000, true));
+  EXPECT_TRUE(SetNear(0, 2000, false));
+  EXPECT_FALSE(SetNear(1, 1000, true));
+  EXPECT_TRUE(NearAcceptsWork());
+  EXPECT_EQ(router_.endpoints().at("near").record.started_ms, 2000U);
+  EXPECT_TRUE(SetNear(1, 2000, false));
+}
+
+// Guards against an endpoint that is ignored for good because its wall clock
+// was set back or because it has not stopped after all.
+TEST_F(SessionRouterWithARestoredRegistry, RecordsWrittenAfterItAreAccepted) {
+  EXPECT_TRUE(SetNear(0, 2000, false));
+  EXPECT_TRUE(SetNear(0, 1000, true));
+  EXPECT_TRUE(SetNear(0, 1000, false));
+  EXPECT_TRUE(NearAcceptsWork());
+  EXPECT_FALSE(SetNear(1, 500, false));
+  EXPECT_TRUE(SetNear(1, 500, true));
+  EXPECT_FALSE(NearAcceptsWork());
+  EXPECT_TRUE(SetNear(1, 500, false));
+  EXPECT_TRUE(NearAcceptsWork());
+  EXPECT_TRUE(SetNear(2, 0, true));
+  EXPECT_FALSE(NearAcceptsWork());
+}
+
 }  // namespace
 }  // namespace carawayhaven
