Session router: count missing records only while the registry answers

What callers saw: nothing was seen with callers; found by review of two restores in a row. An endpoint whose record was lost in a restore has about two seconds from the return of the store to write it again. When a second outage began meanwhile, it counted as gone 2.5 s after the first list, while it ran.

Cause: the time that a record is missing was counted through outages.

Change: an outage or a restore ends the count for endpoints that are not gone yet, and it starts again when the store answers.

Evidence: MissingRecordsMayReappearAfterIt fails with the count as it was and passes now. session_test passes 68 of 68.

--- a/src/core/session/endpoint_state.cc
+++ b/src/core/session/endpoint_state.cc
@@ -72,11 +72,13 @@
          position < required;
 }
 
+bool EndpointState::IsGone(TimePoint now) const {
+  return missing_since != TimePoint::max() &&
+         now - missing_since > kMissingGracePeriod;
+}
+
 bool EndpointState::AcceptsWork(TimePoint now) const {
-  if (missing_since != TimePoint::max() &&
-      now - missing_since > kMissingGracePeriod) {
-    return false;
-  }
+  if (IsGone(now)) return false;
   return leaving_since == TimePoint::max() ||
          (record.claims_primary &&
           now - leaving_since < kLeavingPrimaryGracePeriod);
--- a/src/core/session/endpoint_state.h
+++ b/src/core/session/endpoint_state.h
@@ -22,7 +22,8 @@
   std::uint64_t registry_era = 0;
   /// When the record first marked the endpoint as leaving; max() otherwise.
   TimePoint leaving_since = TimePoint::max();
-  /// When the record disappeared from the registry; max() while it exists.
+  /// When the record disappeared from the registry; max() while it exists, and
+  /// while the registry is unavailable unless the endpoint was gone by then.
   TimePoint missing_since = TimePoint::max();
 
   std::set<ConnectionId> connections;
@@ -70,6 +71,9 @@
     return 1.0 + kRefusalWeight * refused_share_;
   }
 
+  /// True if the record has been missing for so long that it will not reappear.
+  bool IsGone(TimePoint now) const;
+
   /// True if new work may be sent to the endpoint.
   bool AcceptsWork(TimePoint now) const;
 
--- a/src/core/session/session_router.cc
+++ b/src/core/session/session_router.cc
@@ -51,6 +51,7 @@
   const bool moved = endpoint.record.address != record.address;
   endpoint.record = record;
   endpoint.missing_since = TimePoint::max();
+  missing_at_outage_.erase(record.name);
   if (!record.leaving) {
     endpoint.leaving_since = TimePoint::max();
   } else if (endpoint.leaving_since == TimePoint::max()) {
@@ -75,6 +76,22 @@
   }
 }
 
+void SessionRouter::SetRegistryAvailable(bool available, TimePoint now) {
+  if (available) {
+    for (const EndpointName& name : std::exchange(missing_at_outage_, {})) {
+      endpoints_.at(name).missing_since = now;
+    }
+    return;
+  }
+  for (auto& [name, endpoint] : endpoints_) {
+    if (endpoint.missing_since == TimePoint::max() || endpoint.IsGone(now)) {
+      continue;
+    }
+    endpoint.missing_since = TimePoint::max();
+    missing_at_outage_.insert(name);
+  }
+}
+
 void SessionRouter::SetConnectionLimit(const ServiceName& service,
                                        std::uint32_t limit, TimePoint now) {
   Service& limited = services_[service];
--- a/src/core/session/session_router.h
+++ b/src/core/session/session_router.h
@@ -49,6 +49,9 @@
   bool SetEndpoint(const EndpointRecord& record, TimePoint now);
   /// The registry no longer has a record of the endpoint.
   void RemoveEndpoint(const EndpointName& endpoint, TimePoint now);
+  /// The registry has become unavailable or available. Records that are missing
+  /// may still reappear for some time after it is available again.
+  void SetRegistryAvailable(bool available, TimePoint now);
   /// Sets how many connections this VM may have to each endpoint of a service
   /// and closes idle connections above the limit.
   void SetConnectionLimit(const ServiceName& service, std::uint32_t limit,
@@ -195,6 +198,8 @@
   RoundTripTime round_trip_time_;
   PrimaryLeases leases_;
   std::map<EndpointName, EndpointState> endpoints_;
+  /// Endpoints whose record was missing when the registry became unavailable.
+  std::set<EndpointName> missing_at_outage_;
   std::map<ServiceName, Service> services_;
   std::unordered_map<ConnectionId, Connection> connections_;
   std::list<UnconfirmedWrite> unconfirmed_;
--- a/src/proxy/session_proxy_watchers.h
+++ b/src/proxy/session_proxy_watchers.h
@@ -88,6 +88,15 @@
     Log(LogLevel::kInfo, "endpoint_record_removed", {{"endpoint", name}});
     proxy_.router_.RemoveEndpoint(name, now);
   }
+  // The restore counts as an outage, which the watcher may not have noticed.
+  void OnStoreRestored(TimePoint now) override {
+    proxy_.router_.SetRegistryAvailable(false, now);
+    proxy_.router_.SetRegistryAvailable(true, now);
+  }
+  void OnStoreReachabilityChanged(bool reachable, TimePoint now) override {
+    StoreWatcher::OnStoreReachabilityChanged(reachable, now);
+    proxy_.router_.SetRegistryAvailable(reachable, now);
+  }
 };
 
 }  // namespace carawayhaven
--- a/test/session/session_router_test.cc
+++ b/test/session/session_router_test.cc
@@ -444,5 +444,36 @@
   EXPECT_FALSE(NearAcceptsWork());
 }
 
+// Guards against an endpoint that counts as gone before it could write its
+// record again: it disappeared in a restore, and a second outage followed.
+TEST_F(SessionRouterWithARestoredRegistry, MissingRecordsMayReappearAfterIt) {
+  router_.RemoveEndpoint("near", now_);
+  now_ += seconds(1);
+  router_.SetRegistryAvailable(false, now_);
+  now_ += seconds(5);
+  EXPECT_TRUE(NearAcceptsWork());
+  router_.SetRegistryAvailable(true, now_);
+  now_ += seconds(2);
+  EXPECT_TRUE(NearAcceptsWork());
+  now_ += seconds(1);
+  EXPECT_FALSE(NearAcceptsWork());
+  router_.SetRegistryAvailable(false, now_);
+  router_.SetRegistryAvailable(true, now_);
+  EXPECT_FALSE(NearAcceptsWork());
+  EXPECT_TRUE(SetNear(1, 2000, false));
+  EXPECT_TRUE(NearAcceptsWork());
+}
+
+// Guards against an endpoint that counts as gone although it has written its
+// record again.
+TEST_F(SessionRouterWithARestoredRegistry, RecordsThatReappearedAreNotMissing) {
+  router_.RemoveEndpoint("near", now_);
+  router_.SetRegistryAvailable(false, now_);
+  EXPECT_TRUE(SetNear(1, 1000, false));
+  router_.SetRegistryAvailable(true, now_);
+  now_ += seconds(10);
+  EXPECT_TRUE(NearAcceptsWork());
+}
+
 }  // namespace
 }  // namespace carawayhaven
