--- a/test/soak/deployment.py
+++ b/test/soak/deployment.py
@@ -134,6 +134,9 @@
         self.disrupted_at = -1e9
         self.config_version = 3
         self.routes = {}
+        self.config = {}
+        # Endpoints publish nothing before this time.
+        self.heartbeats_resume_at = {}
         self.tasks = []
 
     def record_disruption(self):
@@ -174,12 +177,21 @@
                     "Kind": kind, "MaxStalenessMs": 1500,
                     "TimeoutMs": self.rng.randrange(800, 1200),
                     "SloMs": 500, "Priority": 1}
-        self.table.set("config", "main", {
+        self.config = {
             "Version": self.config_version,
             "Routes": list(self.routes.values()),
             "Services": [{"Name": s, "MaxConnections": 24, "SyncReplicas": 0}
                          for s in self.groups],
-            "Limits": {"TxIdleMs": 3000}})
+            "Limits": {"TxIdleMs": 3000}}
+        self.rewrite_config()
+
+    def rewrite_config(self):
+        self.table.set("config", "main", self.config)
+
+    def add_route(self, host):
+        service = next(iter(self.groups))
+        self.routes[host] = dict(self.routes[f"{service}-p"], Host=host)
+        self.write_config()
 
     def _rewrite_address(self, vm, kind, stored):
         """Each VM reaches endpoints by links of its own."""
@@ -194,6 +206,10 @@
     async def _publish_heartbeats(self, endpoint):
         stopped_since = None
         while True:
+            pause = self.heartbeats_resume_at.get(endpoint.name, 0) - \
+                time.monotonic()
+            if pause > 0:
+                await asyncio.sleep(pause)
             if endpoint.running:
                 stopped_since = None
                 endpoint.sequence += 1
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+import time
 
 FAULTS = []
 
@@ -255,6 +256,40 @@
         await asyncio.sleep(rng.uniform(0, 0.5))
 
 
+async def restored(deployment, rng):
+    """The store is down, then back from a copy that is some seconds old."""
+    outage = rng.choice(["busy", "many", "reset", "silent"])
+    age_s = rng.uniform(2, 15)
+    stores = [vm.store.faults for vm in deployment.vms]
+    for faults in stores:
+        faults.outage = outage
+
+    def undo():
+        now = time.monotonic()
+        deployment.table.restore(now - age_s)
+        for name in (e.name for g in deployment.groups.values()
+                     for e in g.endpoints):
+            deployment.heartbeats_resume_at[name] = now + rng.uniform(0, 2)
+        for faults in stores:
+            faults.outage = None
+
+    await _hold_fault(deployment, rng.uniform(1, 3), undo)
+    await asyncio.sleep(rng.uniform(0, 2))
+    deployment.rewrite_config()
+    deployment.record_disruption()
+
+
+async def run_restores(deployment, rng, seconds, on_fault_started):
+    """Restores the store up to three times, beside the faults of a schedule.
+
+    They are not among FAULTS, so that the schedules of all seeds stay the same.
+    """
+    for _ in range(rng.randrange(1, 4)):
+        await asyncio.sleep(rng.uniform(0.5, seconds / 3))
+        on_fault_started(restored.__name__)
+        await restored(deployment, rng)
+
+
 async def run_schedule(deployment, rng, seconds, on_fault_started):
     """Starts faults for the given time; returns when all are undone."""
     tasks = []
--- a/test/soak/platform_store.py
+++ b/test/soak/platform_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 
 import aiohttp.web
 
@@ -16,6 +17,10 @@
         self.changed = asyncio.Event()
         # Watches from an earlier revision are answered with HTTP 410.
         self.history_start = 0
+        # Rises with each restore.
+        self.era = 0
+        # Time, key and previous object of each change, to undo it.
+        self._changes = []
 
     def put(self, kind, name, spec, expected=None, create=False):
         """Returns an HTTP status and the stored object."""
@@ -33,6 +38,7 @@
         created = existing["meta"]["Created"] if existing else self.revision
         stored = {"meta": {"Name": name, "Revision": self.revision,
                            "Created": created}, "spec": spec}
+        self._changes.append((time.monotonic(), (kind, name), existing))
         self.objects[kind, name] = stored
         self._record(kind, stored, False)
         return 200, stored
@@ -40,6 +46,7 @@
     def remove(self, kind, name):
         stored = self.objects.pop((kind, name), None)
         if stored is not None:
+            self._changes.append((time.monotonic(), (kind, name), stored))
             self.revision += 1
             self._record(kind, stored, True)
 
@@ -50,6 +57,19 @@
         self.history_start = self.revision
         self.history.clear()
 
+    def restore(self, copied_at):
+        """Returns to the state of an earlier time and begins a new era."""
+        while self._changes and self._changes[-1][0] > copied_at:
+            _, key, previous = self._changes.pop()
+            self.revision -= 1
+            if previous is None:
+                del self.objects[key]
+            else:
+                self.objects[key] = previous
+        self.history = [h for h in self.history if h[0] <= self.revision]
+        self.history_start = min(self.history_start, self.revision)
+        self.era += 1
+
     def _record(self, kind, stored, deleted):
         self.history.append((self.revision, kind, stored, deleted))
         changed, self.changed = self.changed, asyncio.Event()
@@ -86,6 +106,7 @@
 
     async def start(self):
         app = aiohttp.web.Application()
+        app.on_response_prepare.append(self._add_era)
         app.router.add_post("/promotion", self._promote)
         app.router.add_route("*", "/-/objects/{kind}", self._collection)
         app.router.add_route("*", "/-/objects/{kind}/{name}", self._object)
@@ -95,6 +116,9 @@
         await site.start()
         self.port = site._server.sockets[0].getsockname()[1]
 
+    async def _add_era(self, _request, response):
+        response.headers["Store-Era"] = str(self.table.era)
+
     async def _apply_faults(self, request):
         """Returns a faulty answer in place of the store's own, or None."""
         self.calls += 1
@@ -105,7 +129,8 @@
         if outage == "many":
             return aiohttp.web.Response(status=429)
         if outage == "reset":
-            request.transport.abort()
+            if request.transport is not None:
+                request.transport.abort()
             raise asyncio.CancelledError
         if outage == "silent":
             await self._hang(request)
@@ -143,7 +168,7 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + int(request.query.get("WaitMs", "0")) / 1000
         while True:
-            if after < self.table.history_start:
+            if not self.table.history_start <= after <= self.table.revision:
                 return aiohttp.web.Response(status=410)
             events = [{"Object": self._rewritten(kind, stored),
                        "Deleted": deleted}
--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -14,7 +14,7 @@
 
 from callers import Balancer, Caller
 from deployment import Deployment
-from faults import run_schedule
+from faults import run_restores, run_schedule
 from promises import GuaranteeChecker
 
 # Faults start during this time; then the deployment must recover.
@@ -23,11 +23,34 @@
 # By then all faults, also the longest, must have been undone.
 SCHEDULE_TIMEOUT_S = FAULT_DURATION_S + 30
 MEASUREMENT_DURATION_S = 3.0
+# Time within which an added route must be served everywhere.
+CONFIG_LIMIT_S = 3.0
 # Minimum share of served operations after the recovery.
 MIN_SERVED_RATIO = 0.8
 
 
-async def run_seed(seed, program, directory):
+async def check_added_route(deployment, balancer, checker):
+    """A route that the operator adds must be known to all ready VMs."""
+    host = "added-at-the-end"
+    deployment.add_route(host)
+    await asyncio.sleep(CONFIG_LIMIT_S)
+    for vm in list(balancer.ready):
+        try:
+            async with asyncio.timeout(2):
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", vm.caller_port)
+                writer.write(f"CONNECT {host} soak\r\n".encode())
+                answer = await reader.readline()
+                writer.close()
+        except (OSError, asyncio.TimeoutError) as error:
+            answer = repr(error).encode()
+        if not answer.startswith(b"READY"):
+            checker.report("CONFIG", f"{vm.name} answers {answer!r} to a "
+                           f"session of a route that was added "
+                           f"{CONFIG_LIMIT_S} s before")
+
+
+async def run_seed(seed, program, directory, with_restores=False):
     """Runs one seed; returns the checker with its findings, and a schedule."""
     rng = random.Random(seed)
     checker = GuaranteeChecker()
@@ -35,6 +58,10 @@
                             rng.choice([3, 4, 6, 12]),
                             ["registro", "hire-core"][:rng.choice([1, 2])])
     schedule = []
+
+    def on_fault_started(name):
+        schedule.append(f"{time.monotonic() - checker.started_at:.2f} {name}")
+
     balancer = Balancer(deployment.vms)
     tasks = []
     try:
@@ -47,11 +74,14 @@
                           random.Random(rng.random())) for _ in range(24)]
         tasks += [asyncio.create_task(c.run(end_time)) for c in callers]
         async with asyncio.timeout(SCHEDULE_TIMEOUT_S):
-            await run_schedule(
+            schedules = [run_schedule(
                 deployment, random.Random(f"faults of {seed}"),
-                FAULT_DURATION_S,
-                lambda name: schedule.append(
-                    f"{time.monotonic() - checker.started_at:.2f} {name}"))
+                FAULT_DURATION_S, on_fault_started)]
+            if with_restores:
+                schedules.append(run_restores(
+                    deployment, random.Random(f"restores of {seed}"),
+                    FAULT_DURATION_S, on_fault_started))
+            await asyncio.gather(*schedules)
         await asyncio.sleep(RECOVERY_DURATION_S)
         measured_from = time.monotonic()
         await asyncio.sleep(MEASUREMENT_DURATION_S)
@@ -60,6 +90,8 @@
         if served < MIN_SERVED_RATIO * max(1, served + refused):
             checker.report("RECOVER", f"{served} operations served, "
                            f"{refused} not, after the recovery")
+        if with_restores:
+            await check_added_route(deployment, balancer, checker)
         ended_tasks = [t for t in tasks if t.done() and not t.cancelled()]
         for task in ended_tasks:
             raise task.exception() or RuntimeError(
@@ -88,6 +120,8 @@
                       help="the seeds that failed before")
     parser.add_argument("--program", default="build/src/carawayhaven")
     parser.add_argument("--keep", help="folder for the logs of failed seeds")
+    parser.add_argument("--restores", action="store_true",
+                        help="also restore the store from older copies")
     options = parser.parse_args()
     if options.regressions:
         seeds = regression_seeds()
@@ -103,7 +137,7 @@
                 directory = pathlib.Path(options.keep) / f"seed-{seed}"
                 directory.mkdir(parents=True, exist_ok=True)
             checker, schedule = asyncio.run(
-                run_seed(seed, options.program, directory))
+                run_seed(seed, options.program, directory, options.restores))
         print(f"seed {seed}: {len(checker.served)} served, "
               f"{len(checker.refused)} not, {len(checker.commits)} writes, "
               f"{len(checker.holder_of_token)} promotions, "
