--- a/src/core/session/session_router.cc
+++ b/src/core/session/session_router.cc
@@ -36,9 +36,12 @@
   for (const UnconfirmedWrite& write : unconfirmed_) write.job->owner.reset();
 }
 
-void SessionRouter::SetEndpoint(const EndpointRecord& record, TimePoint now) {
+bool SessionRouter::SetEndpoint(const EndpointRecord& record, TimePoint now) {
   auto [entry, is_new] = endpoints_.try_emplace(record.name, record);
   EndpointState& endpoint = entry->second;
+  const bool outdated = !is_new && endpoint.IsOutdated(record);
+  endpoint.registry_era = std::max(endpoint.registry_era, record.registry_era);
+  if (outdated) return false;
   if (endpoint.record.service != record.service) {
     services_[endpoint.record.service].endpoints.erase(record.name);
   }
@@ -49,6 +52,7 @@
                      endpoint.record.service != record.service;
   endpoint.record = record;
   endpoint.missing_since = TimePoint::max();
+  missing_at_outage_.erase(record.name);
   if (!record.leaving) {
     endpoint.leaving_since = TimePoint::max();
   } else if (endpoint.leaving_since == TimePoint::max()) {
@@ -61,6 +65,7 @@
   }
   TrimConnections(endpoint, now);
   Dispatch(record.service, now);
+  return true;
 }
 
 void SessionRouter::RemoveEndpoint(const EndpointName& name, TimePoint now) {
@@ -72,6 +77,22 @@
   }
 }
 
+void SessionRouter::SetRegistryAvailable(bool available, TimePoint now) {
+  if (available) {
+    for (const EndpointName& name : std::exchange(missing_at_outage_, {})) {
+      endpoints_.at(name).missing_since = now;
+    }
+    return;
+  }
+  for (auto& [name, endpoint] : endpoints_) {
+    if (endpoint.missing_since == TimePoint::max() || endpoint.IsGone(now)) {
+      continue;
+    }
+    endpoint.missing_since = TimePoint::max();
+    missing_at_outage_.insert(name);
+  }
+}
+
 void SessionRouter::SetConnectionLimit(const ServiceName& service,
                                        std::uint32_t limit, TimePoint now) {
   Service& limited = services_[service];
--- a/src/core/session/session_router.h
+++ b/src/core/session/session_router.h
@@ -44,10 +44,14 @@
   SessionRouter(const SessionRouter&) = delete;
   SessionRouter& operator=(const SessionRouter&) = delete;
 
-  /// Adds or updates an endpoint.
-  void SetEndpoint(const EndpointRecord& record, TimePoint now);
+  /// Adds or updates an endpoint. Returns false if the record is from an
+  /// outdated copy of the registry and was ignored.
+  bool SetEndpoint(const EndpointRecord& record, TimePoint now);
   /// The registry no longer has a record of the endpoint.
   void RemoveEndpoint(const EndpointName& endpoint, TimePoint now);
+  /// The registry has become unavailable or available. Records that are missing
+  /// may still reappear for some time after it is available again.
+  void SetRegistryAvailable(bool available, TimePoint now);
   /// Sets how many connections this VM may have to each endpoint of a service
   /// and closes idle connections above the limit.
   void SetConnectionLimit(const ServiceName& service, std::uint32_t limit,
@@ -213,6 +217,8 @@
   RoundTripTime round_trip_time_;
   PrimaryLeases leases_;
   std::map<EndpointName, EndpointState> endpoints_;
+  /// Endpoints whose record was missing when the registry became unavailable.
+  std::set<EndpointName> missing_at_outage_;
   std::map<ServiceName, Service> services_;
   std::unordered_map<ConnectionId, Connection> connections_;
   std::list<UnconfirmedWrite> unconfirmed_;
