--- a/test/session/fake_session_link.h
+++ b/test/session/fake_session_link.h
@@ -18,16 +18,18 @@
  public:
   struct Session {
     std::string address;
+    std::string service;
     std::string endpoint;
     SessionLinkEvents* events = nullptr;
     bool open = false;
     std::deque<EndpointStatement> unanswered;
   };
 
-  ConnectionId Open(std::string_view address, std::string_view /*service*/,
+  ConnectionId Open(std::string_view address, std::string_view service,
                     std::string_view endpoint,
                     SessionLinkEvents& events) override {
     sessions[next_].address = address;
+    sessions[next_].service = service;
     sessions[next_].endpoint = endpoint;
     sessions[next_].events = &events;
     ++opened;
