Drain: answer the statements that still run when the process stops

Seen by callers: after a SIGTERM, at nine tenths of the grace time, the connection of a statement that still ran was closed without a reply. That also applied to statements that waited in a queue or for the renewal of a lease.

Cause: the drain stops the loop whether or not sessions are left; the jobs of the router then end without a result.

Before the stop, the router now ends all jobs: those that were sent are reported as lost, all others as not run, and so are jobs that are submitted later. The sessions reply and close.

Failed before (with an EndJobs that does nothing, as the stop did): JobsAreEndedEachStatementIsAnswered, JobsAreEndedHeldCommitIsInDoubt (no reply) and the random test, which ends the jobs in some seeds (seed 3). All pass, and 2,000 seeds of the random test. Not run: a drain of whole processes.

--- a/src/core/session/session_router.cc
+++ b/src/core/session/session_router.cc
@@ -166,6 +166,10 @@
                            TimePoint now) {
   Service& service = services_[job->service];
   service.retries.OnRequest();
+  if (ended_) {
+    Refuse(job, ReplyCode::kBusy, now);
+    return;
+  }
   if (service.queue.empty() && TryStart(job, service, now)) return;
   if (NoPrimaryBeforeDeadline(*job, service, now)) {
     Refuse(job, ReplyCode::kNotPrimary, now);
@@ -199,7 +203,7 @@
     ConnectionId id, const std::shared_ptr<StatementJob>& job, TimePoint now) {
   job->transaction_connection = id;
   const auto found = connections_.find(id);
-  if (found == connections_.end() ||
+  if (ended_ || found == connections_.end() ||
       found->second.transaction_owner != job->owner) {
     Finish(job, UnansweredResult(JobResult::End::kLost, ""), now);
     return;
--- a/src/core/session/session_router.h
+++ b/src/core/session/session_router.h
@@ -80,6 +80,10 @@
   /// Abandons a job whose caller has disconnected; its result is discarded.
   void Abandon(const std::shared_ptr<StatementJob>& job, TimePoint now);
 
+  /// Ends all jobs, those that were sent as lost, and refuses new ones from now
+  /// on. To be called before the process stops.
+  void EndJobs(TimePoint now);
+
   const PrimaryLeases& leases() const { return leases_; }
   const PositionHistory* FindPositionHistory(const ServiceName& service) const;
   const std::map<EndpointName, EndpointState>& endpoints() const {
@@ -216,6 +220,8 @@
   std::map<ServiceName, Service> services_;
   std::unordered_map<ConnectionId, Connection> connections_;
   std::list<UnconfirmedWrite> unconfirmed_;
+  /// EndJobs was called.
+  bool ended_ = false;
   TimePoint next_tick_ = TimePoint::max();
   RouterStats stats_;
 };
--- a/src/core/session/session_router_outcome.cc
+++ b/src/core/session/session_router_outcome.cc
@@ -128,6 +128,38 @@
   }
 }
 
+void SessionRouter::EndJobs(TimePoint now) {
+  ended_ = true;
+  std::vector<std::pair<JobPtr, EndpointName>> sent;
+  std::vector<ConnectionId> busy;
+  for (const auto& [id, connection] : connections_) {
+    if (connection.job == nullptr) continue;
+    busy.push_back(id);
+    sent.emplace_back(connection.job, connection.endpoint);
+  }
+  for (const UnconfirmedWrite& write : unconfirmed_) {
+    sent.emplace_back(write.job, write.result.endpoint);
+  }
+  unconfirmed_.clear();
+  std::vector<JobPtr> queued;
+  for (auto& [name, service] : services_) {
+    queued.insert(queued.end(), service.queue.begin(), service.queue.end());
+    service.queue.clear();
+  }
+  for (const ConnectionId id : busy) CloseConnection(id, now);
+  for (const auto& [job, endpoint] : sent) {
+    if (job->done) continue;
+    if (!job->may_have_run && job->transaction_connection == 0) {
+      Refuse(job, ReplyCode::kBusy, now);
+    } else {
+      Finish(job, UnansweredResult(JobResult::End::kLost, endpoint), now);
+    }
+  }
+  for (const JobPtr& job : queued) {
+    if (!job->done) Refuse(job, ReplyCode::kBusy, now);
+  }
+}
+
 void SessionRouter::TickConnections(TimePoint now) {
   std::vector<ConnectionId> due;
   for (const auto& [id, connection] : connections_) {
--- a/src/proxy/session_proxy_drain.cc
+++ b/src/proxy/session_proxy_drain.cc
@@ -56,6 +56,10 @@
   }
   if ((open || elapsed < kBalancerDelay) && elapsed < part(kStopPart)) return;
   stopping_ = true;
+  router_.EndJobs(now);
+  for (const std::shared_ptr<CallerSession>& session : LiveSessions()) {
+    session->Shutdown(now);
+  }
   Log(LogLevel::kInfo, "proxy_stopped",
       {{"vm", settings_.vm}, {"sessions_left", open}});
   // The last answers are still in the sockets' send buffers.
--- a/test/session/caller_session_test.cc
+++ b/test/session/caller_session_test.cc
@@ -303,5 +303,46 @@
   EXPECT_EQ(other_channel.replies[0].code, ReplyCode::kOk);
 }
 
+// Guards against statements without a reply when the process stops while they
+// run or wait.
+TEST_F(CallerSessionThatIsOpen, JobsAreEndedEachStatementIsAnswered) {
+  router_.SetConnectionLimit("registro", 1, now_);
+  Run(StatementKind::kWrite);
+  Run(StatementKind::kRead);
+  RecordingChannel other_channel;
+  auto other = std::make_shared<CallerSession>(
+      router_, observer_, [this]() -> const RouteTable& { return routes_; },
+      other_channel);
+  other->OnConnect("packs");
+  CallerStatement write;
+  write.kind = StatementKind::kWrite;
+  write.id = "other";
+  write.text = "WRITE 1 a";
+  other->OnStatement(write, now_);
+  EXPECT_TRUE(channel_.replies.empty());
+  session_->CloseWhenIdle();
+  other->CloseWhenIdle();
+  router_.EndJobs(now_);
+  ASSERT_EQ(channel_.replies.size(), 2U);
+  EXPECT_EQ(channel_.replies[0].code, ReplyCode::kInDoubt);
+  EXPECT_EQ(channel_.replies[1].code, ReplyCode::kBusy);
+  EXPECT_TRUE(channel_.closed);
+  ASSERT_EQ(other_channel.replies.size(), 1U);
+  EXPECT_EQ(other_channel.replies[0].code, ReplyCode::kBusy);
+  EXPECT_TRUE(other_channel.closed);
+}
+
+// As above, for a commit that waits for the renewal of the primary lease.
+TEST_F(CallerSessionThatIsOpen, JobsAreEndedHeldCommitIsInDoubt) {
+  Write();
+  Run(StatementKind::kCommit);
+  now_ += seconds(61);
+  AnswerOk(TransactionState::kIdle);
+  EXPECT_EQ(channel_.replies.size(), 2U);
+  router_.EndJobs(now_);
+  ASSERT_EQ(channel_.replies.size(), 3U);
+  EXPECT_EQ(LastCode(), ReplyCode::kInDoubt);
+}
+
 }  // namespace
 }  // namespace carawayhaven
--- a/test/session/session_router_random_test.cc
+++ b/test/session/session_router_random_test.cc
@@ -120,6 +120,7 @@
     }
     // All faults end; each statement must be answered.
     disturbed_ = false;
+    if (Chance(0.3)) EndJobs();
     for (const TimePoint end = now_ + seconds(12); now_ < end;) Advance();
     CheckRest();
   }
@@ -435,6 +436,13 @@
     }
   }
 
+  void EndJobs() {
+    router_.EndJobs(now_);
+    for (const auto& caller : callers_) {
+      if (caller->unanswered() > 0) Fail("a statement after the end of jobs");
+    }
+  }
+
   void CheckRest() {
     for (const auto& caller : callers_) {
       if (caller->unanswered() > 0) Fail("a statement without a reply");
