Drain: answer relayed statements when the relaying proxy stops

Seen by callers: after a SIGTERM, at nine tenths of the grace time, the connection of a relayed statement that still ran was closed without a reply.

Cause: relays are closed when their operation ends; those that are left when the process stops were cut off with it.

Before the stop, the statements of these relays get the reply that they get when the session VM is lost, and callers without a session are rejected.

Failed before (with an EndRelays that does nothing, as the stop did): RelayIsEndedStatementIsAnswered (no reply, no close). Not run: a drain of whole processes.

--- a/src/proxy/caller_listener.h
+++ b/src/proxy/caller_listener.h
@@ -45,6 +45,10 @@
   /// other at the end of its current operation. Returns the number of relayed
   /// sessions that are left.
   virtual std::size_t CloseIdleRelays() = 0;
+  /// Replies to the statements of relayed sessions that the session VM has not
+  /// answered, and closes these sessions. To be called before the process
+  /// stops.
+  virtual void EndRelays() = 0;
   /// Sends the buffered replies. To be called at the end of each round (event
   /// loop iteration).
   virtual void Flush() = 0;
--- a/src/proxy/session_proxy_drain.cc
+++ b/src/proxy/session_proxy_drain.cc
@@ -60,6 +60,7 @@
   for (const std::shared_ptr<CallerSession>& session : LiveSessions()) {
     session->Shutdown(now);
   }
+  deps_.callers.EndRelays();
   Log(LogLevel::kInfo, "proxy_stopped",
       {{"vm", settings_.vm}, {"sessions_left", open}});
   // The last answers are still in the sockets' send buffers.
--- a/test/platform/line_caller_server_test.cc
+++ b/test/platform/line_caller_server_test.cc
@@ -248,5 +248,32 @@
   EXPECT_FALSE(open);
 }
 
+// Guards against a statement without a reply when the relaying proxy stops
+// while the session VM runs the statement.
+TEST_F(LineCallerServerOfAProxy, RelayIsEndedStatementIsAnswered) {
+  RawListener listener;
+  const RawSocket session_vm = ConnectThrough(listener);
+  caller_.Write("QUERY q1 WRITE 1a4 x\r\n");
+  RunTicks(3);
+  EXPECT_EQ(front_.CloseIdleRelays(), 1U);
+  front_.EndRelays();
+  EXPECT_EQ(ReceiveUntilClosed(),
+            "ERROR INDOUBT the session ended before the answer\r\n"
+            "READY I -\r\n");
+}
+
+// As above, while no session VM has accepted the session yet.
+TEST_F(LineCallerServerOfAProxy, RelayIsEndedCallerWithoutSessionIsRejected) {
+  RawListener listener;
+  front_factory_.addresses = {listener.address()};
+  caller_.Write("CONNECT packs u1\r\nQUERY q1 SET a b\r\n");
+  RunTicks(3);
+  front_.EndRelays();
+  RunTicks(20);
+  EXPECT_FALSE(caller_.Read());
+  EXPECT_EQ(caller_.received(),
+            "ERROR OVERLOAD not serving now; connect to another proxy\r\n");
+}
+
 }  // namespace
 }  // namespace carawayhaven::platform
