--- a/test/platform/line_caller_server_test.cc
+++ b/test/platform/line_caller_server_test.cc
@@ -43,6 +43,7 @@
     sessions.push_back(std::make_shared<CallerSession>(
         router, observer, [this]() -> const RouteTable& { return routes; },
         channel));
+    channels.push_back(&channel);
     return sessions.back();
   }
   std::optional<std::vector<std::string>> RelayAddresses() override {
@@ -52,6 +53,7 @@
 
   std::vector<std::string> addresses;
   std::vector<std::shared_ptr<CallerSession>> sessions;
+  std::vector<CallerChannel*> channels;
   IgnoringObserver observer;
   FakeSessionLink link;
   SessionRouter router{link, observer, [](const DataCentreName&) {
@@ -275,5 +277,18 @@
             "ERROR OVERLOAD not serving now; connect to another proxy\r\n");
 }
 
+// Guards against a session that outlives the connection of a caller that does
+// not read its replies.
+TEST_F(LineCallerServerOfAProxy, CallerWithFullBacklogItsSessionEnds) {
+  Connect({});
+  const std::string value(30'000, 'x');
+  ASSERT_EQ(front_.session_count(), 1U);
+  StatementReply reply;
+  reply.rows.assign(200, value);
+  for (int i = 0; i < 2; ++i) front_factory_.channels.front()->Reply(reply);
+  EXPECT_TRUE(RunUntil([this] { return front_.session_count() == 0; }));
+  EXPECT_TRUE(front_factory_.sessions.front()->disconnected());
+}
+
 }  // namespace
 }  // namespace carawayhaven::platform
