Callers: use the channel only until its session ends in a test

The test replied twice on a channel that the first reply had ended, a heap-use-after-free of the test under the address sanitizer. One reply shows the fault: with the code before the fix, the session is left.

--- a/test/platform/line_caller_server_test.cc
+++ b/test/platform/line_caller_server_test.cc
@@ -285,7 +285,7 @@
   ASSERT_EQ(front_.session_count(), 1U);
   StatementReply reply;
   reply.rows.assign(200, value);
-  for (int i = 0; i < 2; ++i) front_factory_.channels.front()->Reply(reply);
+  front_factory_.channels.front()->Reply(reply);
   EXPECT_TRUE(RunUntil([this] { return front_.session_count() == 0; }));
   EXPECT_TRUE(front_factory_.sessions.front()->disconnected());
 }
