--- a/test/session/session_router_random_test.cc
+++ b/test/session/session_router_random_test.cc
@@ -592,11 +592,13 @@
     }
     return Send(StatementKind::kBegin, "BEGIN");
   }
-  if (!sent_.empty() && sent_.back().statement.text.starts_with("BEGIN"))
-    return;
+  const bool begins =
+      !sent_.empty() && sent_.back().statement.text.starts_with("BEGIN");
+  if (begins) return;
   if (left_in_transaction_-- > 0) {
-    if (simulation_.Chance(0.2))
+    if (simulation_.Chance(0.2)) {
       return Send(StatementKind::kExecute, "EXECUTE");
+    }
     if (simulation_.Chance(0.5)) return Send(StatementKind::kRead, "READ 1");
     return Send(StatementKind::kWrite, "WRITE 1 a");
   }
@@ -634,8 +636,9 @@
   operations_.erase(sent.statement.id);
   switch (reply.code) {
     case ReplyCode::kOk:
-      if (kind == StatementKind::kRollback)
+      if (kind == StatementKind::kRollback) {
         operation->promised_no_effect = true;
+      }
       if (kind == StatementKind::kCommit ||
           (kind == StatementKind::kWrite &&
            reply.state == TransactionState::kIdle)) {
