Session router: close a connection whose rollback gets no reply in time

Seen by callers: none reported; a connection to a silent endpoint stayed open as long as no statement arrived.

Cause: the time after which the connection is closed was set without a tick.

Failed before: RollbackHasNoReplyConnectionIsClosed (one connection left).

--- a/src/core/session/session_router.cc
+++ b/src/core/session/session_router.cc
@@ -235,6 +235,7 @@
   connection.steps.front().kind = EndpointStatementKind::kRollback;
   connection.step = 0;
   connection.give_up_at = now + kLateAnswerGrace;
+  ScheduleTick(connection.give_up_at);
   SendStep(id, now);
 }
 
--- a/test/session/session_router_test.cc
+++ b/test/session/session_router_test.cc
@@ -536,5 +536,24 @@
   EXPECT_EQ(owner_->results[1].end, JobResult::End::kNotRun);
 }
 
+// Guards against a connection that stays open for good because the endpoint
+// does not reply to a rollback and nothing else needs a tick.
+TEST_F(SessionRouterWithThreeEndpoints, RollbackHasNoReplyConnectionIsClosed) {
+  auto job = Job(true, true);
+  job->begin = EndpointStatementKind::kBegin;
+  router_.Submit(job, now_);
+  link_.AcceptAll(now_);
+  for (int step = 0; step < 2; ++step) {
+    ASSERT_TRUE(link_.Answer("primary",
+                             OkReply({1, 100}, TransactionState::kOpen), now_));
+  }
+  ASSERT_EQ(owner_->results.size(), 1U);
+  Pass(seconds(2));
+  router_.RollBack(owner_->results[0].connection, *owner_, now_);
+  EXPECT_EQ(link_.Running("primary"), 1U);
+  Pass(seconds(2));
+  EXPECT_EQ(router_.connections(), 0U);
+}
+
 }  // namespace
 }  // namespace carawayhaven
