--- a/src/core/session/session_router.cc
+++ b/src/core/session/session_router.cc
@@ -187,6 +187,10 @@
                            TimePoint now) {
   Service& service = services_[job->service];
   service.retries.OnRequest();
+  if (ended_) {
+    Refuse(job, ReplyCode::kBusy, now);
+    return;
+  }
   if (service.queue.empty() && TryStart(job, service, now)) return;
   if (NoPrimaryBeforeDeadline(*job, service, now)) {
     Refuse(job, ReplyCode::kNotPrimary, now);
@@ -220,7 +224,7 @@
     ConnectionId id, const std::shared_ptr<StatementJob>& job, TimePoint now) {
   job->transaction_connection = id;
   const auto found = connections_.find(id);
-  if (found == connections_.end() ||
+  if (ended_ || found == connections_.end() ||
       found->second.transaction_owner != job->owner) {
     Finish(job, UnansweredResult(JobResult::End::kLost, ""), now);
     return;
@@ -252,6 +256,7 @@
   connection.steps.front().kind = EndpointStatementKind::kRollback;
   connection.step = 0;
   connection.give_up_at = now + kLateAnswerGrace;
+  ScheduleTick(connection.give_up_at);
   SendStep(id, now);
 }
 
