Proxy: answer requests that are still in flight when the drain ends

A proxy that leaves ends 2 s after the time for open transactions at the latest, while a request may have a deadline of 60 s. A request that was waiting for its endpoint then, or for the resolve of a write, ended without an answer. Such requests are now answered with reason leaving before the process ends: a write or commit that may have been sent as may_have_run, all others as not_run. Requests that arrive after that are refused. Before: DrainAnswersRequestsThatAreStillInFlight fails: the caller receives only the leaving notice. After: it passes.

--- a/src/core/route/request_router.cc
+++ b/src/core/route/request_router.cc
@@ -82,7 +82,7 @@
                        request.kind != RequestKind::kResolve;
   OpenTransaction* transaction =
       is_step || is_begin ? transactions_.Find(request.transaction) : nullptr;
-  if (draining_ && transaction == nullptr) {
+  if (ended_ || (draining_ && transaction == nullptr)) {
     refusal = NotRun(Reason::kLeaving);
     return false;
   }
@@ -216,6 +216,23 @@
 
 void RequestRouter::Drain(TimePoint /*now*/) { draining_ = true; }
 
+void RequestRouter::EndAll() {
+  ended_ = true;
+  std::vector<std::shared_ptr<RequestState>> states;
+  states.reserve(requests_.size());
+  for (const auto& [key, state] : requests_) states.push_back(state);
+  for (const auto& state : states) {
+    if (state->phase == RequestPhase::kEnded) continue;
+    const RequestKind kind = state->request.kind;
+    // An uncommitted transaction has no effect: nobody else can commit it.
+    const bool may_have_run =
+        kind == RequestKind::kResolve || kind == RequestKind::kCommit ||
+        (state->is_resolvable() && state->phase != RequestPhase::kWaiting);
+    End(*state, may_have_run ? Verdict::kMayHaveRun : Verdict::kNotRun,
+        Reason::kLeaving);
+  }
+}
+
 void RequestRouter::Tick(TimePoint now) {
   while (const auto key = timers_.TakeDue(now)) {
     const auto found = requests_.find(*key);
--- a/src/core/route/request_router.h
+++ b/src/core/route/request_router.h
@@ -78,6 +78,11 @@
   /// and requests in flight continue.
   void Drain(TimePoint now);
 
+  /// Ends all requests in flight with reason kLeaving, since the process ends;
+  /// later requests are refused. A write or commit that may have been sent ends
+  /// as kMayHaveRun.
+  void EndAll();
+
   /// Number of requests without an outcome.
   std::size_t in_flight() const { return requests_.size(); }
 
@@ -163,6 +168,7 @@
   std::map<ServiceName, std::set<RequestKey>> awaiting_primary_;
   RequestRouterStats stats_;
   bool draining_ = false;
+  bool ended_ = false;
 };
 
 }  // namespace carawayhaven
--- a/src/proxy/proxy_process.cc
+++ b/src/proxy/proxy_process.cc
@@ -31,7 +31,7 @@
 // changes within seconds.
 constexpr Duration kChangesInterval = std::chrono::milliseconds(250);
 constexpr Duration kIdlePollInterval = std::chrono::milliseconds(20);
-// Added to the drain timeout of open transactions, for the last answers.
+// Added to the drain timeout of open transactions, for the last requests.
 constexpr Duration kDrainMargin = std::chrono::seconds(2);
 
 std::uint64_t MakeIncarnation() {
@@ -381,6 +381,7 @@
   const bool idle = callers_->in_flight() == 0 && router_.in_flight() == 0 &&
                     !router_.has_open_transactions() && pools_.idle();
   if (idle || EventLoop::Now() >= drain_deadline_) {
+    router_.EndAll();
     Log(LogLevel::kInfo, "drain_ended", {{"vm", settings_.vm}, {"idle", idle}});
     // The last answers are still in the sockets' send buffers.
     loop_.RunAfter(kIdlePollInterval * 5, [this] { loop_.Stop(); });
--- /dev/null
+++ b/test/proxy/proxy_process_test.cc
@@ -0,0 +1,142 @@
+#include "proxy/proxy_process.h"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "core/config/team_object.h"
+#include "net/loop_fixture.h"
+#include "net/peer_transport.h"
+#include "net/websocket_server.h"
+
+namespace carawayhaven {
+namespace {
+
+// Accepts connections and statements and never answers.
+class SilentEndpoint : public WebSocketHandler {
+ public:
+  void OnOpen(const std::shared_ptr<WebSocketConnection>&) override { ++open; }
+  void OnMessage(const std::shared_ptr<WebSocketConnection>&,
+                 std::string_view message) override {
+    if (message.find("insert") != std::string_view::npos) ++statements;
+  }
+  void OnClose(const std::shared_ptr<WebSocketConnection>&) override {}
+
+  int open = 0;
+  int statements = 0;
+};
+
+// Returns a masked text frame. The mask is zero.
+std::string Frame(std::string_view text) {
+  std::string frame = "\x81";
+  frame += static_cast<char>(0x80 | 126);
+  frame += static_cast<char>(text.size() >> 8);
+  frame += static_cast<char>(text.size() & 0xff);
+  frame.append(4, '\0');
+  frame += text;
+  return frame;
+}
+
+class ProxyProcessWithCaller : public LoopFixture, public PeerEvents {
+ protected:
+  ProxyProcessWithCaller() {
+    settings_.vm = "vm-1";
+    settings_.data_centre = "mendoza";
+    settings_.caller_address = AddressAt(0);
+    settings_.peer_address = AddressAt(1);
+    settings_.admin_address = AddressAt(2);
+    settings_.platform_address = AddressAt(5);
+    settings_.drain_timeout = Duration::zero();
+    settings_.trace_sample_ratio = 0;
+    proxy_ = std::make_unique<ProxyProcess>(*loop_, settings_);
+    caller_ = std::make_unique<RawSocket>(PortAt(0));
+    caller_->Write(
+        "GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\n"
+        "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+        "Sec-WebSocket-Protocol: carawayhaven\r\n"
+        "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n");
+    EXPECT_TRUE(RunUntil([this] {
+      caller_->Read();
+      return caller_->received().find("\r\n\r\n") != std::string::npos;
+    }));
+  }
+
+  void OnPeerMessage(const VmName&, const PeerMessage&, TimePoint) override {}
+  void OnPeerLost(const VmName&, TimePoint) override {}
+
+  // Several checkouts may run the tests on one machine at the same time.
+  static std::uint16_t PortAt(int offset) {
+    return static_cast<std::uint16_t>(20'000 + getpid() % 2'000 * 6 + offset);
+  }
+  static std::string AddressAt(int offset) {
+    return "127.0.0.1:" + std::to_string(PortAt(offset));
+  }
+
+  // Sends a team with a service "s" to the proxy, whose only endpoint is
+  // silent.
+  void Configure() {
+    TeamObject object;
+    object.submission = "x";
+    object.text =
+        "team = \"kitchen\"\n[[service]]\nname = \"s\"\n"
+        "[[service.endpoint]]\nname = \"s-a\"\naddress = \"" +
+        AddressAt(3) + "\"\ndata_centre = \"mendoza\"\n";
+    peer_.SetAddress("vm-1", settings_.peer_address);
+    ASSERT_TRUE(
+        peer_.Send("vm-1", ConfigUpdateMessage{"kitchen", 1, object.Format()}));
+    ASSERT_TRUE(RunUntil([this] { return endpoint_.open > 0; }));
+  }
+
+  // Ends the process as its main function does, and reads what is left.
+  void Exit() {
+    proxy_.reset();
+    loop_.reset();
+    caller_->Read();
+  }
+
+  std::size_t Count(std::string_view text) const {
+    const std::string& received = caller_->received();
+    std::size_t count = 0;
+    for (std::size_t at = received.find(text); at != std::string::npos;
+         at = received.find(text, at + text.size())) {
+      ++count;
+    }
+    return count;
+  }
+
+  void TearDown() override {
+    proxy_.reset();
+    loop_.reset();
+  }
+
+  Settings settings_;
+  SilentEndpoint endpoint_;
+  WebSocketServer endpoint_server_{*loop_, "127.0.0.1", PortAt(3), endpoint_};
+  PeerTransport peer_{*loop_, HelloMessage{"vm-2", "salta", AddressAt(4), 1},
+                      *this};
+  std::unique_ptr<ProxyProcess> proxy_;
+  std::unique_ptr<RawSocket> caller_;
+};
+
+// Guards against a request without an answer when the process ends before the
+// deadline of the request.
+TEST_F(ProxyProcessWithCaller, DrainAnswersRequestsThatAreStillInFlight) {
+  Configure();
+  caller_->Write(
+      Frame(R"({"type":"request","id":7,"service":"s","statement":"insert",)"
+            R"("access":"write","request_id":"r","timeout_ms":60000})"));
+  ASSERT_TRUE(RunUntil([this] { return endpoint_.statements > 0; }));
+  proxy_->Drain();
+  RunUntil([] { return false; });
+  Exit();
+  EXPECT_EQ(Count(R"("id":7)"), 1U) << caller_->received();
+  EXPECT_EQ(Count(R"("verdict":"may_have_run")"), 1U);
+  EXPECT_EQ(Count(R"("reason":"leaving")"), 1U);
+}
+
+}  // namespace
+}  // namespace carawayhaven
--- a/test/route/front_transaction_test.cc
+++ b/test/route/front_transaction_test.cc
@@ -110,5 +110,21 @@
   EXPECT_EQ(peers_.sent.back().message.request.kind, RequestKind::kRollback);
 }
 
+// Guards against a step that is forwarded when nobody waits for its answer any
+// more.
+TEST_F(RouterWithTransaction, ProcessEndsEndsTheStepAndRefusesTheNextOne) {
+  Submit(Step(RequestKind::kStatement, "t1"));
+  router_.Drain(now_);
+  router_.EndAll();
+  ASSERT_TRUE(outcome_.has_value());
+  EXPECT_EQ(outcome_->verdict, Verdict::kNotRun);
+  const std::size_t sent = peers_.sent.size();
+  Submit(Step(RequestKind::kCommit, "t1"));
+  ASSERT_TRUE(outcome_.has_value());
+  EXPECT_EQ(outcome_->verdict, Verdict::kMayHaveRun);
+  EXPECT_EQ(outcome_->reason, Reason::kLeaving);
+  EXPECT_EQ(peers_.sent.size(), sent);
+}
+
 }  // namespace
 }  // namespace carawayhaven
--- a/test/route/request_router_fault_test.cc
+++ b/test/route/request_router_fault_test.cc
@@ -316,6 +316,20 @@
   EXPECT_EQ(outcome_->verdict, Verdict::kRan);
 }
 
+// Guards against a request that ends without an outcome when its process ends,
+// and against reporting kNotRun for one that may have run.
+TEST_F(RouterWithWrite, ProcessEndsEndsAllRequests) {
+  router_.EndAll();
+  ASSERT_TRUE(outcome_.has_value());
+  EXPECT_EQ(outcome_->verdict, Verdict::kMayHaveRun);
+  EXPECT_EQ(outcome_->reason, Reason::kLeaving);
+  EXPECT_EQ(router_.in_flight(), 0U);
+  Submit(Write("late"));
+  ASSERT_TRUE(outcome_.has_value());
+  EXPECT_EQ(outcome_->verdict, Verdict::kNotRun);
+  EXPECT_EQ(outcome_->reason, Reason::kLeaving);
+}
+
 // Guards against accepting a non-idempotent write that could not be resolved.
 TEST_F(RouterWithWrite, NonIdempotentWithoutIdIsRefused) {
   Submit(Write(""));
