Proxy: deliver the last answers before the process ends

A proxy that leaves ended 100 ms after its last request had an outcome, whatever its sockets held: answers that the caller had not taken by then were discarded, and so were requests in the receive buffers of the sockets. The process now ends when all answers are written and all messages are read, 1 s after the last outcome at the latest. The requests that are read meanwhile are refused. The time to answer the requests in flight is 1 s shorter in return, so the limit of the whole shutdown is unchanged. A request that arrives after that check is still lost, unread. Before: DrainDeliversAnswersToACallerThatReadsLate fails with 22,449 of 25,000 answers. After: it passes.

--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -1,5 +1,6 @@
 #include "net/caller_server.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "carawayhaven/error_messages.h"
@@ -46,6 +47,16 @@
   }
 }
 
+bool CallerServer::HasPendingBytes() const {
+  return std::any_of(sessions_.begin(), sessions_.end(),
+                     [](const auto& entry) {
+                       return entry.first->HasPendingBytes();
+                     }) ||
+         std::any_of(refused_.begin(), refused_.end(), [](const auto& socket) {
+           return socket->HasPendingBytes();
+         });
+}
+
 void CallerServer::OnOpen(const std::shared_ptr<WebSocketConnection>& socket) {
   if (leaving_ || sessions_.size() >= max_sessions_) {
     ++stats_.sessions_refused;
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -73,6 +73,8 @@
   /// disconnected.
   std::size_t in_flight() const { return in_flight_; }
   std::size_t sessions() const { return sessions_.size(); }
+  /// True if an answer was not sent completely or a message was not read yet.
+  bool HasPendingBytes() const;
   const CallerServerStats& stats() const { return stats_; }
 
  private:
--- a/src/net/websocket_connection.cc
+++ b/src/net/websocket_connection.cc
@@ -1,6 +1,7 @@
 #include "net/websocket_connection.h"
 
 #include <libwebsockets.h>
+#include <sys/ioctl.h>
 
 #include <cstring>
 #include <vector>
@@ -60,6 +61,13 @@
   }
 }
 
+bool WebSocketConnection::HasPendingBytes() const {
+  if (wsi_ == nullptr) return false;
+  if (!send_queue_.empty() || lws_partial_buffered(wsi_) != 0) return true;
+  int unread = 0;
+  return ioctl(lws_get_socket_fd(wsi_), FIONREAD, &unread) == 0 && unread > 0;
+}
+
 void WebSocketConnection::Attach(lws* wsi) {
   wsi_ = wsi;
   self_ = shared_from_this();
--- a/src/net/websocket_connection.h
+++ b/src/net/websocket_connection.h
@@ -73,6 +73,10 @@
 
   bool closed() const { return closed_; }
 
+  /// True if messages were not written to the socket completely, or if bytes of
+  /// the peer have arrived that were not read yet.
+  bool HasPendingBytes() const;
+
   /// The following functions are called by WebSocketServer and WebSocketClient,
   /// from events of libwebsockets. If HandleReceive or HandleWritable returns
   /// false, the socket is closed.
--- a/src/proxy/proxy_process.cc
+++ b/src/proxy/proxy_process.cc
@@ -32,7 +32,11 @@
 constexpr Duration kChangesInterval = std::chrono::milliseconds(250);
 constexpr Duration kIdlePollInterval = std::chrono::milliseconds(20);
 // Added to the drain timeout of open transactions, for the last requests.
-constexpr Duration kDrainMargin = std::chrono::seconds(2);
+constexpr Duration kDrainMargin = std::chrono::seconds(1);
+// Time for the last answers to peers to be sent.
+constexpr Duration kStopDelay = std::chrono::milliseconds(100);
+// Limit of the time in which callers can receive the last answers.
+constexpr Duration kLastAnswersTimeout = std::chrono::seconds(1);
 
 std::uint64_t MakeIncarnation() {
   return static_cast<std::uint64_t>(
@@ -375,19 +379,28 @@
       {{"address", settings_.platform_address}});
 }
 
-// Stops the loop once nothing is in flight, or when the drain deadline has
-// passed.
+// Ends the drain once nothing is in flight, or when its deadline has passed.
 void ProxyProcess::StopWhenIdle() {
   const bool idle = callers_->in_flight() == 0 && router_.in_flight() == 0 &&
                     !router_.has_open_transactions() && pools_.idle();
   if (idle || EventLoop::Now() >= drain_deadline_) {
     router_.EndAll();
     Log(LogLevel::kInfo, "drain_ended", {{"vm", settings_.vm}, {"idle", idle}});
-    // The last answers are still in the sockets' send buffers.
-    loop_.RunAfter(kIdlePollInterval * 5, [this] { loop_.Stop(); });
+    drain_deadline_ = EventLoop::Now() + kLastAnswersTimeout;
+    loop_.RunAfter(kStopDelay, [this] { StopWhenAnswered(); });
     return;
   }
   loop_.RunAfter(kIdlePollInterval, [this] { StopWhenIdle(); });
 }
 
+// Stops the loop once the callers have their last answers. Requests that arrive
+// meanwhile are refused.
+void ProxyProcess::StopWhenAnswered() {
+  if (!callers_->HasPendingBytes() || EventLoop::Now() >= drain_deadline_) {
+    loop_.Stop();
+    return;
+  }
+  loop_.RunAfter(kIdlePollInterval, [this] { StopWhenAnswered(); });
+}
+
 }  // namespace carawayhaven
--- a/src/proxy/proxy_process.h
+++ b/src/proxy/proxy_process.h
@@ -79,6 +79,7 @@
   void LogStoreState();
   bool IsWatcher() const;
   void StopWhenIdle();
+  void StopWhenAnswered();
 
   EventLoop& loop_;
   Settings settings_;
--- a/test/net/caller_server_test.cc
+++ b/test/net/caller_server_test.cc
@@ -12,6 +12,7 @@
 
 using nlohmann::json;
 
+constexpr std::uint16_t kPort = 7830;
 constexpr char kAddress[] = "127.0.0.1:7830";
 constexpr std::size_t kMaxSessions = 3;
 
@@ -265,5 +266,24 @@
   EXPECT_EQ(callers_.answers[socket].at(1)["id"], 1);
 }
 
+// Guards against a process that ends although a request was not read or its
+// answer was not sent.
+TEST_F(CallerServerWithCallers, UnreadRequestAndUnsentAnswerArePending) {
+  RawSocket socket(kPort);
+  socket.Write(kWebSocketHandshake);
+  ASSERT_TRUE(RunUntil([this] { return server_.sessions() == 1; }));
+  EXPECT_FALSE(server_.HasPendingBytes());
+  socket.Write(WebSocketFrame(
+      R"({"type":"request","id":1,"service":"s","statement":"get"})"));
+  for (int i = 0; i < 1'000 && !server_.HasPendingBytes(); ++i) usleep(1'000);
+  EXPECT_TRUE(server_.HasPendingBytes());
+  ASSERT_TRUE(WaitForRequests(1));
+  EXPECT_FALSE(server_.HasPendingBytes());
+  responders_[0](Ran(), "");
+  EXPECT_TRUE(server_.HasPendingBytes());
+  RunTicks(2);
+  EXPECT_FALSE(server_.HasPendingBytes());
+}
+
 }  // namespace
 }  // namespace carawayhaven
--- a/test/net/loop_fixture.h
+++ b/test/net/loop_fixture.h
@@ -56,6 +56,24 @@
   int ticks_left_ = 0;
 };
 
+/// Opens a WebSocket connection with the subprotocol of the proxies.
+inline constexpr char kWebSocketHandshake[] =
+    "GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\n"
+    "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+    "Sec-WebSocket-Protocol: carawayhaven\r\n"
+    "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
+
+/// Returns a text message of up to 64 KiB in a frame, with a mask of zeros.
+inline std::string WebSocketFrame(std::string_view text) {
+  std::string frame = "\x81";
+  frame += static_cast<char>(0x80 | 126);
+  frame += static_cast<char>(text.size() >> 8);
+  frame += static_cast<char>(text.size() & 0xff);
+  frame.append(4, '\0');
+  frame += text;
+  return frame;
+}
+
 /// A blocking client socket that sends and reads only when a test calls it.
 class RawSocket {
  public:
--- a/test/net/websocket_test.cc
+++ b/test/net/websocket_test.cc
@@ -49,11 +49,7 @@
   RawSocket OpenRaw() {
     RawSocket socket(kPort);
     EXPECT_TRUE(socket.connected());
-    socket.Write(
-        "GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\n"
-        "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
-        "Sec-WebSocket-Protocol: carawayhaven\r\n"
-        "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n");
+    socket.Write(kWebSocketHandshake);
     EXPECT_TRUE(RunUntil([&] { return !remote_.sockets.empty(); }));
     return socket;
   }
--- a/test/proxy/proxy_process_test.cc
+++ b/test/proxy/proxy_process_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -30,17 +31,6 @@
   int statements = 0;
 };
 
-// Returns a masked text frame. The mask is zero.
-std::string Frame(std::string_view text) {
-  std::string frame = "\x81";
-  frame += static_cast<char>(0x80 | 126);
-  frame += static_cast<char>(text.size() >> 8);
-  frame += static_cast<char>(text.size() & 0xff);
-  frame.append(4, '\0');
-  frame += text;
-  return frame;
-}
-
 class ProxyProcessWithCaller : public LoopFixture, public PeerEvents {
  protected:
   ProxyProcessWithCaller() {
@@ -54,11 +44,7 @@
     settings_.trace_sample_ratio = 0;
     proxy_ = std::make_unique<ProxyProcess>(*loop_, settings_);
     caller_ = std::make_unique<RawSocket>(PortAt(0));
-    caller_->Write(
-        "GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\n"
-        "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
-        "Sec-WebSocket-Protocol: carawayhaven\r\n"
-        "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n");
+    caller_->Write(kWebSocketHandshake);
     EXPECT_TRUE(RunUntil([this] {
       caller_->Read();
       return caller_->received().find("\r\n\r\n") != std::string::npos;
@@ -126,9 +112,9 @@
 // deadline of the request.
 TEST_F(ProxyProcessWithCaller, DrainAnswersRequestsThatAreStillInFlight) {
   Configure();
-  caller_->Write(
-      Frame(R"({"type":"request","id":7,"service":"s","statement":"insert",)"
-            R"("access":"write","request_id":"r","timeout_ms":60000})"));
+  caller_->Write(WebSocketFrame(
+      R"({"type":"request","id":7,"service":"s","statement":"insert",)"
+      R"("access":"write","request_id":"r","timeout_ms":60000})"));
   ASSERT_TRUE(RunUntil([this] { return endpoint_.statements > 0; }));
   proxy_->Drain();
   RunUntil([] { return false; });
@@ -138,5 +124,31 @@
   EXPECT_EQ(Count(R"("reason":"leaving")"), 1U);
 }
 
+// Guards against answers that are lost because the process ends before the
+// caller has read them.
+TEST_F(ProxyProcessWithCaller, DrainDeliversAnswersToACallerThatReadsLate) {
+  constexpr std::size_t kRequests = 25'000;
+  std::string requests;
+  for (std::size_t i = 0; i < kRequests; ++i) {
+    requests += WebSocketFrame(
+        R"({"type":"request","id":7,"service":"s","statement":"x"})");
+  }
+  RunUntil([this, &requests] {
+    const std::size_t chunk = std::min<std::size_t>(requests.size(), 32 * 1024);
+    caller_->Write(requests.substr(0, chunk));
+    requests.erase(0, chunk);
+    return requests.empty();
+  });
+  RunTicks(200);
+  proxy_->Drain();
+  int ticks = 0;
+  RunUntil([this, &ticks] {
+    if (++ticks > 30) caller_->Read();
+    return false;
+  });
+  Exit();
+  EXPECT_EQ(Count(R"("id":7)"), kRequests);
+}
+
 }  // namespace
 }  // namespace carawayhaven
