Groups: release held writes when a monitor is removed

A planned change of primary holds the new writes of the service in the pools of its VM. When a change of configuration or membership took the last endpoint of the service away from that VM meanwhile, the monitor was removed and nothing released the pools. If the VM became owner again before its idle pools were closed, or while proxies with an older view still sent work, all writes waited until their deadlines and ended as not_run. Before: LossOfOwnershipReleasesTheWrites and RemovalOfTheServiceReleasesTheWrites fail, the writes are still held. After: they pass.

--- a/src/proxy/group_monitor_set.cc
+++ b/src/proxy/group_monitor_set.cc
@@ -31,9 +31,12 @@
 GroupMonitorSet::~GroupMonitorSet() = default;
 
 void GroupMonitorSet::OnOwnershipChanged(TimePoint now) {
-  std::erase_if(monitors_, [this](const auto& entry) {
+  std::erase_if(monitors_, [this, now](const auto& entry) {
     const ServiceConfig* service = services_.FindService(entry.first);
-    return service == nullptr || !OwnsEndpointOf(*service);
+    if (service != nullptr && OwnsEndpointOf(*service)) return false;
+    // The monitor may hold the writes for a planned change.
+    handler_.ReleaseWrites(entry.first, now);
+    return true;
   });
   for (const ServiceName& name : services_.Services()) {
     const ServiceConfig& service = *services_.FindService(name);
