Session proxy: a VM without a usable address gets no relayed session

Callers saw: all sessions of a VM ended when a caller connected while the entry of another VM had no address, or had port 65535.

Cause: RelayAddressOf throws NetworkError for such an address, from the callback that accepts a caller. For port 65535 it returned an address with port 65536, which threw later, when the stream was opened.

Change: RelayAddresses leaves such a VM out; port 65535 is no address for relayed sessions.

Evidence, arm64: SessionProxyWithOddEntries.VmAddressesAreOddTheOthersGetSessions failed with "not an address of the form IP:port: nowhere" thrown by RelayAddresses; it passes with the change and finds the one usable address.

--- a/src/proxy/session_proxy.h
+++ b/src/proxy/session_proxy.h
@@ -76,7 +76,8 @@
   bool AcceptsRelayed() const override;
 
   /// Address on which a proxy accepts sessions that its peers relay: the port
-  /// of `peer_address` plus one.
+  /// of `peer_address` plus one. Throws NetworkError if there is no such
+  /// address.
   static std::string RelayAddressOf(const std::string& peer_address);
 
  private:
--- a/src/proxy/session_proxy_placement.cc
+++ b/src/proxy/session_proxy_placement.cc
@@ -1,7 +1,11 @@
 #include <algorithm>
+#include <cstdint>
+#include <limits>
 #include <utility>
 #include <vector>
 
+#include "carawayhaven/error_messages.h"
+#include "carawayhaven/exceptions.h"
 #include "net/address.h"
 #include "proxy/logging.h"
 #include "proxy/session_proxy.h"
@@ -86,6 +90,9 @@
 
 std::string SessionProxy::RelayAddressOf(const std::string& peer_address) {
   const Address address = ParseAddress(peer_address);
+  if (address.port == std::numeric_limits<std::uint16_t>::max()) {
+    throw NetworkError(error_messages::kMalformedAddress + peer_address);
+  }
   return address.ip + ':' + std::to_string(address.port + 1);
 }
 
@@ -96,8 +103,12 @@
   for (const VmName& vm : cluster_->placement.RelayTargets(
            kLocalRelayTargets, kRemoteRelayTargets)) {
     const MemberTable::Member* member = cluster_->membership.table().Find(vm);
-    if (member != nullptr) {
+    if (member == nullptr) continue;
+    try {
       addresses.push_back(RelayAddressOf(member->record.address));
+    } catch (const NetworkError&) {
+      // The entry of this VM is not one of a proxy.
+      continue;
     }
   }
   if (addresses.empty() && !CanRunSessions()) return std::nullopt;
--- a/test/platform/session_proxy_entries_test.cc
+++ b/test/platform/session_proxy_entries_test.cc
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <sstream>
 #include <string>
 #include <utility>
@@ -36,6 +37,12 @@
          R"(","Zone":"mendoza","Slots":3,"State":"ready"})";
 }
 
+std::string VmSpec(const std::string& address,
+                   const std::string& data_centre = "mendoza") {
+  return R"({"data_centre":")" + data_centre + R"(","address":")" + address +
+         R"(","process":"7","yields":0,"leaving":false})";
+}
+
 // Serves lists and watches of objects; a spec is any text.
 class StoreStandin : public HttpHandler {
  public:
@@ -187,6 +194,24 @@
   Exit(proxy, ok);
 }
 
+void RunWithOddVms() {
+  auto& proxy = *new ProxyOnALoop;
+  StoreStandin& store = proxy.standin;
+  store.Set("carawayhaven", "vm.vm-2", VmSpec("nowhere"));
+  store.Set("carawayhaven", "vm.vm-3", VmSpec("127.0.0.1:65535"));
+  store.Set("carawayhaven", "vm.vm-4", VmSpec("127.0.0.1:70000"));
+  store.Set("carawayhaven", "vm.vm-5", VmSpec("127.0.0.1:7857", "cordoba"));
+  proxy.Start();
+  std::set<std::string> addresses;
+  for (int round = 0; round < 100; ++round) {
+    proxy.RunFor(std::chrono::milliseconds(5));
+    const auto targets = proxy.proxy->RelayAddresses();
+    if (targets) addresses.insert(targets->begin(), targets->end());
+  }
+  Exit(proxy, proxy.CountLines("\"vm_registered\"", "") == 1 &&
+                  addresses == std::set<std::string>{"127.0.0.1:7858"});
+}
+
 class SessionProxyWithOddEntries : public testing::Test {};
 
 // Guards against entries of another writer that end the process or stop the
@@ -196,5 +221,11 @@
   EXPECT_EXIT(RunWithOddEndpoints(), testing::ExitedWithCode(0), "as expected");
 }
 
+// Guards against an address of a VM that ends the process when sessions are
+// relayed or messages are sent.
+TEST_F(SessionProxyWithOddEntries, VmAddressesAreOddTheOthersGetSessions) {
+  EXPECT_EXIT(RunWithOddVms(), testing::ExitedWithCode(0), "as expected");
+}
+
 }  // namespace
 }  // namespace carawayhaven::platform
