Platform client: one odd object of a watch hides no others

Callers saw: proxies followed no VMs and groups any more while one object of another writer was in the store.

Cause: a reply to a watch was parsed as one JSON text; a number such as 1e999, a nesting deeper than 64 or a field of another type in one object rejected the whole reply, so the same watch was repeated without end. A reply whose list is an object counted as empty.

Change: each object is decoded alone; a malformed one is left out.

--- a/src/net/platform_client.cc
+++ b/src/net/platform_client.cc
@@ -2,11 +2,14 @@
 
 #include <charconv>
 #include <nlohmann/json.hpp>
+#include <optional>
+#include <string_view>
 #include <utility>
 
 #include "carawayhaven/exceptions.h"
 #include "net/event_loop.h"
 #include "wire/json_fields.h"
+#include "wire/json_slices.h"
 
 namespace carawayhaven {
 namespace {
@@ -52,22 +55,36 @@
   return reply;
 }
 
+// Returns nothing if the object is malformed.
+std::optional<StoredObject> DecodeObject(std::string_view text) {
+  try {
+    const nlohmann::json entry = ParseJsonObject(text);
+    return StoredObject{RequiredString(entry, "path"),
+                        RequiredString(entry, "value"),
+                        RequiredNumber(entry, "version")};
+  } catch (const DecodeError&) {
+    return std::nullopt;
+  }
+}
+
 // Parses the list of changed objects. A malformed list gives a reply with
-// status kUnknown.
+// status kUnknown; a malformed object is left out.
 StoreReply WatchReply(const HttpResponse& response) {
   StoreReply reply;
   reply.status = ToStoreStatus(response.status);
   if (reply.status != StoreStatus::kOk) return reply;
-  try {
-    const nlohmann::json list = ParseJsonObject(response.body);
-    reply.revision = RequiredNumber(list, "revision");
-    for (const nlohmann::json& entry : list.at("objects")) {
-      reply.objects.push_back({RequiredString(entry, "path"),
-                               RequiredString(entry, "value"),
-                               RequiredNumber(entry, "version")});
+  const auto list = SplitJsonObject(response.body);
+  if (!list) return StoreReply{};
+  const std::string_view revision = FindJsonField(*list, "revision");
+  const char* end = revision.data() + revision.size();
+  const auto [stop, error] =
+      std::from_chars(revision.data(), end, reply.revision);
+  const auto objects = SplitJsonArray(FindJsonField(*list, "objects"));
+  if (error != std::errc() || stop != end || !objects) return StoreReply{};
+  for (const std::string_view text : *objects) {
+    if (auto object = DecodeObject(text)) {
+      reply.objects.push_back(*std::move(object));
     }
-  } catch (const std::exception&) {
-    return StoreReply{};
   }
   return reply;
 }
