Group records: refuse numbers that are negative or fractions

Callers saw nothing yet: the fault was found in a review of entries of other writers.

Cause: as in the failover records, json::get converts any number, so a term of -1 was read as 2^64-1, and 1e300 is undefined behaviour.

--- a/src/core/group/group_record.cc
+++ b/src/core/group/group_record.cc
@@ -1,5 +1,6 @@
 #include "core/group/group_record.h"
 
+#include <cstdint>
 #include <nlohmann/json.hpp>
 
 #include "carawayhaven/error_messages.h"
@@ -7,6 +8,18 @@
 
 namespace carawayhaven {
 
+namespace {
+
+// Converting a negative number or a fraction would give another number.
+std::uint64_t Number(const nlohmann::json& value) {
+  if (!value.is_number_unsigned()) {
+    throw DecodeError(error_messages::kMalformedJson);
+  }
+  return value.get<std::uint64_t>();
+}
+
+}  // namespace
+
 std::string GroupRecordPath(std::string_view service) {
   return "groups/" + std::string(service);
 }
@@ -28,11 +41,10 @@
     const nlohmann::json record = nlohmann::json::parse(text);
     GroupUpdateMessage update;
     update.service = service;
-    update.term = record.at("term").get<Term>();
+    update.term = Number(record.at("term"));
     update.primary = record.at("primary").get<EndpointName>();
     for (const nlohmann::json& start : record.at("term_starts")) {
-      update.term_starts.push_back(
-          {start.at(0).get<Term>(), start.at(1).get<std::uint64_t>()});
+      update.term_starts.push_back({Number(start.at(0)), Number(start.at(1))});
     }
     return update;
   } catch (const nlohmann::json::exception&) {
