Sessions: report an ended transaction before a shutdown closes the session

Seen by callers: none reported; a connection was closed in what the caller took for an open transaction, without the promise that allows a retry.

Cause: a shutdown reports the rollback of an open transaction, but not that of a transaction that had been ended before and was not reported yet.

Failed before: ShutdownAfterIdleEndCallerIsToldAborted (no rejection).

--- a/src/core/session/caller_session.cc
+++ b/src/core/session/caller_session.cc
@@ -93,9 +93,11 @@
 void CallerSession::Shutdown(TimePoint now) {
   closing_ = true;
   if (busy_ || channel_ == nullptr || channel_->HasUnreadInput()) return;
-  const bool open = state_ == TransactionState::kOpen;
+  const bool unreported =
+      state_ == TransactionState::kOpen ||
+      (state_ == TransactionState::kFailed && abort_unreported_);
   EndTransaction(TransactionState::kIdle, now);
-  if (open) {
+  if (unreported) {
     channel_->Reject(ReplyCode::kAborted, kShuttingDown);
   } else {
     channel_->CloseBetweenOperations();
--- a/test/session/caller_session_test.cc
+++ b/test/session/caller_session_test.cc
@@ -202,6 +202,15 @@
   EXPECT_EQ(channel_.rejected, std::vector<ReplyCode>{ReplyCode::kAborted});
 }
 
+// Guards against a close without a reply in what the caller takes for an open
+// transaction.
+TEST_F(CallerSessionThatIsOpen, ShutdownAfterIdleEndCallerIsToldAborted) {
+  Write();
+  session_->EndIdleTransaction(now_);
+  session_->Shutdown(now_);
+  EXPECT_EQ(channel_.rejected, std::vector<ReplyCode>{ReplyCode::kAborted});
+}
+
 // Guards against a statement that is lost because it was not read yet when its
 // transaction was ended by a shutdown.
 TEST_F(CallerSessionThatIsOpen, ShutdownUnreadStatementIsAnsweredFirst) {
