--- a/src/core/session/endpoint_state.h
+++ b/src/core/session/endpoint_state.h
@@ -15,12 +15,15 @@
 class EndpointState {
  public:
   explicit EndpointState(EndpointRecord endpoint_record)
-      : record(std::move(endpoint_record)) {}
+      : record(std::move(endpoint_record)), registry_era(record.registry_era) {}
 
   EndpointRecord record;
+  /// Highest era of a record of the endpoint, also of one that was ignored.
+  std::uint64_t registry_era = 0;
   /// When the record first marked the endpoint as leaving; max() otherwise.
   TimePoint leaving_since = TimePoint::max();
-  /// When the record disappeared from the registry; max() while it exists.
+  /// When the record disappeared from the registry; max() while it exists, and
+  /// while the registry is unavailable unless the endpoint was gone by then.
   TimePoint missing_since = TimePoint::max();
 
   std::set<ConnectionId> connections;
@@ -42,6 +45,11 @@
   LogPosition behind_position;
   unsigned behind_count = 0;
 
+  /// True if the record is probably of the copy from which the registry was
+  /// restored, and older than the known one. Only the first record of an era
+  /// can be: later ones were written after the restore.
+  bool IsOutdated(const EndpointRecord& restored) const;
+
   /// Records that the endpoint's log has not reached the position.
   void RecordBehind(LogPosition required, TimePoint now);
   /// True if the endpoint's log has probably not reached the position yet.
@@ -66,6 +74,9 @@
   /// When new work may no longer be sent to the endpoint; max() if its record
   /// sets no end.
   TimePoint WorkEnd() const;
+  /// True if the record has been missing for so long that it will not reappear.
+  bool IsGone(TimePoint now) const;
+
   /// True if new work may be sent to the endpoint.
   bool AcceptsWork(TimePoint now) const { return now < WorkEnd(); }
 
--- a/src/core/session/session_router.h
+++ b/src/core/session/session_router.h
@@ -44,10 +44,14 @@
   SessionRouter(const SessionRouter&) = delete;
   SessionRouter& operator=(const SessionRouter&) = delete;
 
-  /// Adds or updates an endpoint.
-  void SetEndpoint(const EndpointRecord& record, TimePoint now);
+  /// Adds or updates an endpoint. Returns false if the record is from an
+  /// outdated copy of the registry and was ignored.
+  bool SetEndpoint(const EndpointRecord& record, TimePoint now);
   /// The registry no longer has a record of the endpoint.
   void RemoveEndpoint(const EndpointName& endpoint, TimePoint now);
+  /// The registry has become unavailable or available. Records that are missing
+  /// may still reappear for some time after it is available again.
+  void SetRegistryAvailable(bool available, TimePoint now);
   /// Sets how many connections this VM may have to each endpoint of a service
   /// and closes idle connections above the limit.
   void SetConnectionLimit(const ServiceName& service, std::uint32_t limit,
@@ -80,6 +84,10 @@
   /// Abandons a job whose caller has disconnected; its result is discarded.
   void Abandon(const std::shared_ptr<StatementJob>& job, TimePoint now);
 
+  /// Ends all jobs, those that were sent as lost, and refuses new ones from now
+  /// on. To be called before the process stops.
+  void EndJobs(TimePoint now);
+
   const PrimaryLeases& leases() const { return leases_; }
   const PositionHistory* FindPositionHistory(const ServiceName& service) const;
   const std::map<EndpointName, EndpointState>& endpoints() const {
@@ -213,9 +221,13 @@
   RoundTripTime round_trip_time_;
   PrimaryLeases leases_;
   std::map<EndpointName, EndpointState> endpoints_;
+  /// Endpoints whose record was missing when the registry became unavailable.
+  std::set<EndpointName> missing_at_outage_;
   std::map<ServiceName, Service> services_;
   std::unordered_map<ConnectionId, Connection> connections_;
   std::list<UnconfirmedWrite> unconfirmed_;
+  /// EndJobs was called.
+  bool ended_ = false;
   TimePoint next_tick_ = TimePoint::max();
   RouterStats stats_;
 };
--- a/src/proxy/session_proxy_watchers.h
+++ b/src/proxy/session_proxy_watchers.h
@@ -66,9 +66,12 @@
       const EndpointRecord record =
           proxy_.deps_.documents.DecodeEndpoint(object);
       const auto known = proxy_.router_.endpoints().find(record.name);
-      if (known == proxy_.router_.endpoints().end() ||
-          known->second.record != record) {
-        Log(LogLevel::kInfo, "endpoint_record",
+      const bool changed = known == proxy_.router_.endpoints().end() ||
+                           known->second.record != record;
+      const bool accepted = proxy_.router_.SetEndpoint(record, now);
+      if (changed) {
+        Log(LogLevel::kInfo,
+            accepted ? "endpoint_record" : "endpoint_record_outdated",
             {{"endpoint", record.name},
              {"service", record.service},
              {"data_centre", record.data_centre},
@@ -76,7 +79,6 @@
              {"primary", record.claims_primary},
              {"version", object.version}});
       }
-      proxy_.router_.SetEndpoint(record, now);
     } catch (const DecodeError& error) {
       proxy_.log_.OnMalformedObject(object.path, error.what());
       // What an earlier version said does not hold any more.
@@ -93,6 +95,15 @@
     Log(LogLevel::kInfo, "endpoint_record_removed", {{"endpoint", name}});
     proxy_.router_.RemoveEndpoint(name, now);
   }
+  // The restore counts as an outage, which the watcher may not have noticed.
+  void OnStoreRestored(TimePoint now) override {
+    proxy_.router_.SetRegistryAvailable(false, now);
+    proxy_.router_.SetRegistryAvailable(true, now);
+  }
+  void OnStoreReachabilityChanged(bool reachable, TimePoint now) override {
+    StoreWatcher::OnStoreReachabilityChanged(reachable, now);
+    proxy_.router_.SetRegistryAvailable(reachable, now);
+  }
 };
 
 }  // namespace carawayhaven
--- a/test/net/http_test.cc
+++ b/test/net/http_test.cc
@@ -18,7 +18,7 @@
     if (request.path == "/late") {
       late_responders_.push_back(std::move(respond));
     } else {
-      respond({200, "text/plain", request.if_match, request.body});
+      respond({200, "text/plain", request.if_match, request.body, headers_});
     }
   }
 
@@ -36,6 +36,7 @@
     return result;
   }
 
+  std::vector<std::pair<std::string, std::string>> headers_;
   std::vector<HttpRequest> requests_;
   std::vector<HttpResponder> late_responders_;
   HttpServer server_{*loop_, "127.0.0.1", kPort, *this};
@@ -72,6 +73,18 @@
   EXPECT_EQ(requests_.size(), std::size(cases));
 }
 
+// Guards against a response header that is lost or confused with another one.
+TEST_F(HttpServerAndClient, ResponseHeadersThatTheRequestNamesAreRead) {
+  headers_ = {{"store-age:", "4"}, {"store-era:", "17"}, {"x-empty:", ""}};
+  HttpRequest request{"GET", "/x", "", "", "", ""};
+  request.response_headers = {"store-era:", "store-er:", "absent:"};
+  const HttpResponse response = Call(request);
+  ASSERT_EQ(response.headers.size(), 1U);
+  EXPECT_EQ(response.headers.front().first, "store-era:");
+  EXPECT_EQ(response.headers.front().second, "17");
+  EXPECT_TRUE(Call({"GET", "/x", "", "", "", ""}).headers.empty());
+}
+
 // Guards against a handler that is called with a truncated body, and against a
 // server that serves no further requests.
 TEST_F(HttpServerAndClient, BodyOverTheLimitIsRefusedAndTheServerContinues) {
@@ -103,5 +116,81 @@
   EXPECT_TRUE(RunUntil([&body] { return body == "late"; }));
 }
 
+struct RawRequests {
+  const char* name;
+  const char* text;
+  std::size_t responses;
+};
+
+class HttpServerWithRawClient
+    : public HttpServerAndClient,
+      public testing::WithParamInterface<RawRequests> {};
+
+// Guards against a whole request without a response, depending on its method,
+// its body or what follows it on the connection.
+TEST_P(HttpServerWithRawClient, EachRequestGetsAResponse) {
+  RawSocket socket(kPort);
+  socket.Write(GetParam().text);
+  const auto responses = [&socket] {
+    std::size_t count = 0;
+    const std::string& received = socket.received();
+    for (std::size_t at = received.find("HTTP/1."); at != std::string::npos;
+         at = received.find("HTTP/1.", at + 1)) {
+      ++count;
+    }
+    return count;
+  };
+  int ticks = 400;
+  RunUntil([&] {
+    return !socket.Read() || responses() >= GetParam().responses ||
+           --ticks == 0;
+  });
+  EXPECT_EQ(responses(), GetParam().responses) << socket.received();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Requests, HttpServerWithRawClient,
+    testing::Values(
+        RawRequests{"Get", "GET /x HTTP/1.1\r\nHost: x\r\n\r\n", 1},
+        RawRequests{"Http10", "GET /x HTTP/1.0\r\n\r\n", 1},
+        RawRequests{"Close",
+                    "GET /x HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+                    1},
+        RawRequests{"Pipelined",
+                    "GET /x HTTP/1.1\r\nHost: x\r\n\r\n"
+                    "GET /y HTTP/1.1\r\nHost: x\r\n\r\n"
+                    "GET /z HTTP/1.1\r\nHost: x\r\n\r\n",
+                    3},
+        RawRequests{"PipelinedAfterABody",
+                    "PUT /x HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\n"
+                    "abcGET /y HTTP/1.1\r\nHost: x\r\n\r\n",
+                    2},
+        RawRequests{"GetWithABody",
+                    "GET /x HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\n"
+                    "abc",
+                    1},
+        RawRequests{"DeleteWithABody",
+                    "DELETE /x HTTP/1.1\r\nHost: x\r\n"
+                    "Content-Length: 3\r\n\r\nabc",
+                    1},
+        RawRequests{"PatchWithABody",
+                    "PATCH /x HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\n"
+                    "abc",
+                    1},
+        RawRequests{"Head", "HEAD /x HTTP/1.1\r\nHost: x\r\n\r\n", 1},
+        RawRequests{"Options", "OPTIONS /x HTTP/1.1\r\nHost: x\r\n\r\n", 1},
+        RawRequests{"Chunked",
+                    "PUT /x HTTP/1.1\r\nHost: x\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+                    1},
+        RawRequests{"NotUtf8", "GET /%ff HTTP/1.1\r\nHost: x\r\n\r\n", 1},
+        RawRequests{"LengthOfZero",
+                    "PUT /x HTTP/1.1\r\nHost: x\r\nContent-Length: 00\r\n\r\n",
+                    1},
+        RawRequests{"BadLength",
+                    "PUT /x HTTP/1.1\r\nHost: x\r\nContent-Length: y\r\n\r\n",
+                    1}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 }  // namespace
 }  // namespace carawayhaven
--- a/test/platform/line_caller_server_test.cc
+++ b/test/platform/line_caller_server_test.cc
@@ -43,6 +43,7 @@
     sessions.push_back(std::make_shared<CallerSession>(
         router, observer, [this]() -> const RouteTable& { return routes; },
         channel));
+    channels.push_back(&channel);
     return sessions.back();
   }
   std::optional<std::vector<std::string>> RelayAddresses() override {
@@ -52,6 +53,7 @@
 
   std::vector<std::string> addresses;
   std::vector<std::shared_ptr<CallerSession>> sessions;
+  std::vector<CallerChannel*> channels;
   IgnoringObserver observer;
   FakeSessionLink link;
   SessionRouter router{link, observer, [](const DataCentreName&) {
@@ -248,5 +250,45 @@
   EXPECT_FALSE(open);
 }
 
+// Guards against a statement without a reply when the relaying proxy stops
+// while the session VM runs the statement.
+TEST_F(LineCallerServerOfAProxy, RelayIsEndedStatementIsAnswered) {
+  RawListener listener;
+  const RawSocket session_vm = ConnectThrough(listener);
+  caller_.Write("QUERY q1 WRITE 1a4 x\r\n");
+  RunTicks(3);
+  EXPECT_EQ(front_.CloseIdleRelays(), 1U);
+  front_.EndRelays();
+  EXPECT_EQ(ReceiveUntilClosed(),
+            "ERROR INDOUBT the session ended before the answer\r\n"
+            "READY I -\r\n");
+}
+
+// As above, while no session VM has accepted the session yet.
+TEST_F(LineCallerServerOfAProxy, RelayIsEndedCallerWithoutSessionIsRejected) {
+  RawListener listener;
+  front_factory_.addresses = {listener.address()};
+  caller_.Write("CONNECT packs u1\r\nQUERY q1 SET a b\r\n");
+  RunTicks(3);
+  front_.EndRelays();
+  RunTicks(20);
+  EXPECT_FALSE(caller_.Read());
+  EXPECT_EQ(caller_.received(),
+            "ERROR OVERLOAD not serving now; connect to another proxy\r\n");
+}
+
+// Guards against a session that outlives the connection of a caller that does
+// not read its replies.
+TEST_F(LineCallerServerOfAProxy, CallerWithFullBacklogItsSessionEnds) {
+  Connect({});
+  const std::string value(30'000, 'x');
+  ASSERT_EQ(front_.session_count(), 1U);
+  StatementReply reply;
+  reply.rows.assign(200, value);
+  front_factory_.channels.front()->Reply(reply);
+  EXPECT_TRUE(RunUntil([this] { return front_.session_count() == 0; }));
+  EXPECT_TRUE(front_factory_.sessions.front()->disconnected());
+}
+
 }  // namespace
 }  // namespace carawayhaven::platform
--- a/test/session/session_router_test.cc
+++ b/test/session/session_router_test.cc
@@ -559,5 +559,114 @@
   EXPECT_EQ(owner_->results[1].end, JobResult::End::kNotRun);
 }
 
+class SessionRouterWithARestoredRegistry
+    : public SessionRouterWithThreeEndpoints {
+ protected:
+  bool SetNear(std::uint64_t era, std::uint64_t started_ms, bool leaving) {
+    EndpointRecord record = router_.endpoints().at("near").record;
+    record.registry_era = era;
+    record.started_ms = started_ms;
+    record.leaving = leaving;
+    return router_.SetEndpoint(record, now_);
+  }
+
+  bool NearAcceptsWork() {
+    return router_.endpoints().at("near").AcceptsWork(now_);
+  }
+};
+
+// Guards against requests to an endpoint that is about to stop, whose report
+// of it was lost in the restore.
+TEST_F(SessionRouterWithARestoredRegistry, LeavingEndpointIsNotReadyAgain) {
+  EXPECT_TRUE(SetNear(0, 1000, false));
+  EXPECT_TRUE(SetNear(0, 1000, true));
+  EXPECT_FALSE(SetNear(1, 1000, false));
+  EXPECT_FALSE(NearAcceptsWork());
+  router_.RemoveEndpoint("near", now_);
+  EXPECT_FALSE(SetNear(3, 1000, false));
+  EXPECT_FALSE(NearAcceptsWork());
+  EXPECT_TRUE(SetNear(3, 1000, true));
+  EXPECT_FALSE(NearAcceptsWork());
+  EXPECT_TRUE(SetNear(3, 2000, false));
+  EXPECT_TRUE(NearAcceptsWork());
+}
+
+// Guards against an endpoint that is taken out of use, or whose state is
+// discarded, because the copy has the record of its previous process.
+TEST_F(SessionRouterWithARestoredRegistry, RecordOfAPreviousProcessIsIgnored) {
+  EXPECT_TRUE(SetNear(0, 1000, true));
+  EXPECT_TRUE(SetNear(0, 2000, false));
+  EXPECT_FALSE(SetNear(1, 1000, true));
+  EXPECT_TRUE(NearAcceptsWork());
+  EXPECT_EQ(router_.endpoints().at("near").record.started_ms, 2000U);
+  EXPECT_TRUE(SetNear(1, 2000, false));
+}
+
+// Guards against an endpoint that is ignored for good because its wall clock
+// was set back or because it has not stopped after all.
+TEST_F(SessionRouterWithARestoredRegistry, RecordsWrittenAfterItAreAccepted) {
+  EXPECT_TRUE(SetNear(0, 2000, false));
+  EXPECT_TRUE(SetNear(0, 1000, true));
+  EXPECT_TRUE(SetNear(0, 1000, false));
+  EXPECT_TRUE(NearAcceptsWork());
+  EXPECT_FALSE(SetNear(1, 500, false));
+  EXPECT_TRUE(SetNear(1, 500, true));
+  EXPECT_FALSE(NearAcceptsWork());
+  EXPECT_TRUE(SetNear(1, 500, false));
+  EXPECT_TRUE(NearAcceptsWork());
+  EXPECT_TRUE(SetNear(2, 0, true));
+  EXPECT_FALSE(NearAcceptsWork());
+}
+
+// Guards against an endpoint that counts as gone before it could write its
+// record again: it disappeared in a restore, and a second outage followed.
+TEST_F(SessionRouterWithARestoredRegistry, MissingRecordsMayReappearAfterIt) {
+  router_.RemoveEndpoint("near", now_);
+  now_ += seconds(1);
+  router_.SetRegistryAvailable(false, now_);
+  now_ += seconds(5);
+  EXPECT_TRUE(NearAcceptsWork());
+  router_.SetRegistryAvailable(true, now_);
+  now_ += seconds(2);
+  EXPECT_TRUE(NearAcceptsWork());
+  now_ += seconds(1);
+  EXPECT_FALSE(NearAcceptsWork());
+  router_.SetRegistryAvailable(false, now_);
+  router_.SetRegistryAvailable(true, now_);
+  EXPECT_FALSE(NearAcceptsWork());
+  EXPECT_TRUE(SetNear(1, 2000, false));
+  EXPECT_TRUE(NearAcceptsWork());
+}
+
+// Guards against an endpoint that counts as gone although it has written its
+// record again.
+TEST_F(SessionRouterWithARestoredRegistry, RecordsThatReappearedAreNotMissing) {
+  router_.RemoveEndpoint("near", now_);
+  router_.SetRegistryAvailable(false, now_);
+  EXPECT_TRUE(SetNear(1, 1000, false));
+  router_.SetRegistryAvailable(true, now_);
+  now_ += seconds(10);
+  EXPECT_TRUE(NearAcceptsWork());
+}
+
+// Guards against a connection that stays open for good because the endpoint
+// does not reply to a rollback and nothing else needs a tick.
+TEST_F(SessionRouterWithThreeEndpoints, RollbackHasNoReplyConnectionIsClosed) {
+  auto job = Job(true, true);
+  job->begin = EndpointStatementKind::kBegin;
+  router_.Submit(job, now_);
+  link_.AcceptAll(now_);
+  for (int step = 0; step < 2; ++step) {
+    ASSERT_TRUE(link_.Answer("primary",
+                             OkReply({1, 100}, TransactionState::kOpen), now_));
+  }
+  ASSERT_EQ(owner_->results.size(), 1U);
+  Pass(seconds(2));
+  router_.RollBack(owner_->results[0].connection, *owner_, now_);
+  EXPECT_EQ(link_.Running("primary"), 1U);
+  Pass(seconds(2));
+  EXPECT_EQ(router_.connections(), 0U);
+}
+
 }  // namespace
 }  // namespace carawayhaven
