Failover: end leadership with the era of the store

Cause: the leader record orders leaders only while the store keeps what it has acknowledged. The record of the copy may name an earlier leader, or none, while the last leader still grants leases; its list of earlier leaders is outdated as well. An earlier leader that found its own record again counted as the leader. Versions of the VMs' entries, which prove that a process grants no leases any more, rise by the restore alone. Entries were never written again.

A process now ceases to be the leader when it learns of a later era, from any reply of the store or from a peer. It writes its entry again, whose version is its number in the new era, and then the leader record. The leader of the last era tries first, so that callers of a healthy group do not notice. The record says in which era it was written. A record of an earlier era, which may also be the late effect of a write that was sent before the restore, names nobody as leader; who replaces it waits until the leases of all leaders that this VM cannot know have expired, and records that for its successors as an earlier leader without a name, which earlier releases wait for too. An entry proves a stop only for a number of the same era.

--- a/src/core/failover/duty_election.cc
+++ b/src/core/failover/duty_election.cc
@@ -20,7 +20,8 @@
 
 void LeaderElection::OnRecord(const LeaderRecord& record, ObjectVersion version,
                               TimePoint now) {
-  if (version <= version_) return;
+  OnEra(EraOf(version), now);
+  if (version <= version_ || EraOf(version) < era_) return;
   const bool was_own = IsOwn(record_);
   record_ = record;
   const TimePoint previous_learned = std::exchange(learned_, now);
@@ -28,9 +29,9 @@
   if (!IsOwn(record_) || was_own) return;
   promote_from_ = now + kPrimaryLeaseDuration + kClockDriftMargin;
   active_predecessors_.clear();
-  const TimePoint lease_end =
-      std::max(promote_from_, previous_learned + kLeaderLease +
-                                  kPrimaryLeaseDuration + kClockDriftMargin);
+  const TimePoint lease_end = std::max(
+      promote_from_, std::max(previous_learned, era_since_) + kLeaderLease +
+                         kPrimaryLeaseDuration + kClockDriftMargin);
   for (const LeaderIdentity& predecessor : record_.active_predecessors) {
     active_predecessors_[predecessor] = lease_end;
   }
@@ -48,9 +49,32 @@
   std::erase_if(active_predecessors, [this](const LeaderIdentity& predecessor) {
     return predecessor.leader == self_;
   });
+  if (MayHaveLostPredecessors()) {
+    active_predecessors.push_back({VmName(), MakeVersion(era_, 0)});
+  }
   return active_predecessors;
 }
 
+bool LeaderElection::IsRecordCurrent() const {
+  return version_ != 0 && EraOf(version_) == era_ &&
+         record_.era.value_or(era_) == era_;
+}
+
+bool LeaderElection::MayHaveLostPredecessors() const {
+  return era_ != 0 && !IsRecordCurrent();
+}
+
+bool LeaderElection::OnEra(std::uint64_t era, TimePoint now) {
+  if (era <= era_) return false;
+  era_ = era;
+  era_since_ = now;
+  // A leader record in the copy may name this process under its old number.
+  incarnation_ = 0;
+  // The outcome of a write in flight says nothing about this era.
+  writing_ = false;
+  return true;
+}
+
 void LeaderElection::RemoveExpiredPredecessors(TimePoint now) {
   std::erase_if(active_predecessors_,
                 [now](const auto& entry) { return now >= entry.second; });
@@ -61,8 +85,9 @@
   if (!writing_) superseded_by_ = std::max(superseded_by_, version);
 }
 
-void LeaderElection::OnRecordRemoved() {
+void LeaderElection::OnRecordRemoved(TimePoint now) {
   record_ = {};
+  learned_ = now;
   version_ = 0;
 }
 
@@ -73,8 +98,12 @@
 
 void LeaderElection::TryAcquireLeadership() {
   if (writing_ || incarnation_ == 0 || resigned_) return;
-  LeaderRecord record{self_, incarnation_, false, record_.writes + 1,
-                      PredecessorsAfterTakeOver()};
+  LeaderRecord record{self_,
+                      incarnation_,
+                      false,
+                      record_.writes + 1,
+                      PredecessorsAfterTakeOver(),
+                      era_};
   Write(record, nullptr);
 }
 
@@ -131,15 +160,16 @@
     return;
   }
   writing_ = true;
+  const std::uint64_t number = ++writes_started_;
   const TimePoint sent = clock_();
   store_.Put(
       kLeaderObjectPath, FormatRecord(record), version_,
-      [alive = std::weak_ptr(alive_), record, sent,
+      [alive = std::weak_ptr(alive_), record, sent, number,
        done = std::move(done)](const StoreReply& reply) {
         const auto self = alive.lock();
         if (self == nullptr) return;
         LeaderElection& election = **self;
-        election.writing_ = false;
+        if (number == election.writes_started_) election.writing_ = false;
         const bool written = reply.status == StoreStatus::kOk;
         if (written) {
           election.renewed_at_ = std::max(election.renewed_at_, sent);
@@ -147,6 +177,8 @@
           election.OnRecord(record, reply.object.version, election.clock_());
         } else if (reply.status == StoreStatus::kConflict) {
           election.OnConflict(reply.object);
+        } else if (reply.status == StoreStatus::kNotFound) {
+          election.OnRecordRemoved(election.clock_());
         } else {
           election.failing_since_ = std::min(election.failing_since_, sent);
           election.last_write_failure_at_ = sent;
--- a/src/core/failover/duty_election.h
+++ b/src/core/failover/duty_election.h
@@ -18,7 +18,12 @@
 /// conditional write, and its leader lease ends kLeaderLease after it sent its
 /// last successful write. Before it promotes, a successor waits until the
 /// lease that belongs to the last write it saw of its predecessor has expired,
-/// unless it knows that the predecessor has stopped. Not thread-safe.
+/// unless it knows that the predecessor has stopped.
+///
+/// When the store is restored from a copy, a new era begins, and the leader
+/// record may be older than the last leader. Leadership therefore ends with the
+/// era, and the first leader of the new era promotes only when the leases of
+/// all leaders of earlier eras have expired. Not thread-safe.
 class LeaderElection {
  public:
   using Clock = std::function<TimePoint()>;
@@ -49,7 +54,16 @@
   /// the known one.
   void OnRecord(const LeaderRecord& record, ObjectVersion version,
                 TimePoint now);
-  void OnRecordRemoved();
+  void OnRecordRemoved(TimePoint now);
+
+  /// The store is in this era. If it is a later one than the known one, this
+  /// process is not the leader any more, and cannot be it before it has got a
+  /// new number by SetIncarnation. Returns true then.
+  bool OnEra(std::uint64_t era, TimePoint now);
+  std::uint64_t era() const { return era_; }
+  /// True when the leader object was written in the present era of the store.
+  bool IsRecordCurrent() const;
+
   /// True while this process may grant primary leases.
   bool IsLeader(TimePoint now) const;
   const LeaderRecord& record() const { return record_; }
@@ -97,6 +111,9 @@
   std::vector<LeaderIdentity> PredecessorsAfterTakeOver() const;
   void RemoveExpiredPredecessors(TimePoint now);
   void Write(const LeaderRecord& record, TokenCallback done);
+  /// Leaders of an earlier era, or whose record was overwritten by a write of
+  /// an earlier era, may still grant leases, and the record does not name them.
+  bool MayHaveLostPredecessors() const;
   /// A write was refused because the store holds `object`.
   void OnConflict(const StoredObject& object);
 
@@ -106,17 +123,21 @@
   std::uint64_t incarnation_ = 0;
   LeaderRecord record_;
   ObjectVersion version_ = 0;
+  std::uint64_t era_ = 0;
+  /// When this VM learned of `era_`.
+  TimePoint era_since_;
   /// When the last successful write was sent.
   TimePoint renewed_at_;
   TimePoint failing_since_ = TimePoint::max();
   TimePoint last_write_failure_at_;
-  /// When this VM learned of `record_`.
+  /// When this VM learned of `record_`, or of its removal.
   TimePoint learned_;
   TimePoint next_renewal_;
   TimePoint promote_from_ = TimePoint::max();
   std::map<LeaderIdentity, TimePoint> active_predecessors_;
   ObjectVersion superseded_by_ = 0;
   bool writing_ = false;
+  std::uint64_t writes_started_ = 0;
   bool resigned_ = false;
   std::shared_ptr<LeaderElection*> alive_;
 };
--- a/src/core/failover/failover_manager.cc
+++ b/src/core/failover/failover_manager.cc
@@ -37,6 +37,10 @@
 // came this long after the leader's first failed write was sent. Longer than a
 // call takes whose answer was lost just before the store went down.
 constexpr Duration kMinPeerAnswerDelay = milliseconds(1500);
+// Time in which the VMs other than the leader write their entries again after
+// the store was restored.
+constexpr Duration kRegistrationSpread = milliseconds(500);
+constexpr Duration kRegistrationRetry = milliseconds(200);
 // Replies to older lease requests are ignored.
 constexpr Duration kRequestLifetime = std::chrono::seconds(2);
 
@@ -47,12 +51,15 @@
     : deps_(deps),
       self_(std::move(self)),
       entry_(std::move(entry)),
-      election_(deps.store, self_, deps.clock),
-      watcher_(deps.store, std::string(kProxyObjectPrefix), deps.clock,
-               deps.random, *this),
+      store_(deps.store,
+             [this](std::uint64_t era) { OnEra(era, deps_.clock()); }),
+      election_(store_, self_, deps.clock),
+      watcher_(store_, std::string(kProxyObjectPrefix), deps.clock, deps.random,
+               *this),
       own_version_(own_version),
       leader_seen_at_(deps.clock()),
       alive_(std::make_shared<FailoverManager*>(this)) {
+  election_.OnEra(EraOf(own_version), deps.clock());
   election_.SetIncarnation(own_version);
 }
 
@@ -60,7 +67,7 @@
   std::unique_ptr<PrimarySupervisor>& supervisor = supervisors_[service];
   if (supervisor == nullptr) {
     supervisor = std::make_unique<PrimarySupervisor>(
-        PrimarySupervisorContext{deps_.link, deps_.store, deps_.promotions,
+        PrimarySupervisorContext{deps_.link, store_, deps_.promotions,
                                  election_, deps_.observer,
                                  deps_.router.endpoints(), self_, deps_.clock},
         service);
@@ -84,9 +91,12 @@
         leader_seen_at_ = std::max(leader_seen_at_, now);
       }
       election_.OnRecord(ParseLeaderRecord(object.value), object.version, now);
-      SetLeader(
-          election_.record().resigned ? VmName() : election_.record().leader,
-          now);
+      // A restored record may name an earlier leader than the last one.
+      if (election_.IsRecordCurrent() || leader_.empty()) {
+        SetLeader(
+            election_.record().resigned ? VmName() : election_.record().leader,
+            now);
+      }
     } else if (path.starts_with(kPrimaryPrefix)) {
       SupervisorOf(ServiceName(path.substr(kPrimaryPrefix.size())))
           .OnRecord(ParsePrimaryRecord(object.value), object.version);
@@ -100,10 +110,9 @@
   }
 }
 
-void FailoverManager::OnObjectRemoved(std::string_view path,
-                                      TimePoint /*now*/) {
+void FailoverManager::OnObjectRemoved(std::string_view path, TimePoint now) {
   if (path == kLeaderObjectPath) {
-    election_.OnRecordRemoved();
+    election_.OnRecordRemoved(now);
   } else if (path.starts_with(kVmPrefix)) {
     vms_.erase(VmName(path.substr(kVmPrefix.size())));
   }
@@ -142,7 +151,7 @@
   if (!needed || store_read_in_flight_ || now < next_store_read_) return;
   store_read_in_flight_ = true;
   next_store_read_ = now + kStoreReadInterval;
-  deps_.store.Watch(
+  store_.Watch(
       kProxyObjectPrefix, 0,
       [alive = std::weak_ptr(alive_), sent = now](const StoreReply& reply) {
         const auto self = alive.lock();
@@ -179,25 +188,73 @@
 // part in the election.
 void FailoverManager::StepDown() {
   if (step_down_pending_) return;
-  step_down_pending_ = true;
   election_.SetIncarnation(0);
   ++entry_.leadership_losses;
-  deps_.store.Put(std::string(kVmPrefix) + self_, FormatRecord(entry_),
-                  own_version_,
-                  [alive = std::weak_ptr(alive_)](const StoreReply& reply) {
-                    const auto self = alive.lock();
-                    if (self == nullptr) return;
-                    FailoverManager& manager = **self;
-                    manager.step_down_pending_ = false;
-                    const bool known = reply.status == StoreStatus::kOk ||
-                                       reply.status == StoreStatus::kConflict;
-                    if (known) manager.own_version_ = reply.object.version;
-                    if (reply.status == StoreStatus::kOk) {
-                      manager.election_.SetIncarnation(reply.object.version);
-                    } else {
-                      manager.retry_step_down_ = true;
-                    }
-                  });
+  WriteEntry();
+}
+
+void FailoverManager::WriteEntry() {
+  step_down_pending_ = true;
+  store_.Put(std::string(kVmPrefix) + self_, FormatRecord(entry_), own_version_,
+             [alive = std::weak_ptr(alive_)](const StoreReply& reply) {
+               const auto self = alive.lock();
+               if (self == nullptr) return;
+               FailoverManager& manager = **self;
+               manager.step_down_pending_ = false;
+               manager.next_tick_ = {};
+               const bool known = reply.status == StoreStatus::kOk ||
+                                  reply.status == StoreStatus::kConflict;
+               if (known) manager.own_version_ = reply.object.version;
+               if (reply.status == StoreStatus::kNotFound) {
+                 manager.own_version_ = 0;
+               }
+               const bool written =
+                   reply.status == StoreStatus::kOk &&
+                   EraOf(reply.object.version) == manager.election_.era();
+               if (written) {
+                 manager.must_register_ = false;
+                 manager.election_.SetIncarnation(reply.object.version);
+               } else if (!manager.must_register_) {
+                 manager.retry_step_down_ = true;
+               } else if (known || reply.status == StoreStatus::kNotFound) {
+                 manager.next_registration_ = {};
+               }
+             });
+}
+
+void FailoverManager::RegisterAgain(TimePoint now) {
+  if (!must_register_ || step_down_pending_ || now < next_registration_) return;
+  next_registration_ = now + kRegistrationRetry;
+  const auto listed = vm_versions_.find(self_);
+  if (listed != vm_versions_.end() &&
+      EraOf(listed->second) == election_.era()) {
+    own_version_ = std::max(own_version_, listed->second);
+  }
+  WriteEntry();
+}
+
+// The entry in the copy may be missing, or be older than this process. Its new
+// version is a number that no earlier record names: a leader record in the copy
+// that names this VM does not make it the leader.
+void FailoverManager::OnEra(std::uint64_t era, TimePoint now) {
+  const bool led = election_.IsLeader(now);
+  if (!election_.OnEra(era, now)) return;
+  reclaims_leadership_ = led && !leaving_;
+  must_register_ = true;
+  retry_step_down_ = false;
+  // Gives the leader time to write the leader object again.
+  leader_seen_at_ = std::max(leader_seen_at_, now);
+  was_leader_ = false;
+  next_take_over_ = now;
+  next_registration_ = now;
+  if (!led) {
+    // The VMs learn of the era at the same time, and the store's rate of writes
+    // is limited.
+    std::uniform_int_distribution<Duration::rep> spread(
+        0, kRegistrationSpread.count());
+    next_registration_ += Duration(spread(deps_.random));
+  }
+  next_tick_ = {};
 }
 
 void FailoverManager::OnStoreReachabilityChanged(bool reachable,
@@ -213,8 +270,15 @@
 // Candidates try in the order of their rank: each waits until those before it
 // had time to take over.
 void FailoverManager::TakeOverIfDue(TimePoint now) {
-  if (!watcher_.listed() || leaving_ || election_.IsLeader(now) ||
-      now < next_take_over_) {
+  if (!watcher_.listed() || leaving_ || must_register_ ||
+      election_.IsLeader(now) || now < next_take_over_) {
+    return;
+  }
+  const bool current = election_.IsRecordCurrent();
+  if (current) reclaims_leadership_ = false;
+  if (reclaims_leadership_) {
+    next_take_over_ = now + kTakeOverRetry;
+    election_.TryAcquireLeadership();
     return;
   }
   int rank = 0;
@@ -224,8 +288,10 @@
     if (vm == self_) break;
     if (vm != election_.record().leader) ++rank;
   }
+  // Without a record of this era, the last leader may still be running.
   const bool vacant =
-      election_.record().leader.empty() || election_.record().resigned;
+      (current || election_.era() == 0) &&
+      (election_.record().leader.empty() || election_.record().resigned);
   // A VM that no peer answers leaves leadership to VMs that reach each other.
   const bool isolated = now - peer_answered_at_ > kLeaderTimeout &&
                         !deps_.membership.table().members().empty();
@@ -238,11 +304,13 @@
 }
 
 // A newer version of a predecessor's entry shows that the process which was the
-// leader grants no leases any more.
+// leader grants no leases any more. The version of a restored entry is that of
+// a later era than the number of the process, although the entry is older.
 void FailoverManager::DetectStoppedPredecessors(TimePoint now) {
   for (const auto& [predecessor, lease_end] : election_.active_predecessors()) {
     const auto version = vm_versions_.find(predecessor.leader);
     if (version != vm_versions_.end() &&
+        EraOf(version->second) == EraOf(predecessor.incarnation) &&
         version->second > predecessor.incarnation) {
       election_.OnLeaderStopped(predecessor, now);
     }
@@ -327,6 +395,7 @@
                                      const LeaseRequestMessage& request,
                                      TimePoint now) {
   LeaseReplyMessage reply;
+  OnEra(EraOf(request.leader_record_version), now);
   if (request.leader_record_version > election_.version()) {
     election_.OnSuperseded(request.leader_record_version);
     // The reply below tells the successor that this process grants no leases
@@ -402,8 +471,8 @@
   if (std::exchange(leaving_, true)) return;
   election_.Resign(now);
   entry_.leaving = true;
-  deps_.store.Put(std::string(kVmPrefix) + self_, FormatRecord(entry_),
-                  own_version_, [](const StoreReply& /*reply*/) {});
+  store_.Put(std::string(kVmPrefix) + self_, FormatRecord(entry_), own_version_,
+             [](const StoreReply& /*reply*/) {});
 }
 
 bool FailoverManager::WatchesStore(TimePoint now) const {
@@ -415,6 +484,7 @@
   if (!watcher_.listed() || (active_ && WatchesStore(now))) watcher_.Tick(now);
   if (now < next_tick_) return;
   next_tick_ = now + (active_ ? kTickInterval : kLeaseRequestInterval);
+  RegisterAgain(now);
   if (!active_) return;
   election_.Renew(now);
   DetectStoppedPredecessors(now);
--- a/src/core/failover/failover_manager.h
+++ b/src/core/failover/failover_manager.h
@@ -8,6 +8,7 @@
 
 #include "core/config/object_watcher.h"
 #include "core/failover/duty_election.h"
+#include "core/failover/era_observing_store.h"
 #include "core/failover/primary_keeper.h"
 #include "core/membership/membership.h"
 #include "core/peer_link.h"
@@ -53,6 +54,8 @@
   void Leave(TimePoint now);
 
   bool is_leader(TimePoint now) const { return election_.IsLeader(now); }
+  /// True when this VM is the leader and may promote endpoints.
+  bool MayPromote(TimePoint now) const { return election_.MayPromote(now); }
 
   /// Sets whether this VM runs sessions. Only VMs that do request leases and
   /// take part in the leader election.
@@ -99,6 +102,12 @@
   /// Writes this VM's entry again so that it gets a new version, which becomes
   /// the new process number.
   void StepDown();
+  /// Writes this VM's entry, which gives this process a new number.
+  void WriteEntry();
+  /// The store is in this era, as far as a reply or a peer has told.
+  void OnEra(std::uint64_t era, TimePoint now);
+  /// Writes this VM's entry in the present era of the store, when that is due.
+  void RegisterAgain(TimePoint now);
   void GrantOwnLeases(TimePoint now);
   /// Applies a lease whose durations count from `from`.
   void ApplyLease(const LeaseGrant& lease, TimePoint from, TimePoint now);
@@ -109,6 +118,7 @@
   Dependencies deps_;
   VmName self_;
   VmEntry entry_;
+  EraObservingStore store_;
   LeaderElection election_;
   ObjectWatcher watcher_;
   std::map<ServiceName, std::unique_ptr<PrimarySupervisor>> supervisors_;
@@ -143,6 +153,12 @@
   bool was_leader_ = false;
   bool step_down_pending_ = false;
   bool retry_step_down_ = false;
+  /// The entry has not been written in the present era of the store.
+  bool must_register_ = false;
+  TimePoint next_registration_;
+  /// This VM was the leader when the era of the store ended, and tries to
+  /// become the leader of the new era before others do.
+  bool reclaims_leadership_ = false;
   std::shared_ptr<FailoverManager*> alive_;
 };
 
--- a/src/core/failover/failover_records.cc
+++ b/src/core/failover/failover_records.cc
@@ -27,6 +27,12 @@
   }
 }
 
+std::optional<std::uint64_t> ParseEra(const json& object) {
+  const auto era = object.find("era");
+  if (era == object.end()) return std::nullopt;
+  return era->get<std::uint64_t>();
+}
+
 }  // namespace
 
 std::string FormatRecord(const LeaderRecord& record) {
@@ -35,12 +41,13 @@
     active_predecessors.push_back({{"holder", predecessor.leader},
                                    {"incarnation", predecessor.incarnation}});
   }
-  return json{{"holder", record.leader},
+  json object{{"holder", record.leader},
               {"incarnation", record.incarnation},
               {"resigned", record.resigned},
               {"writes", record.writes},
-              {"unsettled", active_predecessors}}
-      .dump();
+              {"unsettled", active_predecessors}};
+  if (record.era) object["era"] = *record.era;
+  return object.dump();
 }
 
 std::string FormatRecord(const PrimaryRecord& record) {
@@ -66,7 +73,8 @@
                         object.at("incarnation").get<std::uint64_t>(),
                         object.at("resigned").get<bool>(),
                         object.at("writes").get<std::uint64_t>(),
-                        {}};
+                        {},
+                        ParseEra(object)};
     for (const json& predecessor : object.at("unsettled")) {
       record.active_predecessors.push_back(
           {predecessor.at("holder").get<std::string>(),
--- a/src/core/failover/failover_records.h
+++ b/src/core/failover/failover_records.h
@@ -2,6 +2,7 @@
 #define CARAWAYHAVEN_CORE_FAILOVER_FAILOVER_RECORDS_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -37,7 +38,11 @@
   /// new version.
   std::uint64_t writes = 0;
   /// Earlier leaders that may still grant leases, as far as this leader knows.
+  /// An empty name stands for any leader whose record the store has lost.
   std::vector<LeaderIdentity> active_predecessors;
+  /// Era of the store in which the record was written. Absent in records of
+  /// earlier releases.
+  std::optional<std::uint64_t> era;
 };
 
 enum class PrimaryPhase : std::uint8_t {
--- a/test/failover/failover_simulation.h
+++ b/test/failover/failover_simulation.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -34,6 +35,11 @@
   void CutVmFromStore(std::size_t vm, Duration duration);
   void CutVmFromPeers(std::size_t vm, Duration duration);
   void StopStore(Duration duration);
+  /// Replaces the store's objects by those that it held `age` ago and begins a
+  /// new era. The store answers again after `outage`.
+  void RestoreStore(Duration age, Duration outage);
+  /// Restores the store from a copy of random age after a random outage.
+  void InjectRestore();
   void CrashEndpoint(std::size_t endpoint, Duration down);
   /// Cuts the endpoint from the other endpoints and from some VMs.
   void IsolateEndpoint(std::size_t endpoint, std::set<std::size_t> vms,
@@ -45,6 +51,12 @@
   Term term() const { return primary_term_; }
   /// The running VMs that act as the leader.
   std::vector<std::size_t> Leaders() const;
+  /// The running VMs that may promote an endpoint.
+  std::vector<std::size_t> Promoters() const;
+  /// The primary record in the store.
+  PrimaryRecord StoredPrimary() const;
+  /// The entry of the VM in the store, or nothing.
+  std::optional<VmEntry> StoredVm(std::size_t vm) const;
 
   /// Descriptions of the violated invariants; empty while all hold.
   const std::vector<std::string>& violations() const { return violations_; }
@@ -74,6 +86,8 @@
 
   void StartVm(std::size_t vm);
   void NotifyWatches(const std::string& path);
+  /// Stores a new version of the object and answers the watches for it.
+  void StoreObject(const std::string& path, const std::string& value);
   /// Runs a step of a VM's process and then its timers, or defers the step
   /// until the end of the VM's pause. Does nothing when the process has ended.
   void RunOnVm(std::size_t vm, std::uint64_t process,
@@ -93,7 +107,15 @@
   std::vector<std::unique_ptr<Vm>> vms_;
   std::vector<std::unique_ptr<Vm>> stopped_vms_;
   std::map<std::string, StoredObject> objects_;
-  ObjectVersion revision_ = 0;
+  std::uint64_t revision_ = 0;
+  std::uint64_t era_ = 0;
+  struct StoreCopy {
+    TimePoint at;
+    std::uint64_t revision = 0;
+    std::map<std::string, StoredObject> objects;
+  };
+  /// The store's objects after each change, oldest first.
+  std::vector<StoreCopy> copies_;
   struct PendingWatch {
     std::size_t vm;
     std::uint64_t process;
--- a/test/failover/failover_test.cc
+++ b/test/failover/failover_test.cc
@@ -1,7 +1,9 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <string>
+#include <vector>
 
 #include "failover/failover_simulation.h"
 
@@ -11,6 +13,11 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+int EnvironmentNumber(const char* name, int fallback) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? fallback : std::atoi(text);
+}
+
 class FailoverWithFiveVms : public ::testing::Test {
  protected:
   FailoverWithFiveVms() { simulation_.RunFor(seconds(3)); }
@@ -157,6 +164,83 @@
   ExpectNoViolations();
 }
 
+// Guards against an interruption of service when a healthy group's store comes
+// back from an older copy: primary leases last for 1 s, in which the leader
+// writes its records again.
+TEST_F(FailoverWithFiveVms,
+       StoreIsRestoredWritesGoOnAndRecordsAreWrittenAgain) {
+  simulation_.RunFor(seconds(10));
+  for (int restore = 0; restore < 2; ++restore) {
+    simulation_.RestoreStore(seconds(2 + 6 * restore), milliseconds(1000));
+    for (int i = 0; i < 20; ++i) {
+      EXPECT_LT(TimeToNextAcknowledgement(seconds(5)), milliseconds(500));
+      simulation_.RunFor(milliseconds(100));
+    }
+    EXPECT_EQ(simulation_.Leaders().size(), 1U);
+  }
+  EXPECT_EQ(simulation_.promotions(), 0U);
+  ExpectNoViolations();
+}
+
+// Guards against a successor that, after a restore, promotes while a leader
+// that the copy does not name may still grant leases. The leader takes over
+// after the copy was made, and is then cut off from all others.
+TEST_F(FailoverWithFiveVms, StoreLosesTheLeaderRecordOnlyOneLeaderMayPromote) {
+  simulation_.RunFor(seconds(12));
+  const std::size_t first = simulation_.Leaders().at(0);
+  simulation_.CrashVm(first, seconds(60));
+  simulation_.RunFor(seconds(2));
+  ASSERT_EQ(simulation_.Leaders().size(), 1U);
+  const std::size_t second = simulation_.Leaders().at(0);
+  simulation_.CutVmFromPeers(second, seconds(60));
+  simulation_.CutVmFromStore(second, seconds(60));
+  simulation_.RestoreStore(seconds(4), milliseconds(100));
+  for (int i = 0; i < 1000; ++i) {
+    simulation_.RunFor(milliseconds(10));
+    const std::vector<std::size_t> leaders = simulation_.Leaders();
+    const std::vector<std::size_t> promoters = simulation_.Promoters();
+    const bool second_leads =
+        std::find(leaders.begin(), leaders.end(), second) != leaders.end();
+    ASSERT_LE(promoters.size(), 1U) << i;
+    ASSERT_FALSE(second_leads && !promoters.empty() &&
+                 promoters.front() != second)
+        << i;
+  }
+  ExpectNoViolations();
+}
+
+// Guards against a primary that was replaced after the copy was made and that
+// becomes the primary again by the restored record.
+TEST_F(FailoverWithFiveVms, StoreForgetsThePromotionTheNewPrimaryStays) {
+  simulation_.RunFor(seconds(10));
+  simulation_.IsolateEndpoint(0, {}, seconds(60));
+  simulation_.MarkLeaving(0);
+  simulation_.RunFor(seconds(4));
+  ASSERT_EQ(simulation_.promotions(), 1U);
+  const std::size_t primary = simulation_.Primary();
+  const Term term = simulation_.StoredPrimary().term;
+  simulation_.RestoreStore(seconds(6), milliseconds(500));
+  simulation_.RunFor(seconds(4));
+  EXPECT_EQ(simulation_.StoredPrimary().primary,
+            "db-" + std::to_string(primary));
+  EXPECT_EQ(simulation_.StoredPrimary().term, term);
+  EXPECT_EQ(simulation_.StoredPrimary().phase, PrimaryPhase::kServing);
+  simulation_.RunFor(seconds(14));
+  EXPECT_EQ(simulation_.promotions(), 1U);
+  ExpectNoViolations();
+}
+
+// Guards against a VM that stays missing from the store's list of VMs when the
+// store is restored from a copy without its entry.
+TEST_F(FailoverWithFiveVms, StoreLosesTheVmEntriesTheyAreWrittenAgain) {
+  simulation_.RestoreStore(seconds(60), milliseconds(100));
+  simulation_.RunFor(seconds(4));
+  for (std::size_t vm = 0; vm < 5; ++vm) {
+    EXPECT_TRUE(simulation_.StoredVm(vm)) << vm;
+  }
+  ExpectNoViolations();
+}
+
 struct RegressionSeed {
   std::uint64_t seed;
   const char* cause;
@@ -203,17 +287,55 @@
 // order that the seed determines. CARAWAYHAVEN_FAILOVER_FIRST_SEED and
 // CARAWAYHAVEN_FAILOVER_SEEDS set the first seed and the number of seeds.
 TEST(FailoverWithRandomFaults, FaultsComeInAnyOrderInvariantsHold) {
-  const auto number = [](const char* name, int fallback) {
-    const char* text = std::getenv(name);
-    return text == nullptr ? fallback : std::atoi(text);
-  };
-  const int first = number("CARAWAYHAVEN_FAILOVER_FIRST_SEED", 1);
-  const int count = number("CARAWAYHAVEN_FAILOVER_SEEDS", 100);
+  const int first = EnvironmentNumber("CARAWAYHAVEN_FAILOVER_FIRST_SEED", 1);
+  const int count = EnvironmentNumber("CARAWAYHAVEN_FAILOVER_SEEDS", 100);
   for (int seed = first; seed < first + count; ++seed) {
     RunSeed(static_cast<std::uint64_t>(seed));
     if (HasFailure()) break;
   }
 }
 
+// As FailoverWithRandomFaults, with a store that is restored from copies 1 to
+// 15 s old at any time. A leader of a new era promotes no sooner than the
+// leases of earlier eras have expired, 10.05 s after the last restore.
+void RunRestoreSeed(std::uint64_t seed) {
+  FailoverSimulation simulation(5, seed);
+  const auto run_for = [&simulation, seed](int milliseconds_total) {
+    for (int elapsed = 0; elapsed < milliseconds_total; elapsed += 50) {
+      simulation.RunFor(milliseconds(50));
+      EXPECT_LE(simulation.Promoters().size(), 1U)
+          << "several leaders may promote, seed " << seed;
+    }
+  };
+  run_for(2000 + static_cast<int>(seed % 10) * 1000);
+  for (int fault = 0; fault < 12; ++fault) {
+    if (fault % 4 == static_cast<int>(seed / 10 % 4)) {
+      simulation.InjectRestore();
+    }
+    simulation.InjectFault();
+    run_for(700);
+  }
+  simulation.EndAllFaults();
+  run_for(18'000);
+  const std::size_t before = simulation.acknowledged();
+  run_for(2000);
+  EXPECT_GT(simulation.acknowledged(), before) << "no recovery, seed " << seed;
+  for (std::size_t vm = 0; vm < 5; ++vm) {
+    EXPECT_TRUE(simulation.StoredVm(vm)) << "vm " << vm << ", seed " << seed;
+  }
+  EXPECT_EQ(simulation.violations(), std::vector<std::string>())
+      << "seed " << seed;
+}
+
+// CARAWAYHAVEN_RESTORE_FIRST_SEED and CARAWAYHAVEN_RESTORE_SEEDS set the first
+// seed and the number of seeds.
+TEST(FailoverWithRestoredStore, FaultsComeInAnyOrderInvariantsHold) {
+  const int first = EnvironmentNumber("CARAWAYHAVEN_RESTORE_FIRST_SEED", 1);
+  const int count = EnvironmentNumber("CARAWAYHAVEN_RESTORE_SEEDS", 40);
+  for (int seed = first; seed < first + count; ++seed) {
+    RunRestoreSeed(static_cast<std::uint64_t>(seed));
+  }
+}
+
 }  // namespace
 }  // namespace carawayhaven
--- a/test/failover/fake_failover_simulation.cc
+++ b/test/failover/fake_failover_simulation.cc
@@ -108,13 +108,23 @@
            ObjectVersion expected, StoreCallback callback) override;
   void Watch(std::string_view prefix, ObjectVersion after,
              StoreCallback callback) override;
+  /// Ends a call whose connection was closed.
+  void Disconnect(const StoreCallback& callback) {
+    Answer({}, callback, parent_.Delay());
+  }
 
  private:
   void Answer(StoreReply reply, const StoreCallback& callback, Duration delay);
   bool Reaches() const;
+  /// Executes a write. A write that was sent in an earlier era compares plain
+  /// revisions, which may have been given out again.
+  StoreReply Write(const std::string& path, const std::string& value,
+                   ObjectVersion expected);
 
   FailoverSimulation& parent_;
   std::size_t vm_;
+  /// Highest era that a reply has carried.
+  std::uint64_t known_era_ = 0;
 };
 
 class FailoverSimulation::Promotions : public PromotionService {
@@ -353,10 +363,38 @@
   const std::uint64_t process = parent_.vms_[vm_]->process;
   parent_.simulation_.After(delay, [parent = &parent_, vm = vm_, process,
                                     reply = std::move(reply), callback] {
-    parent->RunOnVm(vm, process, [reply, callback] { callback(reply); });
+    parent->RunOnVm(vm, process, [parent, vm, reply, callback] {
+      std::uint64_t& known_era = parent->vms_[vm]->store.known_era_;
+      known_era = std::max(known_era, reply.era);
+      callback(reply);
+    });
   });
 }
 
+StoreReply FailoverSimulation::Store::Write(const std::string& path,
+                                            const std::string& value,
+                                            ObjectVersion expected) {
+  StoredObject& object = parent_.objects_[path];
+  StoreReply reply;
+  reply.era = parent_.era_;
+  const bool sent_before_restore =
+      expected != 0 && EraOf(expected) < parent_.era_;
+  if (RevisionOf(object.version) != RevisionOf(expected)) {
+    reply.status = StoreStatus::kConflict;
+    reply.object = object;
+    if (object.version == 0) parent_.objects_.erase(path);
+  } else {
+    parent_.StoreObject(path, value);
+    reply.status = StoreStatus::kOk;
+    reply.object = parent_.objects_[path];
+  }
+  if (sent_before_restore) {
+    reply.status = StoreStatus::kUnknown;
+    reply.object = {};
+  }
+  return reply;
+}
+
 void FailoverSimulation::Store::Put(std::string_view path_view,
                                     std::string_view value,
                                     ObjectVersion expected,
@@ -365,6 +403,16 @@
     Answer({}, callback, seconds(1));
     return;
   }
+  if (expected != 0 && EraOf(expected) < known_era_) {
+    const auto present = parent_.objects_.find(std::string(path_view));
+    StoreReply reply;
+    reply.era = parent_.era_;
+    reply.status = present == parent_.objects_.end() ? StoreStatus::kNotFound
+                                                     : StoreStatus::kConflict;
+    if (present != parent_.objects_.end()) reply.object = present->second;
+    Answer(std::move(reply), callback, parent_.Delay());
+    return;
+  }
   // The answer may be lost, and then the write may take effect much later.
   const double draw = parent_.Chance();
   const bool answered = draw >= 0.05;
@@ -374,22 +422,18 @@
       parent_.Delay() + late,
       [this, path = std::string(path_view), value = std::string(value),
        expected, callback, answered] {
-        StoredObject& object = parent_.objects_[path];
-        StoreReply reply;
-        if (object.version != expected) {
-          reply.status = StoreStatus::kConflict;
-          reply.object = object;
-          if (object.version == 0) parent_.objects_.erase(path);
-        } else {
-          object = {path, value, ++parent_.revision_, false};
-          reply.status = StoreStatus::kOk;
-          reply.object = object;
-          parent_.NotifyWatches(path);
-        }
+        const StoreReply reply = Write(path, value, expected);
         if (answered) Answer(reply, callback, parent_.Delay());
       });
 }
 
+void FailoverSimulation::StoreObject(const std::string& path,
+                                     const std::string& value) {
+  objects_[path] = {path, value, MakeVersion(era_, ++revision_), false};
+  copies_.push_back({simulation_.now(), revision_, objects_});
+  NotifyWatches(path);
+}
+
 // Answers the watches whose prefix matches the changed object.
 void FailoverSimulation::NotifyWatches(const std::string& path) {
   const auto watches = std::exchange(watches_, {});
@@ -413,8 +457,14 @@
     return;
   }
   StoreReply reply;
+  reply.era = parent_.era_;
+  if (after != 0 && EraOf(after) < parent_.era_) {
+    reply.status = StoreStatus::kRevisionTooOld;
+    Answer(std::move(reply), callback, parent_.Delay());
+    return;
+  }
   reply.status = StoreStatus::kOk;
-  reply.revision = parent_.revision_;
+  reply.revision = MakeVersion(parent_.era_, parent_.revision_);
   reply.complete = after == 0;
   for (const auto& [path, object] : parent_.objects_) {
     if (path.starts_with(prefix) && object.version > after) {
@@ -444,7 +494,8 @@
         StoreReply unchanged;
         if (Reaches()) {
           unchanged.status = StoreStatus::kOk;
-          unchanged.revision = parent_.revision_;
+          unchanged.era = parent_.era_;
+          unchanged.revision = MakeVersion(parent_.era_, parent_.revision_);
         }
         Answer(unchanged, callback, parent_.Delay());
       });
@@ -541,13 +592,11 @@
 void FailoverSimulation::StartVm(std::size_t index) {
   const std::string path =
       std::string(kVmPrefix) + "vm-" + std::to_string(index);
-  objects_[path] = {path,
-                    FormatRecord(VmEntry{Vm::DataCentre(index), "10.0.0.1:7000",
-                                         "p", 0, false}),
-                    ++revision_, false};
+  const ObjectVersion version = MakeVersion(era_, revision_ + 1);
   if (vms_[index] != nullptr) stopped_vms_.push_back(std::move(vms_[index]));
-  vms_[index] = std::make_unique<Vm>(*this, index, ++next_id_, revision_);
-  NotifyWatches(path);
+  vms_[index] = std::make_unique<Vm>(*this, index, ++next_id_, version);
+  StoreObject(path, FormatRecord(VmEntry{Vm::DataCentre(index), "10.0.0.1:7000",
+                                         "p", 0, false}));
   Vm& vm = *vms_[index];
   RouteTable routes;
   routes.version = 1;
@@ -704,6 +753,32 @@
   store_down_until_ = simulation_.now() + duration;
 }
 
+void FailoverSimulation::RestoreStore(Duration age, Duration outage) {
+  const TimePoint now = simulation_.now();
+  store_down_until_ = std::max(store_down_until_, now + outage);
+  auto copy = std::find_if(
+      copies_.rbegin(), copies_.rend(),
+      [now, age](const StoreCopy& held) { return held.at <= now - age; });
+  revision_ = copy == copies_.rend() ? 0 : copy->revision;
+  objects_ = copy == copies_.rend() ? std::map<std::string, StoredObject>{}
+                                    : copy->objects;
+  ++era_;
+  for (auto& [path, object] : objects_) {
+    object.version = MakeVersion(era_, RevisionOf(object.version));
+  }
+  copies_.push_back({now, revision_, objects_});
+  for (const PendingWatch& watch : std::exchange(watches_, {})) {
+    Vm& vm = *vms_[watch.vm];
+    if (vm.process == watch.process) vm.store.Disconnect(watch.callback);
+  }
+}
+
+void FailoverSimulation::InjectRestore() {
+  const Duration age = milliseconds(1000 + random_() % 14'000);
+  const Duration outage = milliseconds(random_() % 3000);
+  RestoreStore(age, outage);
+}
+
 void FailoverSimulation::CrashEndpoint(std::size_t index, Duration down) {
   Endpoint& endpoint = *endpoints_[index];
   endpoint.down_until = simulation_.now() + down;
@@ -784,6 +859,29 @@
   return leaders;
 }
 
+std::vector<std::size_t> FailoverSimulation::Promoters() const {
+  std::vector<std::size_t> promoters;
+  for (std::size_t i = 0; i < vms_.size(); ++i) {
+    if (vms_[i]->running && vms_[i]->failover.MayPromote(simulation_.now())) {
+      promoters.push_back(i);
+    }
+  }
+  return promoters;
+}
+
+PrimaryRecord FailoverSimulation::StoredPrimary() const {
+  const auto found = objects_.find(std::string(kPrimaryPrefix) + kService);
+  return found == objects_.end() ? PrimaryRecord{}
+                                 : ParsePrimaryRecord(found->second.value);
+}
+
+std::optional<VmEntry> FailoverSimulation::StoredVm(std::size_t vm) const {
+  const auto found =
+      objects_.find(std::string(kVmPrefix) + "vm-" + std::to_string(vm));
+  if (found == objects_.end()) return std::nullopt;
+  return ParseVmEntry(found->second.value);
+}
+
 void FailoverSimulation::RecordViolation(const std::string& what) {
   violations_.push_back(
       std::to_string(
