Failover: take a restored primary record as a hint only

What callers saw: after the store came back from an older copy, a write was acknowledged by a primary that had been replaced and reads were served on its log; a promotion order that had long been done was executed again on older data, which rolled acknowledged writes back; and a service stayed without a primary.

Cause: the record of a primary is a lease for who reads it, an order for the next leader, and the measure by which an endpoint that says that it is primary is believed. A record of the copy may be older than the last promotion in each of these. A record that the copy lacks was kept in memory with its old version, so that the leader's writes were refused for good.

A record now says in which era of the store it was written; one without an era, from an earlier release, counts as written in the present one. A record of an earlier era grants no lease and orders nothing. The new leader believes an endpoint of the highest known term if this VM has a valid lease for it, or all endpoints of the service have answered, or most have and no VM has used another; otherwise when it may promote. It then writes the record again. The supervision begins anew with each era. Removed and conflicting records are applied.

--- a/src/core/failover/failover_manager.cc
+++ b/src/core/failover/failover_manager.cc
@@ -69,7 +69,8 @@
     supervisor = std::make_unique<PrimarySupervisor>(
         PrimarySupervisorContext{deps_.link, store_, deps_.promotions,
                                  election_, deps_.observer,
-                                 deps_.router.endpoints(), self_, deps_.clock},
+                                 deps_.router.endpoints(),
+                                 deps_.router.leases(), self_, deps_.clock},
         service);
   }
   return *supervisor;
@@ -113,6 +114,9 @@
 void FailoverManager::OnObjectRemoved(std::string_view path, TimePoint now) {
   if (path == kLeaderObjectPath) {
     election_.OnRecordRemoved(now);
+  } else if (path.starts_with(kPrimaryPrefix)) {
+    SupervisorOf(ServiceName(path.substr(kPrimaryPrefix.size())))
+        .OnRecordRemoved();
   } else if (path.starts_with(kVmPrefix)) {
     vms_.erase(VmName(path.substr(kVmPrefix.size())));
   }
@@ -135,8 +139,9 @@
   const TimePoint expires = sent + LeaderElection::kPrimaryLeaseDuration;
   if (expires <= now) return;
   for (const auto& [service, supervisor] : supervisors_) {
-    const std::optional<PrimaryRecord>& record = supervisor->record();
-    if (!record || record->phase != PrimaryPhase::kServing) continue;
+    // A record of an earlier era may miss a promotion.
+    const PrimaryRecord* record = supervisor->current_record();
+    if (record == nullptr || record->phase != PrimaryPhase::kServing) continue;
     deps_.router.GrantLease(service, {record->primary, record->term, expires},
                             now);
   }
--- a/src/core/failover/failover_records.cc
+++ b/src/core/failover/failover_records.cc
@@ -51,11 +51,12 @@
 }
 
 std::string FormatRecord(const PrimaryRecord& record) {
-  return json{{"primary", record.primary},
+  json object{{"primary", record.primary},
               {"term", record.term},
               {"writes", record.writes},
-              {"phase", kPhaseNames[static_cast<std::size_t>(record.phase)]}}
-      .dump();
+              {"phase", kPhaseNames[static_cast<std::size_t>(record.phase)]}};
+  if (record.era) object["era"] = *record.era;
+  return object.dump();
 }
 
 std::string FormatRecord(const VmEntry& record) {
@@ -91,10 +92,10 @@
     if (found == kPhaseNames.end()) {
       throw DecodeError(error_messages::kMalformedProxyObject);
     }
-    return PrimaryRecord{object.at("primary").get<std::string>(),
-                         object.at("term").get<Term>(),
-                         static_cast<PrimaryPhase>(found - kPhaseNames.begin()),
-                         object.at("writes").get<std::uint64_t>()};
+    return PrimaryRecord{
+        object.at("primary").get<std::string>(), object.at("term").get<Term>(),
+        static_cast<PrimaryPhase>(found - kPhaseNames.begin()),
+        object.at("writes").get<std::uint64_t>(), ParseEra(object)};
   });
 }
 
--- a/src/core/failover/failover_records.h
+++ b/src/core/failover/failover_records.h
@@ -64,6 +64,8 @@
   /// version as it is, and an earlier write that got no answer could still take
   /// effect after it.
   std::uint64_t writes = 0;
+  /// As LeaderRecord::era.
+  std::optional<std::uint64_t> era;
 };
 
 /// A VM's entry in the store, by which peers find each other.
--- a/src/core/failover/primary_keeper.cc
+++ b/src/core/failover/primary_keeper.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "carawayhaven/exceptions.h"
+
 namespace carawayhaven {
 namespace {
 
@@ -60,12 +62,26 @@
 
 void PrimarySupervisor::OnRecord(const PrimaryRecord& record,
                                  ObjectVersion version) {
-  if (version <= record_version_) return;
+  if (version <= record_version_ || EraOf(version) < context_.election.era()) {
+    return;
+  }
   record_version_ = version;
   record_ = record;
   record_writes_ = std::max(record_writes_, record.writes);
 }
 
+void PrimarySupervisor::OnRecordRemoved() {
+  record_.reset();
+  record_version_ = 0;
+}
+
+const PrimaryRecord* PrimarySupervisor::current_record() const {
+  const std::uint64_t era = context_.election.era();
+  const bool current = record_ && EraOf(record_version_) == era &&
+                       record_->era.value_or(era) == era;
+  return current ? &*record_ : nullptr;
+}
+
 void PrimarySupervisor::OnReport(const VmName& vm, const PrimaryReport& report,
                                  TimePoint now) {
   reports_[vm] = {report, now};
@@ -103,7 +119,8 @@
 
 std::optional<LeaseGrant> PrimarySupervisor::GrantableLease(
     TimePoint now) const {
-  if (state_ != State::kServing || !context_.election.IsLeader(now)) {
+  if (state_ != State::kServing || era_ != context_.election.era() ||
+      !context_.election.IsLeader(now)) {
     return std::nullopt;
   }
   LeaseGrant lease;
@@ -144,6 +161,10 @@
 }
 
 void PrimarySupervisor::Tick(TimePoint now) {
+  if (state_ != State::kPassive && era_ != context_.election.era()) {
+    probes_.clear();
+    Enter(State::kPassive, "store_restored", Duration{0}, now);
+  }
   if (now < next_tick_) return;
   next_tick_ = now + kFastQueryInterval;
   if (!context_.election.IsLeader(now)) {
@@ -160,6 +181,7 @@
       primary_.clear();
       term_ = 0;
       grants_stopped_at_ = now;
+      era_ = context_.election.era();
       Enter(State::kSearching, "holder", Duration{0}, now);
       return;
     case State::kSearching:
@@ -194,9 +216,10 @@
 // The primary is the endpoint that is primary in the highest term. A promotion
 // that was recorded, but whose effect was not observed, is completed first.
 void PrimarySupervisor::SearchPrimary(TimePoint now) {
-  if (record_ && record_->phase == PrimaryPhase::kPromoting) {
-    chosen_ = record_->primary;
-    term_ = record_->term;
+  const PrimaryRecord* record = current_record();
+  if (record != nullptr && record->phase == PrimaryPhase::kPromoting) {
+    chosen_ = record->primary;
+    term_ = record->term;
     Enter(State::kPromoting, "recorded_order", Duration{0}, now);
     return;
   }
@@ -211,14 +234,19 @@
       best = probe.get();
     }
   }
+  if (record == nullptr && era_ != 0) {
+    SearchWithoutRecord(best, now);
+    return;
+  }
   // Probes may find no free connection at the endpoint while the statements of
   // callers use them all; answers to these show that the primary is alive.
-  if (best == nullptr && record_ && record_->phase == PrimaryPhase::kServing &&
-      !ReportsReplicaRole(record_->primary, now)) {
-    primary_ = record_->primary;
+  if (best == nullptr && record != nullptr &&
+      record->phase == PrimaryPhase::kServing &&
+      !ReportsReplicaRole(record->primary, now)) {
+    primary_ = record->primary;
     const TimePoint alive = LastAliveAt();
     if (alive > state_entered_at_) {
-      term_ = record_->term;
+      term_ = record->term;
       Enter(State::kServing, "recorded_and_used", now - alive, now);
       return;
     }
@@ -226,15 +254,24 @@
   // An endpoint other than the recorded primary may be an old primary that was
   // cut off when it was replaced, unless its term is newer than the record's.
   const bool expected =
-      best != nullptr && (!record_ || record_->primary == best->record().name ||
-                          best->status()->term > record_->term);
+      best != nullptr &&
+      (record == nullptr || record->primary == best->record().name ||
+       best->status()->term > record->term);
   if (expected) {
-    primary_ = best->record().name;
-    term_ = best->status()->term;
-    Enter(State::kServing, "status", now - best->queried_at(), now);
-    return;
+    Serve(*best, "status", now);
+  } else if (now - state_entered_at_ >= kSuspectAfter) {
+    StopWithoutPrimary(now);
   }
-  if (now - state_entered_at_ < kSuspectAfter) return;
+}
+
+void PrimarySupervisor::Serve(const EndpointProbe& probe, std::string_view why,
+                              TimePoint now) {
+  primary_ = probe.record().name;
+  term_ = probe.status()->term;
+  Enter(State::kServing, why, now - probe.queried_at(), now);
+}
+
+void PrimarySupervisor::StopWithoutPrimary(TimePoint now) {
   EndpointName expected_primary = record_ ? record_->primary : EndpointName();
   for (const auto& [name, endpoint] : context_.endpoints) {
     if (expected_primary.empty() && endpoint.record.service == service_ &&
@@ -249,6 +286,61 @@
   Enter(State::kStopped, "no_primary_found", now - state_entered_at_, now);
 }
 
+// The store may have lost the record of a promotion. A promotion is allowed
+// only when the leases of all earlier leaders have expired, and the primary is
+// not given up before either.
+void PrimarySupervisor::SearchWithoutRecord(const EndpointProbe* best,
+                                            TimePoint now) {
+  const bool newest = best != nullptr && best->status()->term >= KnownTerm();
+  const bool last_resort = context_.election.MayPromote(now) &&
+                           now - state_entered_at_ >= kSuspectAfter;
+  if (newest && (last_resort || IsConfirmed(*best, now))) {
+    Serve(*best, "confirmed", now);
+  } else if (last_resort) {
+    StopWithoutPrimary(now);
+  }
+}
+
+Term PrimarySupervisor::KnownTerm() const {
+  Term term = record_ ? record_->term : 0;
+  if (const PrimaryLease* lease = context_.leases.FindLatest(service_)) {
+    term = std::max(term, lease->term);
+  }
+  for (const auto& [name, probe] : probes_) {
+    if (probe->status()) term = std::max(term, probe->status()->term);
+  }
+  return term;
+}
+
+bool PrimarySupervisor::IsConfirmed(const EndpointProbe& best,
+                                    TimePoint now) const {
+  // No primary is replaced while a lease for it is valid.
+  const PrimaryLease* lease = context_.leases.FindValid(service_, now);
+  if (lease != nullptr && lease->endpoint == best.record().name) return true;
+  std::size_t endpoints = 0;
+  std::size_t answered = 0;
+  for (const auto& [name, endpoint] : context_.endpoints) {
+    if (endpoint.record.service != service_) continue;
+    ++endpoints;
+    const auto probe = probes_.find(name);
+    if (probe != probes_.end() && probe->second->status() &&
+        probe->second->answered_at() >= state_entered_at_) {
+      ++answered;
+    }
+  }
+  if (answered == endpoints) return true;
+  // Replicas follow a new primary, and VMs that have used it name it in their
+  // reports.
+  const bool contradicted =
+      std::any_of(reports_.begin(), reports_.end(), [&](const auto& entry) {
+        const Report& report = entry.second;
+        return now - report.received <= kMaxReportAge &&
+               report.report.endpoint != best.record().name;
+      });
+  return !contradicted && 2 * answered > endpoints &&
+         now - state_entered_at_ >= kSuspectAfter;
+}
+
 TimePoint PrimarySupervisor::LastAliveAt() const {
   TimePoint alive{};
   const auto probe = probes_.find(primary_);
@@ -313,7 +405,7 @@
     term_ = std::max(term_, probe.status()->term);
   }
   if (!record_written_ && !call_in_flight_ && now >= retry_at_) {
-    WriteRecord({primary_, term_, PrimaryPhase::kServing, 0}, now);
+    WriteRecord({primary_, term_, PrimaryPhase::kServing, 0, era_}, now);
   }
   const TimePoint alive = std::max(LastAliveAt(), state_entered_at_);
   if (!MostVmsReportFailure(now)) {
@@ -354,7 +446,7 @@
   // be withdrawn as well.
   if (!record_written_) {
     if (!call_in_flight_ && now >= retry_at_) {
-      WriteRecord({primary_, term_, PrimaryPhase::kStopping, 0}, now);
+      WriteRecord({primary_, term_, PrimaryPhase::kStopping, 0, era_}, now);
     }
     return;
   }
@@ -428,9 +520,10 @@
 }
 
 void PrimarySupervisor::WriteRecord(PrimaryRecord record, TimePoint now) {
-  if (record.phase == PrimaryPhase::kServing && record_ &&
-      record_->phase == record.phase && record_->primary == record.primary &&
-      record_->term == record.term) {
+  const PrimaryRecord* present = current_record();
+  if (record.phase == PrimaryPhase::kServing && present != nullptr &&
+      present->phase == record.phase && present->primary == record.primary &&
+      present->term == record.term) {
     record_written_ = true;
     return;
   }
@@ -448,6 +541,10 @@
                        const bool written = reply.status == StoreStatus::kOk;
                        if (written) {
                          supervisor.OnRecord(record, reply.object.version);
+                       } else if (reply.status == StoreStatus::kConflict) {
+                         supervisor.OnConflict(reply.object);
+                       } else if (reply.status == StoreStatus::kNotFound) {
+                         supervisor.OnRecordRemoved();
                        }
                        if (attempt != supervisor.attempt_) return;
                        supervisor.call_in_flight_ = false;
@@ -460,6 +557,15 @@
                      });
 }
 
+void PrimarySupervisor::OnConflict(const StoredObject& object) {
+  try {
+    OnRecord(ParsePrimaryRecord(object.value), object.version);
+  } catch (const DecodeError&) {
+    // The object watcher delivers the same object to FailoverManager, which
+    // reports that it is malformed.
+  }
+}
+
 // The record is written first, so that a successor completes the order. Writing
 // the fencing token then shows that this VM is still the leader right before
 // the order is sent.
@@ -467,7 +573,7 @@
   if (call_in_flight_ || now < retry_at_) return;
   if (!context_.election.MayPromote(now)) return;
   if (!record_written_) {
-    WriteRecord({chosen_, term_, PrimaryPhase::kPromoting, 0}, now);
+    WriteRecord({chosen_, term_, PrimaryPhase::kPromoting, 0, era_}, now);
     return;
   }
   call_in_flight_ = true;
--- a/src/core/failover/primary_keeper.h
+++ b/src/core/failover/primary_keeper.h
@@ -14,6 +14,7 @@
 #include "core/failover/promotion_service.h"
 #include "core/peer_message.h"
 #include "core/session/endpoint_state.h"
+#include "core/session/primary_rights.h"
 
 namespace carawayhaven {
 
@@ -25,6 +26,8 @@
   LeaderElection& election;
   FailoverObserver& observer;
   const std::map<EndpointName, EndpointState>& endpoints;
+  /// The leases of this VM.
+  const PrimaryLeases& leases;
   const VmName& self;
   std::function<TimePoint()> clock;
 };
@@ -32,7 +35,12 @@
 /// Supervises the primary of one service while this VM is the leader. Decides
 /// whether leases for the primary may be granted, and replaces the primary when
 /// it fails or leaves: stops granting, waits until every lease has expired,
-/// then promotes the replica with the longest log. Not thread-safe.
+/// then promotes the replica with the longest log.
+///
+/// The record is the memory of earlier leaders. After the store was restored
+/// from a copy, a promotion may be missing from it, so until the leader has
+/// written it again, it only names the lowest term that the primary can have.
+/// Not thread-safe.
 class PrimarySupervisor {
  public:
   PrimarySupervisor(const PrimarySupervisorContext& context,
@@ -43,8 +51,10 @@
   /// Applies the service's record from the store; ignores a version that is not
   /// newer than the known one.
   void OnRecord(const PrimaryRecord& record, ObjectVersion version);
-  /// The newest known record, or nothing.
-  const std::optional<PrimaryRecord>& record() const { return record_; }
+  void OnRecordRemoved();
+  /// The newest known record if it was written in the present era of the store,
+  /// or null.
+  const PrimaryRecord* current_record() const;
   /// Records another VM's view of the primary.
   void OnReport(const VmName& vm, const PrimaryReport& report, TimePoint now);
   /// Sets how many replicas hold each acknowledged commit.
@@ -89,12 +99,24 @@
   void Enter(State state, std::string_view why, Duration age, TimePoint now);
   EndpointProbe& ProbeOf(const EndpointState& endpoint);
   void SearchPrimary(TimePoint now);
+  /// As SearchPrimary, without a record of the present era. `best` is the
+  /// endpoint that says that it is primary in the highest term, or null.
+  void SearchWithoutRecord(const EndpointProbe* best, TimePoint now);
+  /// True when `best` cannot be a primary that was replaced.
+  bool IsConfirmed(const EndpointProbe& best, TimePoint now) const;
+  /// Highest term that the record or an endpoint has named.
+  Term KnownTerm() const;
+  /// Enters kServing with an endpoint that was found to be the primary.
+  void Serve(const EndpointProbe& probe, std::string_view why, TimePoint now);
+  void StopWithoutPrimary(TimePoint now);
   void MonitorPrimary(TimePoint now);
   void AwaitLeaseExpiry(TimePoint now);
   void ChooseReplica(TimePoint now);
   /// Writes the record, unless it is a serving record that the store holds
   /// already. Sets record_written_ once the store holds it.
   void WriteRecord(PrimaryRecord record, TimePoint now);
+  /// A write was refused because the store holds `object`.
+  void OnConflict(const StoredObject& object);
   void Promote(TimePoint now);
   void OnPromoted(PromotionResult result, std::uint64_t order);
   void ConfirmPromotion(TimePoint now);
@@ -116,6 +138,8 @@
   Term term_ = 0;
   std::optional<PrimaryRecord> record_;
   ObjectVersion record_version_ = 0;
+  /// Era of the store in which the supervision began.
+  std::uint64_t era_ = 0;
   std::uint64_t record_writes_ = 0;
   std::map<EndpointName, std::unique_ptr<EndpointProbe>> probes_;
   TimePoint next_query_;
--- a/test/failover/failover_test.cc
+++ b/test/failover/failover_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -230,6 +231,64 @@
   ExpectNoViolations();
 }
 
+// Guards against leases from a restored record: a VM that starts and reaches no
+// peer reads the record of a primary that was replaced after the copy was made,
+// and that still takes itself for the primary.
+TEST_F(FailoverWithFiveVms, StoreForgetsThePromotionNoVmTakesALeaseFromIt) {
+  simulation_.RunFor(seconds(10));
+  const std::size_t cut = (simulation_.Leaders().at(0) + 1) % 5;
+  std::set<std::size_t> others{0, 1, 2, 3, 4};
+  others.erase(cut);
+  simulation_.CrashVm(cut, milliseconds(5500));
+  simulation_.IsolateEndpoint(0, others, seconds(20));
+  simulation_.RunFor(seconds(5));
+  ASSERT_EQ(simulation_.promotions(), 1U);
+  simulation_.RestoreStore(seconds(6), milliseconds(100));
+  for (const std::size_t vm : others) {
+    simulation_.CutVmFromStore(vm, seconds(4));
+  }
+  simulation_.RunFor(milliseconds(500));
+  simulation_.CutVmFromPeers(cut, seconds(20));
+  simulation_.RunFor(seconds(6));
+  ExpectNoViolations();
+}
+
+// Guards against the execution of a restored promotion order: it was done
+// before the restore, and another endpoint has become the primary since.
+TEST_F(FailoverWithFiveVms, StoreRestoresAFormerOrderItIsNotDoneAgain) {
+  simulation_.CrashEndpoint(0, seconds(8));
+  Duration since_order{0};
+  while (simulation_.StoredPrimary().phase != PrimaryPhase::kPromoting) {
+    simulation_.RunFor(milliseconds(5));
+  }
+  const auto run_for = [&](Duration duration) {
+    simulation_.RunFor(duration);
+    since_order += duration;
+  };
+  const auto run_until_promotions = [&](std::size_t count) {
+    while (simulation_.promotions() < count && since_order < seconds(20)) {
+      run_for(milliseconds(5));
+    }
+  };
+  run_until_promotions(1);
+  const std::size_t first = simulation_.Primary();
+  run_for(seconds(3));
+  simulation_.CrashEndpoint(first, seconds(3));
+  run_until_promotions(2);
+  run_for(seconds(4));
+  ASSERT_EQ(simulation_.promotions(), 2U);
+  const std::size_t second = simulation_.Primary();
+  simulation_.RestoreStore(since_order, milliseconds(100));
+  ASSERT_EQ(simulation_.StoredPrimary().phase, PrimaryPhase::kPromoting);
+  for (std::size_t vm = 0; vm < 5; ++vm) simulation_.CrashVm(vm, seconds(1));
+  simulation_.RunFor(seconds(6));
+  EXPECT_EQ(simulation_.StoredPrimary().primary,
+            "db-" + std::to_string(second));
+  simulation_.RunFor(seconds(14));
+  EXPECT_EQ(simulation_.promotions(), 2U);
+  ExpectNoViolations();
+}
+
 // Guards against a VM that stays missing from the store's list of VMs when the
 // store is restored from a copy without its entry.
 TEST_F(FailoverWithFiveVms, StoreLosesTheVmEntriesTheyAreWrittenAgain) {
@@ -327,6 +386,19 @@
       << "seed " << seed;
 }
 
+class FailoverWithRestoredStoreRegressionSeed
+    : public ::testing::TestWithParam<RegressionSeed> {};
+
+TEST_P(FailoverWithRestoredStoreRegressionSeed, FaultsHappenInvariantsHold) {
+  RunRestoreSeed(GetParam().seed);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Seeds, FailoverWithRestoredStoreRegressionSeed,
+    ::testing::Values(
+        RegressionSeed{152, "a record that the copy lacks was never written"},
+        RegressionSeed{220, "as 152"}, RegressionSeed{435, "as 152"}));
+
 // CARAWAYHAVEN_RESTORE_FIRST_SEED and CARAWAYHAVEN_RESTORE_SEEDS set the first
 // seed and the number of seeds.
 TEST(FailoverWithRestoredStore, FaultsComeInAnyOrderInvariantsHold) {
