Failover: expect orders of an earlier era to take effect

What callers saw: after a restore, writes were acknowledged by an old primary.

Cause: a promotion that was ordered right before the store was restored takes effect after it, while the copy says nothing of the order. The old primary that had come back was still primary in the highest term, and all endpoints confirmed that, so the leader granted leases for it.

Without a valid lease for it, an endpoint is now believed only when an order of the earlier era must have taken effect: one lease duration, in which an order follows its fencing token, and the time after which a promotion is ordered again. The other endpoints must have answered lately. A service that never had a record, as at the first start, has no order in flight.

Failed before: StoreForgetsAnOrderInFlightTheOldPrimaryIsNotUsed ("write 2111 was acknowledged by an old primary"); passes.

--- a/src/core/failover/duty_election.h
+++ b/src/core/failover/duty_election.h
@@ -61,6 +61,8 @@
   /// new number by SetIncarnation. Returns true then.
   bool OnEra(std::uint64_t era, TimePoint now);
   std::uint64_t era() const { return era_; }
+  /// When this process learned of the present era.
+  TimePoint era_since() const { return era_since_; }
   /// True when the leader object was written in the present era of the store.
   bool IsRecordCurrent() const;
 
--- a/src/core/failover/primary_keeper.cc
+++ b/src/core/failover/primary_keeper.cc
@@ -44,6 +44,10 @@
 constexpr Duration kRefusalExclusionTime = std::chrono::seconds(3);
 // A promotion that has not taken effect within this time is ordered again.
 constexpr Duration kPromotionTimeout = milliseconds(3000);
+// An order that was sent before the store was restored has taken effect this
+// long after a VM learned of the restore.
+constexpr Duration kOrderEffectTime =
+    LeaderElection::kPrimaryLeaseDuration + kPromotionTimeout;
 
 std::string_view StateName(int state) {
   constexpr std::string_view kNames[] = {"passive",   "searching", "serving",
@@ -67,6 +71,7 @@
   }
   record_version_ = version;
   record_ = record;
+  recorded_ = true;
   record_writes_ = std::max(record_writes_, record.writes);
 }
 
@@ -294,7 +299,11 @@
   const bool newest = best != nullptr && best->status()->term >= KnownTerm();
   const bool last_resort = context_.election.MayPromote(now) &&
                            now - state_entered_at_ >= kSuspectAfter;
-  if (newest && (last_resort || IsConfirmed(*best, now))) {
+  // An order that was sent in an earlier era may still take effect.
+  const bool orders_done =
+      !recorded_ || now - context_.election.era_since() >= kOrderEffectTime;
+  if (newest && (last_resort || HasLease(*best, now) ||
+                 (orders_done && IsConfirmed(*best, now)))) {
     Serve(*best, "confirmed", now);
   } else if (last_resort) {
     StopWithoutPrimary(now);
@@ -312,11 +321,15 @@
   return term;
 }
 
+// No primary is replaced while a lease for it is valid.
+bool PrimarySupervisor::HasLease(const EndpointProbe& best,
+                                 TimePoint now) const {
+  const PrimaryLease* lease = context_.leases.FindValid(service_, now);
+  return lease != nullptr && lease->endpoint == best.record().name;
+}
+
 bool PrimarySupervisor::IsConfirmed(const EndpointProbe& best,
                                     TimePoint now) const {
-  // No primary is replaced while a lease for it is valid.
-  const PrimaryLease* lease = context_.leases.FindValid(service_, now);
-  if (lease != nullptr && lease->endpoint == best.record().name) return true;
   std::size_t endpoints = 0;
   std::size_t answered = 0;
   for (const auto& [name, endpoint] : context_.endpoints) {
@@ -324,7 +337,8 @@
     ++endpoints;
     const auto probe = probes_.find(name);
     if (probe != probes_.end() && probe->second->status() &&
-        probe->second->answered_at() >= state_entered_at_) {
+        probe->second->queried_at() >=
+            std::max(state_entered_at_, now - kMaxStatusAge)) {
       ++answered;
     }
   }
--- a/src/core/failover/primary_keeper.h
+++ b/src/core/failover/primary_keeper.h
@@ -102,7 +102,10 @@
   /// As SearchPrimary, without a record of the present era. `best` is the
   /// endpoint that says that it is primary in the highest term, or null.
   void SearchWithoutRecord(const EndpointProbe* best, TimePoint now);
-  /// True when `best` cannot be a primary that was replaced.
+  /// True when this VM has a valid lease for `best`.
+  bool HasLease(const EndpointProbe& best, TimePoint now) const;
+  /// True when the other endpoints and the reports of VMs show that `best` is
+  /// not a primary that was replaced.
   bool IsConfirmed(const EndpointProbe& best, TimePoint now) const;
   /// Highest term that the record or an endpoint has named.
   Term KnownTerm() const;
@@ -138,6 +141,8 @@
   Term term_ = 0;
   std::optional<PrimaryRecord> record_;
   ObjectVersion record_version_ = 0;
+  /// There was a record in some era of the store.
+  bool recorded_ = false;
   /// Era of the store in which the supervision began.
   std::uint64_t era_ = 0;
   std::uint64_t record_writes_ = 0;
--- a/test/failover/failover_simulation.h
+++ b/test/failover/failover_simulation.h
@@ -45,6 +45,8 @@
   void IsolateEndpoint(std::size_t endpoint, std::set<std::size_t> vms,
                        Duration duration);
   void MarkLeaving(std::size_t endpoint);
+  /// Sets the time from the acceptance of a promotion until it takes effect.
+  void SetPromotionTime(Duration time) { promotion_time_ = time; }
 
   /// Index of the endpoint that is the primary of the highest term.
   std::size_t Primary() const;
@@ -132,6 +134,7 @@
   std::set<std::string> rolled_back_;
   std::vector<std::string> violations_;
   std::size_t promotions_ = 0;
+  Duration promotion_time_ = std::chrono::milliseconds(300);
   std::size_t reads_ = 0;
   std::size_t replica_reads_ = 0;
   std::uint64_t next_id_ = 1;
--- a/test/failover/failover_test.cc
+++ b/test/failover/failover_test.cc
@@ -289,6 +289,25 @@
   ExpectNoViolations();
 }
 
+// Guards against leases for a primary that is about to be replaced by an order
+// that was sent before the restore and takes effect after it.
+TEST_F(FailoverWithFiveVms, StoreForgetsAnOrderInFlightTheOldPrimaryIsNotUsed) {
+  simulation_.SetPromotionTime(milliseconds(1500));
+  simulation_.RunFor(seconds(10));
+  simulation_.CrashEndpoint(0, milliseconds(2300));
+  while (simulation_.StoredPrimary().phase != PrimaryPhase::kPromoting) {
+    simulation_.RunFor(milliseconds(5));
+  }
+  simulation_.RunFor(milliseconds(200));
+  simulation_.RestoreStore(seconds(6), milliseconds(10));
+  simulation_.RunFor(seconds(16));
+  EXPECT_EQ(simulation_.promotions(), 1U);
+  const std::size_t before = simulation_.acknowledged();
+  simulation_.RunFor(seconds(1));
+  EXPECT_GT(simulation_.acknowledged(), before);
+  ExpectNoViolations();
+}
+
 // Guards against a VM that stays missing from the store's list of VMs when the
 // store is restored from a copy without its entry.
 TEST_F(FailoverWithFiveVms, StoreLosesTheVmEntriesTheyAreWrittenAgain) {
--- a/test/failover/fake_failover_simulation.cc
+++ b/test/failover/fake_failover_simulation.cc
@@ -13,7 +13,6 @@
 
 constexpr char kService[] = "registro";
 constexpr Duration kMaxReadAge = milliseconds(1500);
-constexpr Duration kPromotionTime = milliseconds(300);
 constexpr Duration kReplicaLag = milliseconds(20);
 // An old primary that reaches its successor steps down after this time.
 constexpr Duration kStepDownDelay = seconds(1);
@@ -520,9 +519,9 @@
     const bool runs =
         parent_.endpoints_[index]->down_until <= parent_.simulation_.now();
     if (runs && index != parent_.primary_index_) {
-      parent_.simulation_.After(kPromotionTime, [parent = &parent_, index] {
-        parent->CompletePromotion(index);
-      });
+      parent_.simulation_.After(
+          parent_.promotion_time_,
+          [parent = &parent_, index] { parent->CompletePromotion(index); });
     }
     const PromotionResult result = !answered ? PromotionResult::kUnknown
                                    : runs    ? PromotionResult::kAccepted
