Failover: replace a primary that is gone when the store is restored

Cause: the leader of a new era that found no primary withdrew the restored record before it compared the replicas, and waited for one more lease, although no VM takes a lease from a restored record. Withdrawing it also made the endpoint that the copy names the recorded primary of the new era.

The leader now compares the replicas as soon as it may promote. The endpoint of the newest known lease, else that of the record or of the endpoints' own entries, is left out: a promotion of the present primary has no effect, even when it has stepped down.

--- a/src/core/failover/primary_keeper.cc
+++ b/src/core/failover/primary_keeper.cc
@@ -277,14 +277,7 @@
 }
 
 void PrimarySupervisor::StopWithoutPrimary(TimePoint now) {
-  EndpointName expected_primary = record_ ? record_->primary : EndpointName();
-  for (const auto& [name, endpoint] : context_.endpoints) {
-    if (expected_primary.empty() && endpoint.record.service == service_ &&
-        endpoint.record.claims_primary) {
-      expected_primary = name;
-    }
-  }
-  primary_ = expected_primary;
+  primary_ = RecordedPrimary();
   for (const auto& [name, probe] : probes_) {
     if (probe->status()) term_ = std::max(term_, probe->status()->term);
   }
@@ -306,8 +299,33 @@
                  (orders_done && IsConfirmed(*best, now)))) {
     Serve(*best, "confirmed", now);
   } else if (last_resort) {
-    StopWithoutPrimary(now);
+    // No VM takes a lease from a record of an earlier era, so none has to be
+    // withdrawn.
+    primary_ = KnownPrimary();
+    if (best != nullptr && primary_ == best->record().name) primary_.clear();
+    term_ = KnownTerm();
+    handover_position_.reset();
+    chosen_.clear();
+    Enter(State::kChoosing, "no_primary_found", now - state_entered_at_, now);
+  }
+}
+
+EndpointName PrimarySupervisor::KnownPrimary() const {
+  const PrimaryLease* lease = context_.leases.FindLatest(service_);
+  if (lease != nullptr && (!record_ || lease->term >= record_->term)) {
+    return lease->endpoint;
+  }
+  return RecordedPrimary();
+}
+
+EndpointName PrimarySupervisor::RecordedPrimary() const {
+  if (record_ && !record_->primary.empty()) return record_->primary;
+  for (const auto& [name, endpoint] : context_.endpoints) {
+    if (endpoint.record.service == service_ && endpoint.record.claims_primary) {
+      return name;
+    }
   }
+  return {};
 }
 
 Term PrimarySupervisor::KnownTerm() const {
--- a/src/core/failover/primary_keeper.h
+++ b/src/core/failover/primary_keeper.h
@@ -107,6 +107,12 @@
   /// True when the other endpoints and the reports of VMs show that `best` is
   /// not a primary that was replaced.
   bool IsConfirmed(const EndpointProbe& best, TimePoint now) const;
+  /// The primary that the newest lease of this VM or the record names. A
+  /// promotion of it would have no effect, even if it has stepped down.
+  EndpointName KnownPrimary() const;
+  /// The primary that the record names, or else the endpoint whose own entry
+  /// says that it is primary; empty when there is none.
+  EndpointName RecordedPrimary() const;
   /// Highest term that the record or an endpoint has named.
   Term KnownTerm() const;
   /// Enters kServing with an endpoint that was found to be the primary.
--- a/test/failover/failover_test.cc
+++ b/test/failover/failover_test.cc
@@ -308,6 +308,20 @@
   ExpectNoViolations();
 }
 
+// Guards against a service that waits for longer than the leases of unknown
+// leaders last. The bound is the sum of: the outage (0.1 s), two retries of the
+// watch (0.7 s), that wait (10.05 s), the wait for the crashed endpoint's
+// answer (0.5 s), the promotion (0.3 s here), a lease request interval (0.25
+// s), one call without an answer (1 s), and five steps that each take a call
+// and a tick (0.1 s).
+TEST_F(FailoverWithFiveVms, StoreIsRestoredAndPrimaryCrashesItIsReplaced) {
+  simulation_.RunFor(seconds(10));
+  simulation_.CrashEndpoint(0, seconds(60));
+  simulation_.RestoreStore(seconds(6), milliseconds(100));
+  EXPECT_LT(TimeToNextAcknowledgement(seconds(30)), milliseconds(13'400));
+  ExpectNoViolations();
+}
+
 // Guards against a VM that stays missing from the store's list of VMs when the
 // store is restored from a copy without its entry.
 TEST_F(FailoverWithFiveVms, StoreLosesTheVmEntriesTheyAreWrittenAgain) {
