Failover: read whether a VM's entry says that it leaves

What callers saw: none has reported it. A VM that starts lists a VM that has left as one that runs sessions and may lead, until its heartbeats fail.

Cause: ParseVmEntry left out the number of lost leaderships, so that `leaving` was read into that number and never into its own field.

Failed before: VmEntryOfALeavingVm.FormattedAndParsedAllFieldsAreKept (leaving is false, expected true; 1 lost leadership, expected 3); passes. The same file tests that records without an era, of earlier releases, can be read.

--- a/src/core/failover/failover_records.cc
+++ b/src/core/failover/failover_records.cc
@@ -104,6 +104,7 @@
     return VmEntry{object.at("data_centre").get<std::string>(),
                    object.at("address").get<std::string>(),
                    object.at("process").get<std::string>(),
+                   object.value("yields", std::uint64_t{0}),
                    object.at("leaving").get<bool>()};
   });
 }
