Failover: tell VMs that do not watch the store of its era

What callers saw: none has reported it. A VM that relays its callers, or that lets a peer watch the store, stayed missing from the store's list of VMs after a restore, and could not lead in the new era before it had watched the store again.

Cause: such a VM learns of a restore only from replies of the store, and makes no calls.

Replies to lease requests now carry the version of the leader record, which says the era, and a new leader sends one to each VM. Earlier releases ignore the new field, and a message without it says nothing of the era.

Failed before: StoreLosesEntriesOfIdleVmsTheyAreWrittenAgain, with the message of the new leader left out (no entry); passes.

--- a/src/core/failover/failover_manager.cc
+++ b/src/core/failover/failover_manager.cc
@@ -40,6 +40,8 @@
 // Time in which the VMs other than the leader write their entries again after
 // the store was restored.
 constexpr Duration kRegistrationSpread = milliseconds(500);
+// As kRegistrationSpread, for VMs that cannot become the leader.
+constexpr Duration kIdleRegistrationSpread = std::chrono::seconds(4);
 constexpr Duration kRegistrationRetry = milliseconds(200);
 // Replies to older lease requests are ignored.
 constexpr Duration kRequestLifetime = std::chrono::seconds(2);
@@ -256,7 +258,7 @@
     // The VMs learn of the era at the same time, and the store's rate of writes
     // is limited.
     std::uniform_int_distribution<Duration::rep> spread(
-        0, kRegistrationSpread.count());
+        0, (active_ ? kRegistrationSpread : kIdleRegistrationSpread).count());
     next_registration_ += Duration(spread(deps_.random));
   }
   next_tick_ = {};
@@ -322,6 +324,16 @@
   }
 }
 
+// VMs that do not watch the store would not learn that their entries may be
+// missing in it.
+void FailoverManager::AnnounceEra() {
+  LeaseReplyMessage message;
+  message.leader = self_;
+  message.leader_record_version = election_.version();
+  const std::vector<VmName> peers = deps_.membership.Peers();
+  for (const VmName& vm : peers) deps_.peers.Send(vm, message);
+}
+
 void FailoverManager::GrantOwnLeases(TimePoint now) {
   if (!election_.IsLeader(now)) return;
   leader_seen_at_ = now;
@@ -413,6 +425,7 @@
         std::max(peer_store_answered_at_, now - request.store_age);
   }
   reply.correlation = request.correlation;
+  reply.leader_record_version = election_.version();
   reply.leader = leader_;
   reply.leader_age = now - leader_seen_at_;
   if (election_.IsLeader(now)) {
@@ -454,6 +467,7 @@
 void FailoverManager::OnLeaseReply(const VmName& vm,
                                    const LeaseReplyMessage& reply,
                                    TimePoint now) {
+  OnEra(EraOf(reply.leader_record_version), now);
   const auto sent_request = requests_.find(reply.correlation);
   if (sent_request == requests_.end()) return;
   const TimePoint sent = sent_request->second;
@@ -499,6 +513,7 @@
   if (leads && !led) {
     leader_since_ = now;
     next_store_read_ = now;
+    if (election_.era() != 0) AnnounceEra();
   }
   if (!leads || records_read_at_ >= leader_since_) {
     for (const auto& [name, supervisor] : supervisors_) supervisor->Tick(now);
--- a/src/core/failover/failover_manager.h
+++ b/src/core/failover/failover_manager.h
@@ -108,6 +108,7 @@
   void OnEra(std::uint64_t era, TimePoint now);
   /// Writes this VM's entry in the present era of the store, when that is due.
   void RegisterAgain(TimePoint now);
+  void AnnounceEra();
   void GrantOwnLeases(TimePoint now);
   /// Applies a lease whose durations count from `from`.
   void ApplyLease(const LeaseGrant& lease, TimePoint from, TimePoint now);
--- a/src/core/peer_message.h
+++ b/src/core/peer_message.h
@@ -159,7 +159,8 @@
   Duration ready_in{0};
 };
 
-/// The reply to a LeaseRequestMessage.
+/// The reply to a LeaseRequestMessage. A new leader also sends one with
+/// correlation zero to each VM, which tells the era of the store.
 struct LeaseReplyMessage {
   CorrelationId correlation = 0;
   /// The leader, which grants the leases, as known to the sender; and the age
@@ -169,6 +170,8 @@
   std::vector<LeaseGrant> leases;
   /// Set by the leader only.
   std::vector<PrimaryAbsence> absences;
+  /// Version of the leader record that the sender has seen; zero if unknown.
+  std::uint64_t leader_record_version = 0;
 };
 
 using PeerMessage =
--- a/src/wire/peer_codec.cc
+++ b/src/wire/peer_codec.cc
@@ -190,7 +190,7 @@
     return {wire::Payload_RightReply,
             wire::CreateRightReply(builder_, reply.correlation, leader,
                                    reply.leader_age.count(), lease_vector,
-                                   absence_vector)
+                                   absence_vector, reply.leader_record_version)
                 .Union()};
   }
 
@@ -324,7 +324,8 @@
                             ToString(reply.holder()),
                             DecodeDuration(reply.holder_age_us()),
                             {},
-                            {}};
+                            {},
+                            reply.duty_version()};
   for (const wire::GrantedRight* lease : *reply.rights()) {
     message.leases.push_back({ToString(lease->service()),
                               ToString(lease->endpoint()), lease->term(),
--- a/test/failover/failover_simulation.h
+++ b/test/failover/failover_simulation.h
@@ -45,6 +45,9 @@
   void IsolateEndpoint(std::size_t endpoint, std::set<std::size_t> vms,
                        Duration duration);
   void MarkLeaving(std::size_t endpoint);
+  /// Lets the VM run no sessions, like a VM that relays its callers. It calls
+  /// the store only to write its entry.
+  void Deactivate(std::size_t vm);
   /// Sets the time from the acceptance of a promotion until it takes effect.
   void SetPromotionTime(Duration time) { promotion_time_ = time; }
 
--- a/test/failover/failover_test.cc
+++ b/test/failover/failover_test.cc
@@ -333,6 +333,18 @@
   ExpectNoViolations();
 }
 
+// As before, for VMs that do not watch the store.
+TEST_F(FailoverWithFiveVms, StoreLosesEntriesOfIdleVmsTheyAreWrittenAgain) {
+  const std::size_t leader = simulation_.Leaders().at(0);
+  const std::size_t idle = (leader + 1) % 5;
+  simulation_.Deactivate(idle);
+  simulation_.RunFor(seconds(5));
+  simulation_.RestoreStore(seconds(60), milliseconds(100));
+  simulation_.RunFor(seconds(8));
+  EXPECT_TRUE(simulation_.StoredVm(idle));
+  ExpectNoViolations();
+}
+
 struct RegressionSeed {
   std::uint64_t seed;
   const char* cause;
--- a/test/failover/fake_failover_simulation.cc
+++ b/test/failover/fake_failover_simulation.cc
@@ -800,6 +800,11 @@
   }
 }
 
+void FailoverSimulation::Deactivate(std::size_t vm) {
+  vms_[vm]->failover.SetWatchesStoreForPeers(false);
+  vms_[vm]->failover.SetActive(false);
+}
+
 void FailoverSimulation::InjectFault() {
   const std::size_t vm = random_() % vms_.size();
   const Duration time = milliseconds(200 + random_() % 4000);
--- a/test/wire/peer_codec_test.cc
+++ b/test/wire/peer_codec_test.cc
@@ -78,7 +78,7 @@
   }
   void operator()(const LeaseReplyMessage& m) {
     Add("lease reply", m.correlation, m.leader, m.leader_age.count(),
-        m.leases.size());
+        m.leases.size(), m.leader_record_version);
     for (const LeaseGrant& r : m.leases) {
       Add(r.service, r.endpoint, r.term, r.time_left.count(), r.position.term,
           r.position.index, r.position_age.count());
@@ -154,7 +154,8 @@
                           milliseconds(900),
                           {5, 80},
                           milliseconds(20)}},
-                        {{"registro-2", milliseconds(1800)}}}};
+                        {{"registro-2", milliseconds(1800)}},
+                        41}};
   return messages;
 }
 
