Failover: ignore late replies that an object is missing

A reply to a write that was sent before a restore may arrive when the object has been written again in the new era. It no longer removes the object's record from memory. No test reaches this order of events: found by reading the code.

--- a/src/core/failover/duty_election.cc
+++ b/src/core/failover/duty_election.cc
@@ -177,7 +177,8 @@
           election.OnRecord(record, reply.object.version, election.clock_());
         } else if (reply.status == StoreStatus::kConflict) {
           election.OnConflict(reply.object);
-        } else if (reply.status == StoreStatus::kNotFound) {
+        } else if (reply.status == StoreStatus::kNotFound &&
+                   EraOf(election.version_) < reply.era) {
           election.OnRecordRemoved(election.clock_());
         } else {
           election.failing_since_ = std::min(election.failing_since_, sent);
--- a/src/core/failover/primary_keeper.cc
+++ b/src/core/failover/primary_keeper.cc
@@ -563,30 +563,31 @@
   call_in_flight_ = true;
   const std::uint64_t attempt = ++attempt_;
   retry_at_ = now + kRetryInterval;
-  context_.store.Put(std::string(kPrimaryPrefix) + service_,
-                     FormatRecord(record), record_version_,
-                     [alive = std::weak_ptr(alive_), record,
-                      attempt](const StoreReply& reply) {
-                       const auto self = alive.lock();
-                       if (self == nullptr) return;
-                       PrimarySupervisor& supervisor = **self;
-                       const bool written = reply.status == StoreStatus::kOk;
-                       if (written) {
-                         supervisor.OnRecord(record, reply.object.version);
-                       } else if (reply.status == StoreStatus::kConflict) {
-                         supervisor.OnConflict(reply.object);
-                       } else if (reply.status == StoreStatus::kNotFound) {
-                         supervisor.OnRecordRemoved();
-                       }
-                       if (attempt != supervisor.attempt_) return;
-                       supervisor.call_in_flight_ = false;
-                       supervisor.next_tick_ = {};
-                       if (!written) return;
-                       supervisor.retry_at_ = {};
-                       supervisor.record_written_ = true;
-                       supervisor.record_written_at_ =
-                           supervisor.context_.clock();
-                     });
+  context_.store.Put(
+      std::string(kPrimaryPrefix) + service_, FormatRecord(record),
+      record_version_,
+      [alive = std::weak_ptr(alive_), record,
+       attempt](const StoreReply& reply) {
+        const auto self = alive.lock();
+        if (self == nullptr) return;
+        PrimarySupervisor& supervisor = **self;
+        const bool written = reply.status == StoreStatus::kOk;
+        if (written) {
+          supervisor.OnRecord(record, reply.object.version);
+        } else if (reply.status == StoreStatus::kConflict) {
+          supervisor.OnConflict(reply.object);
+        } else if (reply.status == StoreStatus::kNotFound &&
+                   EraOf(supervisor.record_version_) < reply.era) {
+          supervisor.OnRecordRemoved();
+        }
+        if (attempt != supervisor.attempt_) return;
+        supervisor.call_in_flight_ = false;
+        supervisor.next_tick_ = {};
+        if (!written) return;
+        supervisor.retry_at_ = {};
+        supervisor.record_written_ = true;
+        supervisor.record_written_at_ = supervisor.context_.clock();
+      });
 }
 
 void PrimarySupervisor::OnConflict(const StoredObject& object) {
