--- a/src/core/failover/failover_records.cc
+++ b/src/core/failover/failover_records.cc
@@ -27,6 +27,12 @@
   }
 }
 
+std::optional<std::uint64_t> ParseEra(const json& object) {
+  const auto era = object.find("era");
+  if (era == object.end()) return std::nullopt;
+  return era->get<std::uint64_t>();
+}
+
 }  // namespace
 
 std::string FormatRecord(const LeaderRecord& record) {
@@ -35,20 +41,22 @@
     active_predecessors.push_back({{"holder", predecessor.leader},
                                    {"incarnation", predecessor.incarnation}});
   }
-  return json{{"holder", record.leader},
+  json object{{"holder", record.leader},
               {"incarnation", record.incarnation},
               {"resigned", record.resigned},
               {"writes", record.writes},
-              {"unsettled", active_predecessors}}
-      .dump();
+              {"unsettled", active_predecessors}};
+  if (record.era) object["era"] = *record.era;
+  return object.dump();
 }
 
 std::string FormatRecord(const PrimaryRecord& record) {
-  return json{{"primary", record.primary},
+  json object{{"primary", record.primary},
               {"term", record.term},
               {"writes", record.writes},
-              {"phase", kPhaseNames[static_cast<std::size_t>(record.phase)]}}
-      .dump();
+              {"phase", kPhaseNames[static_cast<std::size_t>(record.phase)]}};
+  if (record.era) object["era"] = *record.era;
+  return object.dump();
 }
 
 std::string FormatRecord(const VmEntry& record) {
@@ -66,7 +74,8 @@
                         object.at("incarnation").get<std::uint64_t>(),
                         object.at("resigned").get<bool>(),
                         object.at("writes").get<std::uint64_t>(),
-                        {}};
+                        {},
+                        ParseEra(object)};
     for (const json& predecessor : object.at("unsettled")) {
       record.active_predecessors.push_back(
           {predecessor.at("holder").get<std::string>(),
@@ -83,10 +92,10 @@
     if (found == kPhaseNames.end()) {
       throw DecodeError(error_messages::kMalformedProxyObject);
     }
-    return PrimaryRecord{object.at("primary").get<std::string>(),
-                         object.at("term").get<Term>(),
-                         static_cast<PrimaryPhase>(found - kPhaseNames.begin()),
-                         object.at("writes").get<std::uint64_t>()};
+    return PrimaryRecord{
+        object.at("primary").get<std::string>(), object.at("term").get<Term>(),
+        static_cast<PrimaryPhase>(found - kPhaseNames.begin()),
+        object.at("writes").get<std::uint64_t>(), ParseEra(object)};
   });
 }
 
@@ -95,6 +104,7 @@
     return VmEntry{object.at("data_centre").get<std::string>(),
                    object.at("address").get<std::string>(),
                    object.at("process").get<std::string>(),
+                   object.value("yields", std::uint64_t{0}),
                    object.at("leaving").get<bool>()};
   });
 }
