Failover records: refuse numbers that are negative or fractions

Callers saw nothing yet: the fault was found in a review of entries of other writers.

Cause: json::get converts any number, so -1 was read as 2^64-1 and a fraction was cut off; a value out of the range of the type, such as 1e300, is undefined behaviour.

Evidence, arm64: FailoverRecordsTest.LeaderRecordIsOddItIsRefused and PrimaryRecordIsOddItIsRefused failed (-1, 1.5 and 1e300 were accepted) and pass with the change. Both also read a nesting of 500,000.

--- a/src/core/failover/failover_records.cc
+++ b/src/core/failover/failover_records.cc
@@ -27,10 +27,18 @@
   }
 }
 
+// Converting a negative number or a fraction would give another number.
+std::uint64_t Number(const json& object, const char* key) {
+  const json& value = object.at(key);
+  if (!value.is_number_unsigned()) {
+    throw DecodeError(error_messages::kMalformedProxyObject);
+  }
+  return value.get<std::uint64_t>();
+}
+
 std::optional<std::uint64_t> ParseEra(const json& object) {
-  const auto era = object.find("era");
-  if (era == object.end()) return std::nullopt;
-  return era->get<std::uint64_t>();
+  if (!object.contains("era")) return std::nullopt;
+  return Number(object, "era");
 }
 
 }  // namespace
@@ -71,15 +79,15 @@
 LeaderRecord ParseLeaderRecord(std::string_view text) {
   return Parse(text, [](const json& object) {
     LeaderRecord record{object.at("holder").get<std::string>(),
-                        object.at("incarnation").get<std::uint64_t>(),
+                        Number(object, "incarnation"),
                         object.at("resigned").get<bool>(),
-                        object.at("writes").get<std::uint64_t>(),
+                        Number(object, "writes"),
                         {},
                         ParseEra(object)};
     for (const json& predecessor : object.at("unsettled")) {
       record.active_predecessors.push_back(
           {predecessor.at("holder").get<std::string>(),
-           predecessor.at("incarnation").get<std::uint64_t>()});
+           Number(predecessor, "incarnation")});
     }
     return record;
   });
@@ -92,10 +100,10 @@
     if (found == kPhaseNames.end()) {
       throw DecodeError(error_messages::kMalformedProxyObject);
     }
-    return PrimaryRecord{
-        object.at("primary").get<std::string>(), object.at("term").get<Term>(),
-        static_cast<PrimaryPhase>(found - kPhaseNames.begin()),
-        object.at("writes").get<std::uint64_t>(), ParseEra(object)};
+    return PrimaryRecord{object.at("primary").get<std::string>(),
+                         Number(object, "term"),
+                         static_cast<PrimaryPhase>(found - kPhaseNames.begin()),
+                         Number(object, "writes"), ParseEra(object)};
   });
 }
 
--- a/test/failover/failover_records_test.cc
+++ b/test/failover/failover_records_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
+
 #include "carawayhaven/exceptions.h"
 
 namespace carawayhaven {
@@ -42,5 +44,43 @@
                DecodeError);
 }
 
+const std::string kDeep = std::string(500'000, '[') + std::string(500'000, ']');
+
+// Guards against a record of another writer that ends the process, or whose
+// numbers wrap to others.
+TEST(FailoverRecordsTest, LeaderRecordIsOddItIsRefused) {
+  const auto record = [](const std::string& incarnation,
+                         const std::string& predecessors) {
+    return R"({"holder":"vm-1","resigned":false,"writes":3,"incarnation":)" +
+           incarnation + R"(,"unsettled":)" + predecessors + "}";
+  };
+  EXPECT_EQ(ParseLeaderRecord(record("4", "[]")).incarnation, 4U);
+  for (const char* odd : {"-1", "1.5", "1e300", "1e999", "\"4\"", "null",
+                          "18446744073709551616"}) {
+    EXPECT_THROW(ParseLeaderRecord(record(odd, "[]")), DecodeError) << odd;
+  }
+  for (const std::string& odd :
+       {std::string("[1]"), std::string("[{}]"), std::string("7"),
+        std::string(R"([{"holder":"vm-2","incarnation":-1}])"), kDeep}) {
+    EXPECT_THROW(ParseLeaderRecord(record("4", odd)), DecodeError)
+        << odd.substr(0, 40);
+  }
+  EXPECT_THROW(ParseLeaderRecord(kDeep), DecodeError);
+}
+
+TEST(FailoverRecordsTest, PrimaryRecordIsOddItIsRefused) {
+  const auto record = [](const std::string& term) {
+    return R"({"primary":"i-1","phase":"serving","writes":3,"term":)" + term +
+           "}";
+  };
+  EXPECT_EQ(ParsePrimaryRecord(record("4")).term, 4U);
+  for (const char* odd : {"-1", "1.5", "1e300", "1e999", "[]"}) {
+    EXPECT_THROW(ParsePrimaryRecord(record(odd)), DecodeError) << odd;
+  }
+  EXPECT_THROW(ParsePrimaryRecord(kDeep), DecodeError);
+  EXPECT_THROW(ParseVmEntry(kDeep), DecodeError);
+  EXPECT_THROW(ParseVmEntry("null"), DecodeError);
+}
+
 }  // namespace
 }  // namespace carawayhaven
