Failover: an odd VM entry does not prove that its process has stopped

Callers saw nothing yet; a write that the old primary had acknowledged could have been lost.

Cause: the version of a VM's entry was recorded before the entry was parsed. A newer version of the leader's entry tells the successor that the process grants no leases any more, so a malformed entry of another writer let it promote within 2 s, while the leader, cut off from peers and store, could still grant leases for 9 s.

Change: only an entry that can be read counts.

--- a/src/core/failover/failover_manager.cc
+++ b/src/core/failover/failover_manager.cc
@@ -105,8 +105,9 @@
           .OnRecord(ParsePrimaryRecord(object.value), object.version);
     } else if (path.starts_with(kVmPrefix)) {
       const VmName vm(path.substr(kVmPrefix.size()));
+      const VmEntry entry = ParseVmEntry(object.value);
       vm_versions_[vm] = object.version;
-      if (vm != self_) vms_[vm] = ParseVmEntry(object.value);
+      if (vm != self_) vms_[vm] = entry;
     }
   } catch (const DecodeError& error) {
     deps_.observer.OnMalformedObject(object.path, error.what());
--- a/test/failover/failover_simulation.h
+++ b/test/failover/failover_simulation.h
@@ -50,6 +50,8 @@
   void Deactivate(std::size_t vm);
   /// Sets the time from the acceptance of a promotion until it takes effect.
   void SetPromotionTime(Duration time) { promotion_time_ = time; }
+  /// Another writer replaces an object of the proxies in the store.
+  void OverwriteObject(const std::string& path, const std::string& value);
 
   /// Index of the endpoint that is the primary of the highest term.
   std::size_t Primary() const;
--- a/test/failover/failover_test.cc
+++ b/test/failover/failover_test.cc
@@ -342,6 +342,21 @@
   simulation_.RestoreStore(seconds(60), milliseconds(100));
   simulation_.RunFor(seconds(8));
   EXPECT_TRUE(simulation_.StoredVm(idle));
+}
+
+// Guards against a successor that takes an entry of another writer for proof
+// that the leader has stopped, and promotes while its leases are valid.
+TEST_F(FailoverWithFiveVms, EntryOfTheLeaderIsOddItsLeasesAreWaitedFor) {
+  const std::size_t leader = simulation_.Leaders().at(0);
+  simulation_.CutVmFromPeers(leader, seconds(30));
+  simulation_.CutVmFromStore(leader, seconds(30));
+  simulation_.CrashEndpoint(0, seconds(30));
+  simulation_.OverwriteObject("carawayhaven/vm.vm-" + std::to_string(leader),
+                              "[1e999]");
+  simulation_.RunFor(seconds(6));
+  EXPECT_EQ(simulation_.promotions(), 0U);
+  simulation_.RunFor(seconds(8));
+  EXPECT_EQ(simulation_.promotions(), 1U);
   ExpectNoViolations();
 }
 
--- a/test/failover/fake_failover_simulation.cc
+++ b/test/failover/fake_failover_simulation.cc
@@ -586,6 +586,12 @@
   for (std::size_t i = 0; i < vms; ++i) ScheduleStatements(i);
 }
 
+void FailoverSimulation::OverwriteObject(const std::string& path,
+                                         const std::string& value) {
+  objects_[path] = {path, value, ++revision_, false};
+  NotifyWatches(path);
+}
+
 FailoverSimulation::~FailoverSimulation() = default;
 
 void FailoverSimulation::StartVm(std::size_t index) {
