Failover: an odd leader record is replaced by the next leader

Callers saw nothing yet; they would have been refused until someone removed the record by hand.

Cause: the version of a leader record that cannot be read was ignored. Every write of the leader and of the candidates was conditional on an older version, so all of them failed, and after 9 s there was no leader for good.

Change: such a version means that there is no leader and that an unknown one may still grant leases. The leader steps down, since it cannot tell whether it was superseded, and the next one waits for the leases of the unknown one and of all known ones before it promotes. A VM entry without a name is refused, as the unknown leader has none.

--- a/src/core/failover/duty_election.cc
+++ b/src/core/failover/duty_election.cc
@@ -75,6 +75,17 @@
   return true;
 }
 
+// The record of an unknown leader may have been overwritten. It is named as a
+// predecessor without a name, whose leases have to expire. The leader itself
+// cannot tell whether it was superseded, so it loses leadership too.
+void LeaderElection::OnUnreadableRecord(ObjectVersion version, TimePoint now) {
+  if (version <= version_) return;
+  LeaderRecord unknown;
+  unknown.writes = record_.writes;
+  unknown.active_predecessors = PredecessorsAfterTakeOver();
+  OnRecord(unknown, version, now);
+}
+
 void LeaderElection::RemoveExpiredPredecessors(TimePoint now) {
   std::erase_if(active_predecessors_,
                 [now](const auto& entry) { return now >= entry.second; });
@@ -198,6 +209,7 @@
   } catch (const DecodeError&) {
     // The object watcher delivers the same object to FailoverManager, which
     // reports that it is malformed.
+    OnUnreadableRecord(object.version, clock_());
   }
 }
 
--- a/src/core/failover/duty_election.h
+++ b/src/core/failover/duty_election.h
@@ -65,7 +65,9 @@
   TimePoint era_since() const { return era_since_; }
   /// True when the leader object was written in the present era of the store.
   bool IsRecordCurrent() const;
-
+  /// Applies a version of the leader object that cannot be read: there is no
+  /// leader, and an unknown one may still grant leases.
+  void OnUnreadableRecord(ObjectVersion version, TimePoint now);
   /// True while this process may grant primary leases.
   bool IsLeader(TimePoint now) const;
   const LeaderRecord& record() const { return record_; }
--- a/src/core/failover/failover_manager.cc
+++ b/src/core/failover/failover_manager.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "carawayhaven/error_messages.h"
 #include "carawayhaven/exceptions.h"
 
 namespace carawayhaven {
@@ -105,12 +106,17 @@
           .OnRecord(ParsePrimaryRecord(object.value), object.version);
     } else if (path.starts_with(kVmPrefix)) {
       const VmName vm(path.substr(kVmPrefix.size()));
+      if (vm.empty()) throw DecodeError(error_messages::kMalformedProxyObject);
       const VmEntry entry = ParseVmEntry(object.value);
       vm_versions_[vm] = object.version;
       if (vm != self_) vms_[vm] = entry;
     }
   } catch (const DecodeError& error) {
     deps_.observer.OnMalformedObject(object.path, error.what());
+    if (path == kLeaderObjectPath) {
+      election_.OnUnreadableRecord(object.version, now);
+      SetLeader(VmName(), now);
+    }
   }
 }
 
--- a/src/proxy/session_proxy_watchers.h
+++ b/src/proxy/session_proxy_watchers.h
@@ -82,15 +82,16 @@
     } catch (const DecodeError& error) {
       proxy_.log_.OnMalformedObject(object.path, error.what());
       // What an earlier version said does not hold any more.
-      RemoveKnown(EndpointName(object.path.substr(prefix_.size())), now);
+      RemoveKnown(object.path, now);
     }
   }
   void OnObjectRemoved(std::string_view path, TimePoint now) override {
-    RemoveKnown(EndpointName(path.substr(prefix_.size())), now);
+    RemoveKnown(path, now);
   }
 
  private:
-  void RemoveKnown(const EndpointName& name, TimePoint now) {
+  void RemoveKnown(std::string_view path, TimePoint now) {
+    const EndpointName name(path.substr(prefix_.size()));
     if (!proxy_.router_.endpoints().contains(name)) return;
     Log(LogLevel::kInfo, "endpoint_record_removed", {{"endpoint", name}});
     proxy_.router_.RemoveEndpoint(name, now);
--- a/test/failover/failover_test.cc
+++ b/test/failover/failover_test.cc
@@ -360,6 +360,21 @@
   ExpectNoViolations();
 }
 
+// Guards against a leader record of another writer that leaves the VMs without
+// a leader for good.
+TEST_F(FailoverWithFiveVms, LeaderRecordIsOddOneVmIsLeaderAndWritesGoOn) {
+  for (const char* odd : {"[]", "{\"holder\":7}", "1e999"}) {
+    SCOPED_TRACE(odd);
+    simulation_.OverwriteObject("carawayhaven/duty", odd);
+    simulation_.RunFor(seconds(16));
+    EXPECT_EQ(simulation_.Leaders().size(), 1U);
+    const std::size_t before = simulation_.acknowledged();
+    simulation_.RunFor(seconds(2));
+    EXPECT_GT(simulation_.acknowledged(), before);
+  }
+  ExpectNoViolations();
+}
+
 struct RegressionSeed {
   std::uint64_t seed;
   const char* cause;
