Failover test: odd records among random faults

RecordsBecomeOddInvariantsHold replaces the leader record and the entries of two VMs by unreadable texts between the random faults.

--- a/test/failover/failover_test.cc
+++ b/test/failover/failover_test.cc
@@ -383,12 +383,17 @@
 class FailoverWithRegressionSeed
     : public ::testing::TestWithParam<RegressionSeed> {};
 
-void RunSeed(std::uint64_t seed) {
+// Odd objects of another writer replace the given ones, one after each third
+// fault.
+void RunSeed(std::uint64_t seed, const std::vector<std::string>& odd = {}) {
   FailoverSimulation simulation(5, seed);
   simulation.RunFor(seconds(2));
-  for (int fault = 0; fault < 12; ++fault) {
+  for (std::uint64_t fault = 0; fault < 12; ++fault) {
     simulation.InjectFault();
     simulation.RunFor(milliseconds(700));
+    if (odd.empty() || fault % 3 != 2) continue;
+    simulation.OverwriteObject(odd[(seed + fault / 3) % odd.size()],
+                               "{\"holder\":1e999}");
   }
   simulation.EndAllFaults();
   simulation.RunFor(seconds(18));
@@ -484,5 +489,17 @@
   }
 }
 
+// Guards against odd records of another writer that let two VMs be the leader,
+// or leave none, when other faults happen at the same time.
+TEST(FailoverWithRandomFaults, RecordsBecomeOddInvariantsHold) {
+  const char* text = std::getenv("CARAWAYHAVEN_FAILOVER_SEEDS");
+  const std::uint64_t count =
+      text == nullptr ? 50 : std::strtoull(text, nullptr, 10);
+  for (std::uint64_t seed = 1; seed <= count && !HasFailure(); ++seed) {
+    RunSeed(seed, {"carawayhaven/duty", "carawayhaven/vm.vm-0",
+                   "carawayhaven/vm.vm-3"});
+  }
+}
+
 }  // namespace
 }  // namespace carawayhaven
