Failover: an odd primary record ends its leases and is replaced

Callers saw nothing yet; reads could have returned data older than a commit of their session, and no primary could be replaced any more.

Cause: a version of the primary record that cannot be read was ignored. VMs that read leases from the store used the version before it, also after the leader had withdrawn that one. Each later write of the leader was conditional on the older version and failed, so a promotion never got past its first step.

Change: while the newest version cannot be read, it gives no lease. A leader that knew every earlier version replaces it with the next write. A new leader may have missed an order of its predecessor, so it waits until no earlier leader can promote and 5 s for an order in flight, and then takes the primary of the highest term.

Evidence, arm64: FailoverWithFiveVms.PrimaryRecordIsOddPrimaryCrashesWritesGoOn saw no acknowledged write 20 s after the crash.

--- a/src/core/failover/failover_manager.cc
+++ b/src/core/failover/failover_manager.cc
@@ -116,6 +116,13 @@
     if (path == kLeaderObjectPath) {
       election_.OnUnreadableRecord(object.version, now);
       SetLeader(VmName(), now);
+    } else if (path.starts_with(kPrimaryPrefix)) {
+      // A new leader that has not read the records yet may have missed an order
+      // of its predecessor.
+      const bool knows_records = was_leader_ && election_.IsLeader(now) &&
+                                 records_read_at_ >= leader_since_;
+      SupervisorOf(ServiceName(path.substr(kPrimaryPrefix.size())))
+          .OnUnreadableRecord(object.version, knows_records);
     }
   }
 }
--- a/src/core/failover/primary_keeper.cc
+++ b/src/core/failover/primary_keeper.cc
@@ -48,6 +48,8 @@
 // long after a VM learned of the restore.
 constexpr Duration kOrderEffectTime =
     LeaderElection::kPrimaryLeaseDuration + kPromotionTimeout;
+// Longer than an order takes that was sent just before the leader changed.
+constexpr Duration kUnknownOrderWait = std::chrono::seconds(5);
 
 std::string_view StateName(int state) {
   constexpr std::string_view kNames[] = {"passive",   "searching", "serving",
@@ -72,17 +74,33 @@
   record_version_ = version;
   record_ = record;
   recorded_ = true;
+  record_readable_ = true;
   record_writes_ = std::max(record_writes_, record.writes);
 }
 
+void PrimarySupervisor::OnUnreadableRecord(ObjectVersion version,
+                                           bool may_replace) {
+  if (version <= record_version_ || EraOf(version) < context_.election.era()) {
+    return;
+  }
+  record_readable_ = false;
+  unreadable_version_ = version;
+  if (!may_replace) return;
+  record_version_ = version;
+  record_written_ = false;
+}
+
 void PrimarySupervisor::OnRecordRemoved() {
   record_.reset();
   record_version_ = 0;
+  record_readable_ = true;
+  unreadable_version_ = 0;
 }
 
 const PrimaryRecord* PrimarySupervisor::current_record() const {
   const std::uint64_t era = context_.election.era();
-  const bool current = record_ && EraOf(record_version_) == era &&
+  const bool current = record_ && record_readable_ &&
+                       EraOf(record_version_) == era &&
                        record_->era.value_or(era) == era;
   return current ? &*record_ : nullptr;
 }
@@ -221,6 +239,15 @@
 // The primary is the endpoint that is primary in the highest term. A promotion
 // that was recorded, but whose effect was not observed, is completed first.
 void PrimarySupervisor::SearchPrimary(TimePoint now) {
+  if (unreadable_version_ > record_version_) {
+    // The order of an earlier leader may have been overwritten.
+    if (!context_.election.MayPromote(now) ||
+        now - state_entered_at_ < kUnknownOrderWait) {
+      return;
+    }
+    record_.reset();
+    record_version_ = unreadable_version_;
+  }
   const PrimaryRecord* record = current_record();
   if (record != nullptr && record->phase == PrimaryPhase::kPromoting) {
     chosen_ = record->primary;
--- a/src/core/failover/primary_keeper.h
+++ b/src/core/failover/primary_keeper.h
@@ -52,8 +52,12 @@
   /// newer than the known one.
   void OnRecord(const PrimaryRecord& record, ObjectVersion version);
   void OnRecordRemoved();
-  /// The newest known record if it was written in the present era of the store,
-  /// or null.
+  /// Applies a version of the record that cannot be read. With `may_replace`,
+  /// the next write replaces it; it must be set only if this VM is the leader
+  /// and has known every earlier version.
+  void OnUnreadableRecord(ObjectVersion version, bool may_replace);
+  /// The newest record if it can be read and was written in the present era of
+  /// the store, or null.
   const PrimaryRecord* current_record() const;
   /// Records another VM's view of the primary.
   void OnReport(const VmName& vm, const PrimaryReport& report, TimePoint now);
@@ -146,6 +150,9 @@
   EndpointName primary_;
   Term term_ = 0;
   std::optional<PrimaryRecord> record_;
+  /// The store holds no version after `record_` that cannot be read.
+  bool record_readable_ = true;
+  ObjectVersion unreadable_version_ = 0;
   ObjectVersion record_version_ = 0;
   /// There was a record in some era of the store.
   bool recorded_ = false;
--- a/test/failover/failover_test.cc
+++ b/test/failover/failover_test.cc
@@ -375,6 +375,19 @@
   ExpectNoViolations();
 }
 
+// Guards against a primary record of another writer that prevents every later
+// promotion.
+TEST_F(FailoverWithFiveVms, PrimaryRecordIsOddPrimaryCrashesWritesGoOn) {
+  simulation_.OverwriteObject("carawayhaven/primary.registro", "1e999");
+  simulation_.RunFor(seconds(1));
+  simulation_.CrashEndpoint(0, seconds(60));
+  simulation_.RunFor(seconds(20));
+  const std::size_t before = simulation_.acknowledged();
+  simulation_.RunFor(seconds(2));
+  EXPECT_GT(simulation_.acknowledged(), before);
+  ExpectNoViolations();
+}
+
 struct RegressionSeed {
   std::uint64_t seed;
   const char* cause;
@@ -497,7 +510,7 @@
       text == nullptr ? 50 : std::strtoull(text, nullptr, 10);
   for (std::uint64_t seed = 1; seed <= count && !HasFailure(); ++seed) {
     RunSeed(seed, {"carawayhaven/duty", "carawayhaven/vm.vm-0",
-                   "carawayhaven/vm.vm-3"});
+                   "carawayhaven/vm.vm-3", "carawayhaven/primary.registro"});
   }
 }
 
