--- a/src/core/failover/failover_records.cc
+++ b/src/core/failover/failover_records.cc
@@ -27,6 +27,20 @@
   }
 }
 
+// Converting a negative number or a fraction would give another number.
+std::uint64_t Number(const json& object, const char* key) {
+  const json& value = object.at(key);
+  if (!value.is_number_unsigned()) {
+    throw DecodeError(error_messages::kMalformedProxyObject);
+  }
+  return value.get<std::uint64_t>();
+}
+
+std::optional<std::uint64_t> ParseEra(const json& object) {
+  if (!object.contains("era")) return std::nullopt;
+  return Number(object, "era");
+}
+
 }  // namespace
 
 std::string FormatRecord(const LeaderRecord& record) {
@@ -35,20 +49,22 @@
     active_predecessors.push_back({{"holder", predecessor.leader},
                                    {"incarnation", predecessor.incarnation}});
   }
-  return json{{"holder", record.leader},
+  json object{{"holder", record.leader},
               {"incarnation", record.incarnation},
               {"resigned", record.resigned},
               {"writes", record.writes},
-              {"unsettled", active_predecessors}}
-      .dump();
+              {"unsettled", active_predecessors}};
+  if (record.era) object["era"] = *record.era;
+  return object.dump();
 }
 
 std::string FormatRecord(const PrimaryRecord& record) {
-  return json{{"primary", record.primary},
+  json object{{"primary", record.primary},
               {"term", record.term},
               {"writes", record.writes},
-              {"phase", kPhaseNames[static_cast<std::size_t>(record.phase)]}}
-      .dump();
+              {"phase", kPhaseNames[static_cast<std::size_t>(record.phase)]}};
+  if (record.era) object["era"] = *record.era;
+  return object.dump();
 }
 
 std::string FormatRecord(const VmEntry& record) {
@@ -63,14 +79,15 @@
 LeaderRecord ParseLeaderRecord(std::string_view text) {
   return Parse(text, [](const json& object) {
     LeaderRecord record{object.at("holder").get<std::string>(),
-                        object.at("incarnation").get<std::uint64_t>(),
+                        Number(object, "incarnation"),
                         object.at("resigned").get<bool>(),
-                        object.at("writes").get<std::uint64_t>(),
-                        {}};
+                        Number(object, "writes"),
+                        {},
+                        ParseEra(object)};
     for (const json& predecessor : object.at("unsettled")) {
       record.active_predecessors.push_back(
           {predecessor.at("holder").get<std::string>(),
-           predecessor.at("incarnation").get<std::uint64_t>()});
+           Number(predecessor, "incarnation")});
     }
     return record;
   });
@@ -84,9 +101,9 @@
       throw DecodeError(error_messages::kMalformedProxyObject);
     }
     return PrimaryRecord{object.at("primary").get<std::string>(),
-                         object.at("term").get<Term>(),
+                         Number(object, "term"),
                          static_cast<PrimaryPhase>(found - kPhaseNames.begin()),
-                         object.at("writes").get<std::uint64_t>()};
+                         Number(object, "writes"), ParseEra(object)};
   });
 }
 
@@ -95,6 +112,7 @@
     return VmEntry{object.at("data_centre").get<std::string>(),
                    object.at("address").get<std::string>(),
                    object.at("process").get<std::string>(),
+                   object.value("yields", std::uint64_t{0}),
                    object.at("leaving").get<bool>()};
   });
 }
--- a/test/failover/failover_test.cc
+++ b/test/failover/failover_test.cc
@@ -1,7 +1,10 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstdlib>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "failover/failover_simulation.h"
 
@@ -11,6 +14,11 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+int EnvironmentNumber(const char* name, int fallback) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? fallback : std::atoi(text);
+}
+
 class FailoverWithFiveVms : public ::testing::Test {
  protected:
   FailoverWithFiveVms() { simulation_.RunFor(seconds(3)); }
@@ -157,6 +165,229 @@
   ExpectNoViolations();
 }
 
+// Guards against an interruption of service when a healthy group's store comes
+// back from an older copy: primary leases last for 1 s, in which the leader
+// writes its records again.
+TEST_F(FailoverWithFiveVms,
+       StoreIsRestoredWritesGoOnAndRecordsAreWrittenAgain) {
+  simulation_.RunFor(seconds(10));
+  for (int restore = 0; restore < 2; ++restore) {
+    simulation_.RestoreStore(seconds(2 + 6 * restore), milliseconds(1000));
+    for (int i = 0; i < 20; ++i) {
+      EXPECT_LT(TimeToNextAcknowledgement(seconds(5)), milliseconds(500));
+      simulation_.RunFor(milliseconds(100));
+    }
+    EXPECT_EQ(simulation_.Leaders().size(), 1U);
+  }
+  EXPECT_EQ(simulation_.promotions(), 0U);
+  ExpectNoViolations();
+}
+
+// Guards against a successor that, after a restore, promotes while a leader
+// that the copy does not name may still grant leases. The leader takes over
+// after the copy was made, and is then cut off from all others.
+TEST_F(FailoverWithFiveVms, StoreLosesTheLeaderRecordOnlyOneLeaderMayPromote) {
+  simulation_.RunFor(seconds(12));
+  const std::size_t first = simulation_.Leaders().at(0);
+  simulation_.CrashVm(first, seconds(60));
+  simulation_.RunFor(seconds(2));
+  ASSERT_EQ(simulation_.Leaders().size(), 1U);
+  const std::size_t second = simulation_.Leaders().at(0);
+  simulation_.CutVmFromPeers(second, seconds(60));
+  simulation_.CutVmFromStore(second, seconds(60));
+  simulation_.RestoreStore(seconds(4), milliseconds(100));
+  for (int i = 0; i < 1000; ++i) {
+    simulation_.RunFor(milliseconds(10));
+    const std::vector<std::size_t> leaders = simulation_.Leaders();
+    const std::vector<std::size_t> promoters = simulation_.Promoters();
+    const bool second_leads =
+        std::find(leaders.begin(), leaders.end(), second) != leaders.end();
+    ASSERT_LE(promoters.size(), 1U) << i;
+    ASSERT_FALSE(second_leads && !promoters.empty() &&
+                 promoters.front() != second)
+        << i;
+  }
+  ExpectNoViolations();
+}
+
+// Guards against a primary that was replaced after the copy was made and that
+// becomes the primary again by the restored record.
+TEST_F(FailoverWithFiveVms, StoreForgetsThePromotionTheNewPrimaryStays) {
+  simulation_.RunFor(seconds(10));
+  simulation_.IsolateEndpoint(0, {}, seconds(60));
+  simulation_.MarkLeaving(0);
+  simulation_.RunFor(seconds(4));
+  ASSERT_EQ(simulation_.promotions(), 1U);
+  const std::size_t primary = simulation_.Primary();
+  const Term term = simulation_.StoredPrimary().term;
+  simulation_.RestoreStore(seconds(6), milliseconds(500));
+  simulation_.RunFor(seconds(4));
+  EXPECT_EQ(simulation_.StoredPrimary().primary,
+            "db-" + std::to_string(primary));
+  EXPECT_EQ(simulation_.StoredPrimary().term, term);
+  EXPECT_EQ(simulation_.StoredPrimary().phase, PrimaryPhase::kServing);
+  simulation_.RunFor(seconds(14));
+  EXPECT_EQ(simulation_.promotions(), 1U);
+  ExpectNoViolations();
+}
+
+// Guards against leases from a restored record: a VM that starts and reaches no
+// peer reads the record of a primary that was replaced after the copy was made,
+// and that still takes itself for the primary.
+TEST_F(FailoverWithFiveVms, StoreForgetsThePromotionNoVmTakesALeaseFromIt) {
+  simulation_.RunFor(seconds(10));
+  const std::size_t cut = (simulation_.Leaders().at(0) + 1) % 5;
+  std::set<std::size_t> others{0, 1, 2, 3, 4};
+  others.erase(cut);
+  simulation_.CrashVm(cut, milliseconds(5500));
+  simulation_.IsolateEndpoint(0, others, seconds(20));
+  simulation_.RunFor(seconds(5));
+  ASSERT_EQ(simulation_.promotions(), 1U);
+  simulation_.RestoreStore(seconds(6), milliseconds(100));
+  for (const std::size_t vm : others) {
+    simulation_.CutVmFromStore(vm, seconds(4));
+  }
+  simulation_.RunFor(milliseconds(500));
+  simulation_.CutVmFromPeers(cut, seconds(20));
+  simulation_.RunFor(seconds(6));
+  ExpectNoViolations();
+}
+
+// Guards against the execution of a restored promotion order: it was done
+// before the restore, and another endpoint has become the primary since.
+TEST_F(FailoverWithFiveVms, StoreRestoresAFormerOrderItIsNotDoneAgain) {
+  simulation_.CrashEndpoint(0, seconds(8));
+  Duration since_order{0};
+  while (simulation_.StoredPrimary().phase != PrimaryPhase::kPromoting) {
+    simulation_.RunFor(milliseconds(5));
+  }
+  const auto run_for = [&](Duration duration) {
+    simulation_.RunFor(duration);
+    since_order += duration;
+  };
+  const auto run_until_promotions = [&](std::size_t count) {
+    while (simulation_.promotions() < count && since_order < seconds(20)) {
+      run_for(milliseconds(5));
+    }
+  };
+  run_until_promotions(1);
+  const std::size_t first = simulation_.Primary();
+  run_for(seconds(3));
+  simulation_.CrashEndpoint(first, seconds(3));
+  run_until_promotions(2);
+  run_for(seconds(4));
+  ASSERT_EQ(simulation_.promotions(), 2U);
+  const std::size_t second = simulation_.Primary();
+  simulation_.RestoreStore(since_order, milliseconds(100));
+  ASSERT_EQ(simulation_.StoredPrimary().phase, PrimaryPhase::kPromoting);
+  for (std::size_t vm = 0; vm < 5; ++vm) simulation_.CrashVm(vm, seconds(1));
+  simulation_.RunFor(seconds(6));
+  EXPECT_EQ(simulation_.StoredPrimary().primary,
+            "db-" + std::to_string(second));
+  simulation_.RunFor(seconds(14));
+  EXPECT_EQ(simulation_.promotions(), 2U);
+  ExpectNoViolations();
+}
+
+// Guards against leases for a primary that is about to be replaced by an order
+// that was sent before the restore and takes effect after it.
+TEST_F(FailoverWithFiveVms, StoreForgetsAnOrderInFlightTheOldPrimaryIsNotUsed) {
+  simulation_.SetPromotionTime(milliseconds(1500));
+  simulation_.RunFor(seconds(10));
+  simulation_.CrashEndpoint(0, milliseconds(2300));
+  while (simulation_.StoredPrimary().phase != PrimaryPhase::kPromoting) {
+    simulation_.RunFor(milliseconds(5));
+  }
+  simulation_.RunFor(milliseconds(200));
+  simulation_.RestoreStore(seconds(6), milliseconds(10));
+  simulation_.RunFor(seconds(16));
+  EXPECT_EQ(simulation_.promotions(), 1U);
+  const std::size_t before = simulation_.acknowledged();
+  simulation_.RunFor(seconds(1));
+  EXPECT_GT(simulation_.acknowledged(), before);
+  ExpectNoViolations();
+}
+
+// Guards against a service that waits for longer than the leases of unknown
+// leaders last. The bound is the sum of: the outage (0.1 s), two retries of the
+// watch (0.7 s), that wait (10.05 s), the wait for the crashed endpoint's
+// answer (0.5 s), the promotion (0.3 s here), a lease request interval (0.25
+// s), one call without an answer (1 s), and five steps that each take a call
+// and a tick (0.1 s).
+TEST_F(FailoverWithFiveVms, StoreIsRestoredAndPrimaryCrashesItIsReplaced) {
+  simulation_.RunFor(seconds(10));
+  simulation_.CrashEndpoint(0, seconds(60));
+  simulation_.RestoreStore(seconds(6), milliseconds(100));
+  EXPECT_LT(TimeToNextAcknowledgement(seconds(30)), milliseconds(13'400));
+  ExpectNoViolations();
+}
+
+// Guards against a VM that stays missing from the store's list of VMs when the
+// store is restored from a copy without its entry.
+TEST_F(FailoverWithFiveVms, StoreLosesTheVmEntriesTheyAreWrittenAgain) {
+  simulation_.RestoreStore(seconds(60), milliseconds(100));
+  simulation_.RunFor(seconds(4));
+  for (std::size_t vm = 0; vm < 5; ++vm) {
+    EXPECT_TRUE(simulation_.StoredVm(vm)) << vm;
+  }
+  ExpectNoViolations();
+}
+
+// As before, for VMs that do not watch the store.
+TEST_F(FailoverWithFiveVms, StoreLosesEntriesOfIdleVmsTheyAreWrittenAgain) {
+  const std::size_t leader = simulation_.Leaders().at(0);
+  const std::size_t idle = (leader + 1) % 5;
+  simulation_.Deactivate(idle);
+  simulation_.RunFor(seconds(5));
+  simulation_.RestoreStore(seconds(60), milliseconds(100));
+  simulation_.RunFor(seconds(8));
+  EXPECT_TRUE(simulation_.StoredVm(idle));
+}
+
+// Guards against a successor that takes an entry of another writer for proof
+// that the leader has stopped, and promotes while its leases are valid.
+TEST_F(FailoverWithFiveVms, EntryOfTheLeaderIsOddItsLeasesAreWaitedFor) {
+  const std::size_t leader = simulation_.Leaders().at(0);
+  simulation_.CutVmFromPeers(leader, seconds(30));
+  simulation_.CutVmFromStore(leader, seconds(30));
+  simulation_.CrashEndpoint(0, seconds(30));
+  simulation_.OverwriteObject("carawayhaven/vm.vm-" + std::to_string(leader),
+                              "[1e999]");
+  simulation_.RunFor(seconds(6));
+  EXPECT_EQ(simulation_.promotions(), 0U);
+  simulation_.RunFor(seconds(8));
+  EXPECT_EQ(simulation_.promotions(), 1U);
+  ExpectNoViolations();
+}
+
+// Guards against a leader record of another writer that leaves the VMs without
+// a leader for good.
+TEST_F(FailoverWithFiveVms, LeaderRecordIsOddOneVmIsLeaderAndWritesGoOn) {
+  for (const char* odd : {"[]", "{\"holder\":7}", "1e999"}) {
+    SCOPED_TRACE(odd);
+    simulation_.OverwriteObject("carawayhaven/duty", odd);
+    simulation_.RunFor(seconds(16));
+    EXPECT_EQ(simulation_.Leaders().size(), 1U);
+    const std::size_t before = simulation_.acknowledged();
+    simulation_.RunFor(seconds(2));
+    EXPECT_GT(simulation_.acknowledged(), before);
+  }
+  ExpectNoViolations();
+}
+
+// Guards against a primary record of another writer that prevents every later
+// promotion.
+TEST_F(FailoverWithFiveVms, PrimaryRecordIsOddPrimaryCrashesWritesGoOn) {
+  simulation_.OverwriteObject("carawayhaven/primary.registro", "1e999");
+  simulation_.RunFor(seconds(1));
+  simulation_.CrashEndpoint(0, seconds(60));
+  simulation_.RunFor(seconds(20));
+  const std::size_t before = simulation_.acknowledged();
+  simulation_.RunFor(seconds(2));
+  EXPECT_GT(simulation_.acknowledged(), before);
+  ExpectNoViolations();
+}
+
 struct RegressionSeed {
   std::uint64_t seed;
   const char* cause;
@@ -165,12 +396,17 @@
 class FailoverWithRegressionSeed
     : public ::testing::TestWithParam<RegressionSeed> {};
 
-void RunSeed(std::uint64_t seed) {
+// Odd objects of another writer replace the given ones, one after each third
+// fault.
+void RunSeed(std::uint64_t seed, const std::vector<std::string>& odd = {}) {
   FailoverSimulation simulation(5, seed);
   simulation.RunFor(seconds(2));
-  for (int fault = 0; fault < 12; ++fault) {
+  for (std::uint64_t fault = 0; fault < 12; ++fault) {
     simulation.InjectFault();
     simulation.RunFor(milliseconds(700));
+    if (odd.empty() || fault % 3 != 2) continue;
+    simulation.OverwriteObject(odd[(seed + fault / 3) % odd.size()],
+                               "{\"holder\":1e999}");
   }
   simulation.EndAllFaults();
   simulation.RunFor(seconds(18));
@@ -203,17 +439,80 @@
 // order that the seed determines. CARAWAYHAVEN_FAILOVER_FIRST_SEED and
 // CARAWAYHAVEN_FAILOVER_SEEDS set the first seed and the number of seeds.
 TEST(FailoverWithRandomFaults, FaultsComeInAnyOrderInvariantsHold) {
-  const auto number = [](const char* name, int fallback) {
-    const char* text = std::getenv(name);
-    return text == nullptr ? fallback : std::atoi(text);
-  };
-  const int first = number("CARAWAYHAVEN_FAILOVER_FIRST_SEED", 1);
-  const int count = number("CARAWAYHAVEN_FAILOVER_SEEDS", 100);
+  const int first = EnvironmentNumber("CARAWAYHAVEN_FAILOVER_FIRST_SEED", 1);
+  const int count = EnvironmentNumber("CARAWAYHAVEN_FAILOVER_SEEDS", 100);
   for (int seed = first; seed < first + count; ++seed) {
     RunSeed(static_cast<std::uint64_t>(seed));
     if (HasFailure()) break;
   }
 }
 
+// As FailoverWithRandomFaults, with a store that is restored from copies 1 to
+// 15 s old at any time. A leader of a new era promotes no sooner than the
+// leases of earlier eras have expired, 10.05 s after the last restore.
+void RunRestoreSeed(std::uint64_t seed) {
+  FailoverSimulation simulation(5, seed);
+  const auto run_for = [&simulation, seed](int milliseconds_total) {
+    for (int elapsed = 0; elapsed < milliseconds_total; elapsed += 50) {
+      simulation.RunFor(milliseconds(50));
+      EXPECT_LE(simulation.Promoters().size(), 1U)
+          << "several leaders may promote, seed " << seed;
+    }
+  };
+  run_for(2000 + static_cast<int>(seed % 10) * 1000);
+  for (int fault = 0; fault < 12; ++fault) {
+    if (fault % 4 == static_cast<int>(seed / 10 % 4)) {
+      simulation.InjectRestore();
+    }
+    simulation.InjectFault();
+    run_for(700);
+  }
+  simulation.EndAllFaults();
+  run_for(18'000);
+  const std::size_t before = simulation.acknowledged();
+  run_for(2000);
+  EXPECT_GT(simulation.acknowledged(), before) << "no recovery, seed " << seed;
+  for (std::size_t vm = 0; vm < 5; ++vm) {
+    EXPECT_TRUE(simulation.StoredVm(vm)) << "vm " << vm << ", seed " << seed;
+  }
+  EXPECT_EQ(simulation.violations(), std::vector<std::string>())
+      << "seed " << seed;
+}
+
+class FailoverWithRestoredStoreRegressionSeed
+    : public ::testing::TestWithParam<RegressionSeed> {};
+
+TEST_P(FailoverWithRestoredStoreRegressionSeed, FaultsHappenInvariantsHold) {
+  RunRestoreSeed(GetParam().seed);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Seeds, FailoverWithRestoredStoreRegressionSeed,
+    ::testing::Values(
+        RegressionSeed{152, "a record that the copy lacks was never written"},
+        RegressionSeed{220, "as 152"}, RegressionSeed{435, "as 152"}));
+
+// CARAWAYHAVEN_RESTORE_FIRST_SEED and CARAWAYHAVEN_RESTORE_SEEDS set the first
+// seed and the number of seeds.
+TEST(FailoverWithRestoredStore, FaultsComeInAnyOrderInvariantsHold) {
+  const int first = EnvironmentNumber("CARAWAYHAVEN_RESTORE_FIRST_SEED", 1);
+  const int count = EnvironmentNumber("CARAWAYHAVEN_RESTORE_SEEDS", 40);
+  for (int seed = first; seed < first + count; ++seed) {
+    RunRestoreSeed(static_cast<std::uint64_t>(seed));
+  }
+}
+
+// Guards against odd records of another writer that let two VMs be the leader,
+// or leave none, when other faults happen at the same time.
+TEST(FailoverWithRandomFaults, RecordsBecomeOddInvariantsHold) {
+  const char* text = std::getenv("CARAWAYHAVEN_FAILOVER_SEEDS");
+  const std::uint64_t count =
+      text == nullptr ? 50 : std::strtoull(text, nullptr, 10);
+  for (std::uint64_t seed = 1; seed <= count && !HasFailure(); ++seed) {
+    RunSeed(seed, {"carawayhaven/duty", "carawayhaven/vm.vm-0",
+                   "carawayhaven/vm.vm-3", "carawayhaven/primary.registro"});
+  }
+}
+
 }  // namespace
 }  // namespace carawayhaven
