--- a/src/core/membership/rendezvous.h
+++ b/src/core/membership/rendezvous.h
@@ -12,7 +12,7 @@
 
 /// Returns at most `count` of the VMs in rendezvous order (highest random
 /// weight) for the key: by descending hash of key and VM name. When a VM joins
-/// or leaves, the relative order of the other VMs stays the same for every key.
+/// or leaves, the relative order of the other VMs stays the same forevery key.
 std::vector<VmName> RendezvousOrder(std::string_view key,
                                     std::span<const VmName> vms,
                                     std::size_t count);
--- a/src/core/queue/answer_outcome.h
+++ b/src/core/queue/answer_outcome.h
@@ -22,7 +22,7 @@
 bool NeedsConfirmation(const Request& request, const EndpointAnswer& answer,
                        AcknowledgeMode mode);
 
-/// Returns whether the request can change data. True for every kind except a
+/// Returns whether the request can change data. True forevery kind except a
 /// read statement.
 bool IsWrite(const Request& request);
 
--- a/test/platform/line_codec_test.cc
+++ b/test/platform/line_codec_test.cc
@@ -81,7 +81,7 @@
   EXPECT_EQ(ClassifyRelayedLine("READY I -"), RelayedLine::kReadyIdle);
   EXPECT_EQ(ClassifyRelayedLine("READY T -"), RelayedLine::kReady);
   EXPECT_EQ(ClassifyRelayedLine("READY E -"), RelayedLine::kReady);
-  EXPECT_EQ(ClassifyRelayedLine("COMPLETE -"), RelayedLine::kOther);
+  EXPECT_EQ(ClassifyRelayedLine("COMPLETE -"), RelayedLine::kResult);
   EXPECT_EQ(ClassifyRelayedLine("DATAROW READY I"), RelayedLine::kOther);
 }
 
--- a/test/platform/relayed_statements_test.cc
+++ b/test/platform/relayed_statements_test.cc
@@ -58,15 +58,35 @@
   EXPECT_TRUE(statements_.TakeLossReplies().starts_with("ERROR INDOUBT "));
 }
 
+// Guards against a second error in the same reply.
 TEST_F(RelayedStatementsOfASession, LossCompletesAReplyThatHasItsError) {
   statements_.OnCallerBytes("QUERY q1 BEGIN\r\n");
   statements_.OnReplyEnd(false);
   statements_.OnCallerBytes("QUERY q2 READ 1\r\n");
-  statements_.OnError();
+  statements_.OnResult();
   EXPECT_EQ(statements_.TakeLossReplies(), "READY E -\r\n");
-  statements_.OnError();
+  statements_.OnResult();
   EXPECT_EQ(statements_.TakeLossReplies(), "");
 }
 
+// Guards against a promise that nothing took effect when the commit of the
+// transaction was forwarded as well.
+TEST_F(RelayedStatementsOfASession, LossAfterAForwardedCommitPromisesNothing) {
+  statements_.OnCallerBytes("QUERY q1 BEGIN\r\n");
+  statements_.OnReplyEnd(false);
+  statements_.OnCallerBytes("QUERY q2 WRITE 1 x\r\nQUERY q3 COMMIT\r\n");
+  EXPECT_EQ(statements_.TakeLossReplies().find("ERROR ABORTED"),
+            std::string::npos);
+}
+
+// As above, when the whole transaction was forwarded before its first reply.
+TEST_F(RelayedStatementsOfASession,
+       LossOfAPipelinedTransactionPromisesNothing) {
+  statements_.OnCallerBytes(
+      "QUERY q1 BEGIN\r\nQUERY q2 WRITE 1 x\r\nQUERY q3 COMMIT\r\n");
+  EXPECT_EQ(statements_.TakeLossReplies().find("ERROR ABORTED"),
+            std::string::npos);
+}
+
 }  // namespace
 }  // namespace carawayhaven::platform
