--- a/test/platform/line_caller_server_test.cc
+++ b/test/platform/line_caller_server_test.cc
@@ -234,7 +234,7 @@
             "COMPLETE -\r\nREADY I -\r\n");
 }
 
-// Guards against a caller that waits for ever because the backlog to the
+// Guards against a caller that waits forever because the backlog to the
 // session VM is full.
 TEST_F(LineCallerServerOfAProxy, CallerOfABlockedRelayIsDisconnected) {
   RawListener listener;
@@ -290,5 +290,97 @@
   EXPECT_TRUE(front_factory_.sessions.front()->disconnected());
 }
 
+// Guards against a statement that is lost because the session VM closes the
+// session while the statement has arrived and only a part of it was read.
+TEST_F(LineCallerServerOfAProxy, LossOfTheSessionVmAnswersAnUnreadStatement) {
+  RawListener listener;
+  RawSocket session_vm = ConnectThrough(listener);
+  session_vm.Close();
+  caller_.Write("QUERY q1 WRITE 1a4 " + std::string(100'000, 'x') + "\r\n");
+  EXPECT_NE(ReceiveUntilClosed(), "");
+}
+
+// As above, when the proxy that relays the session stops.
+TEST_F(LineCallerServerOfAProxy, RelayIsEndedUnreadStatementIsAnswered) {
+  Connect({kSessionVmAddress});
+  caller_.Write("QUERY q1 SET a b\r\n");
+  front_.EndRelays();
+  EXPECT_NE(ReceiveUntilClosed(), "");
+}
+
+// Guards against a statement that is lost because an idle session is closed
+// after a part of the statement was read.
+TEST_F(LineCallerServerOfAProxy, PartlyReadStatementIsAnsweredBeforeTheClose) {
+  Connect({});
+  caller_.Write("QUERY q1 SET a ");
+  RunTicks(3);
+  front_factory_.sessions.front()->CloseWhenIdle();
+  caller_.Write("b\r\n");
+  EXPECT_EQ(ReceiveUntilClosed(), "COMPLETE -\r\nREADY I -\r\n");
+}
+
+// Guards against a write that two session VMs run because the first one replies
+// late.
+TEST_F(LineCallerServerOfAProxy, WriteBeforeTheFirstReplyIsSentToOneSessionVm) {
+  RawListener slow;
+  RawListener next;
+  front_factory_.addresses = {slow.address(), next.address()};
+  caller_.Write("CONNECT packs u1\r\nQUERY q1 WRITE 1a4 x\r\n");
+  RunTicks(3);
+  RawSocket slow_vm = slow.Accept();
+  slow_vm.Read();
+  const bool sent = slow_vm.received().find("WRITE") != std::string::npos;
+  slow_vm.Close();
+  RunTicks(5);
+  RawSocket next_vm = next.Accept();
+  next_vm.Read();
+  const bool sent_again = next_vm.received().find("WRITE") != std::string::npos;
+  EXPECT_FALSE(sent && sent_again);
+}
+
+// Guards against a second end of a reply that is complete except for its last
+// line.
+TEST_F(LineCallerServerOfAProxy, LossAfterTheResultAddsNoError) {
+  RawListener listener;
+  RawSocket session_vm = ConnectThrough(listener);
+  caller_.Write("QUERY q1 READ 1a4\r\n");
+  RunTicks(2);
+  session_vm.Write("DATAROW abc\r\nCOMPLETE 7.1\r\n");
+  RunTicks(2);
+  session_vm.Close();
+  EXPECT_EQ(ReceiveUntilClosed().find("ERROR"), std::string::npos);
+}
+
+// Guards against a session that is closed without a reply when the session VM
+// is lost in the middle of its first line.
+TEST_F(LineCallerServerOfAProxy, LossWithinTheFirstLineAnswersTheCaller) {
+  RawListener listener;
+  front_factory_.addresses = {listener.address(), kSessionVmAddress};
+  caller_.Write("CONNECT packs u1\r\n");
+  RunTicks(2);
+  RawSocket session_vm = listener.Accept();
+  session_vm.Write("READ");
+  RunTicks(2);
+  session_vm.Close();
+  RunTicks(20);
+  caller_.Read();
+  EXPECT_NE(caller_.received(), "");
+}
+
+// Guards against a promise that nothing took effect after a write was sent to a
+// session VM that has not replied.
+TEST_F(LineCallerServerOfAProxy, WriteSentBeforeTheFirstReplyGetsNoPromise) {
+  RawListener listener;
+  front_factory_.addresses = {listener.address()};
+  caller_.Write("CONNECT packs u1\r\nQUERY q1 WRITE 1a4 x\r\n");
+  RunTicks(3);
+  RawSocket session_vm = listener.Accept();
+  session_vm.Read();
+  const bool sent = session_vm.received().find("WRITE") != std::string::npos;
+  session_vm.Close();
+  EXPECT_TRUE(RunUntil([&] { return !caller_.Read(); }));
+  EXPECT_FALSE(sent && caller_.received().starts_with("ERROR OVERLOAD"));
+}
+
 }  // namespace
 }  // namespace carawayhaven::platform
