Routes: wait longer before a version is sent again

The links are reliable: a copy is lost only with its connection, which resets the limit. 700 ms is less than a leader with a link of 10 Mbit/s needs for copies to twelve VMs, so that copies were queued behind each other (found by review).

--- a/src/core/config/config_exchange_limiter.h
+++ b/src/core/config/config_exchange_limiter.h
@@ -16,7 +16,7 @@
 class ConfigExchangeLimiter {
  public:
   /// A copy that has had no effect after this time is sent again.
-  static constexpr Duration kResendDelay = std::chrono::milliseconds(700);
+  static constexpr Duration kResendDelay = std::chrono::milliseconds(1500);
   /// A version that has not arrived after this time is requested again.
   static constexpr Duration kRequestDelay = std::chrono::milliseconds(1000);
 
