Platform client: the store is restored from an older copy

Callers saw: after the store of the WebSocket role was restored from a copy, a conditional update overwrote an object that had been given the same revision again, a restored object counted as older than the lost one, and watches waited for revisions that the store did not have.

Cause: versions were the bare revisions of the store, which go back. Versions now contain the era as in the other store client. A reply of another era is unknown, an update after a version of an earlier era is a conflict, and a watch after one ends with kRevisionTooOld, also one that waits.

--- a/src/net/platform_client.h
+++ b/src/net/platform_client.h
@@ -2,6 +2,8 @@
 #define CARAWAYHAVEN_NET_PLATFORM_CLIENT_H_
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <string>
 
 #include "core/platform_store.h"
@@ -12,7 +14,9 @@
 class EventLoop;
 
 /// Client of the platform's object store over HTTP; docs/platform.md describes
-/// the API. Not thread-safe.
+/// the API. The highest era that the store has reported is the present one;
+/// replies of earlier eras are kUnknown. A pending watch ends when a call
+/// reports a new era. Not thread-safe.
 class PlatformClient : public PlatformStore {
  public:
   /// `address` is the address of the store ("IP:port").
@@ -32,11 +36,23 @@
   bool reachable() const { return reachable_; }
 
  private:
+  struct Response;
+  using ResponseCallback = std::function<void(const Response&)>;
+
   /// Sends a call and records whether the store replied.
-  void Send(HttpRequest request, Duration timeout, HttpResponseCallback done);
+  void Send(HttpRequest request, Duration timeout, ResponseCallback done);
+  Response Examine(const HttpResponse& response);
+  void BeginEra(std::uint64_t era);
+  /// Ends a watch after a version of an earlier era.
+  void EndOutdatedWatch(StoreCallback callback);
 
+  EventLoop& loop_;
   std::string address_;
   HttpClient client_;
+  std::uint64_t era_ = 0;
+  /// Pending watches; all are after versions of the present era, or list.
+  std::map<std::uint64_t, StoreCallback> watches_;
+  std::uint64_t last_watch_ = 0;
   std::uint64_t calls_ = 0;
   bool reachable_ = true;
 };
