Configuration: an accepted text survives a restore of the store

Callers saw: after the store was restored from a copy, a configuration that had been accepted was replaced by the one of the copy, or was missing in the store from then on, and later changes did not reach the proxies.

Cause: the distributor retried a watch after a revision of an earlier era for ever; the configuration store took each object of the restored store for a newer version; and nobody wrote the lost texts again, since proxies only write what an operator submits.

The distributor lists again when its watch is too old. A team's object names the submissions that it replaced, so the configuration store can tell an object of the copy from a new one: it keeps the text in force, and the watchers write that text to the store again by a conditional update, with the ages of its claims. The same is done for teams that a complete list of a later era lacks, and for a text that arrives from a peer after the object that it had replaced. Other VMs do so only if the watchers have not done it within one to two seconds.

--- a/src/core/config/config_distributor.cc
+++ b/src/core/config/config_distributor.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <variant>
@@ -18,6 +20,18 @@
 constexpr std::uint64_t kNothingNewer =
     std::numeric_limits<std::uint64_t>::max();
 
+// Services without an entry are claimed since the version that was lost, not
+// since the one that writing the value again creates.
+std::string WithClaims(const ConfigStore::Team& team) {
+  std::optional<TeamObject> object = TeamObject::Parse(team.value);
+  if (!object.has_value()) return team.value;
+  for (const ServiceConfig& service : team.config->services) {
+    object->declared_since.emplace(service.name, team.version);
+  }
+  std::string value = object->Format();
+  return value.size() > TeamObject::kMaxBytes ? team.value : value;
+}
+
 }  // namespace
 
 ConfigDistributor::ConfigDistributor(ConfigStore& configs,
@@ -60,12 +74,9 @@
 void ConfigDistributor::Tick(TimePoint now) {
   now_ = now;
   next_tick_ = now + kWatcherRoleCheckPeriod;
+  WriteLostTexts(now);
   if (watch_in_flight_) return;
-  if (initial_list_done_ &&
-      !members_.IsAmongFirstInDataCentre(kWatcherRendezvousKey,
-                                         kWatchersPerDataCentre)) {
-    return;
-  }
+  if (initial_list_done_ && !IsWatcher()) return;
   if (now < next_watch_allowed_) {
     next_tick_ = std::min(next_tick_, next_watch_allowed_);
     return;
@@ -145,6 +156,12 @@
   switch (configs_.Apply(team, version, value)) {
     case ApplyResult::kStale:
       return false;
+    case ApplyResult::kReplaced:
+      AddLostText(team, version, WithClaims(*configs_.FindTeam(team)), now);
+      return false;
+    case ApplyResult::kLost:
+      AddLostText(team, configs_.FindTeam(team)->version, value, now);
+      return false;
     case ApplyResult::kApplied:
       ++counters_.applied;
       break;
@@ -153,6 +170,10 @@
       break;
   }
   last_change_at_ = now;
+  const auto lost = lost_texts_.find(team);
+  if (lost != lost_texts_.end() && lost->second.expected < version) {
+    lost_texts_.erase(lost);
+  }
   return true;
 }
 
@@ -218,6 +239,10 @@
 void ConfigDistributor::OnWatchReply(const StoreReply& reply) {
   watch_in_flight_ = false;
   next_tick_ = TimePoint::min();
+  if (reply.status == StoreStatus::kRevisionTooOld) {
+    revision_ = 0;
+    return;
+  }
   if (reply.status != StoreStatus::kOk) {
     const auto jitter = static_cast<Duration::rep>(
         random_() % static_cast<std::uint64_t>(backoff_.count()));
@@ -241,6 +266,69 @@
     // The initial list of a starting proxy is not disseminated.
     if (!first) Disseminate(team, object.version, object.value, {});
   }
+  if (reply.complete) FindMissingTeams(reply);
+}
+
+void ConfigDistributor::FindMissingTeams(const StoreReply& list) {
+  std::set<std::string_view> listed;
+  for (const StoredObject& object : list.objects) listed.insert(object.path);
+  for (const auto& [name, team] : configs_.teams()) {
+    if (team.version == 0 || EraOf(team.version) >= EraOf(list.revision) ||
+        listed.contains(kTeamsPrefix + name)) {
+      continue;
+    }
+    AddLostText(name, 0, WithClaims(team), now_);
+  }
+}
+
+void ConfigDistributor::AddLostText(std::string_view team,
+                                    ObjectVersion expected,
+                                    std::string_view value, TimePoint now) {
+  LostText& lost = lost_texts_[TeamName(team)];
+  if (!lost.value.empty() && lost.expected >= expected) return;
+  lost = {expected, std::string(value), now, false};
+  if (IsWatcher()) return;
+  const auto jitter = static_cast<Duration::rep>(
+      random_() % static_cast<std::uint64_t>(kLostTextDelay.count()));
+  lost.write_at += kLostTextDelay + Duration(jitter);
+}
+
+void ConfigDistributor::WriteLostTexts(TimePoint now) {
+  for (auto& [team, lost] : lost_texts_) {
+    if (lost.in_flight || lost.write_at > now) continue;
+    lost.in_flight = true;
+    ++counters_.store_calls;
+    platform_.Put(
+        kTeamsPrefix + team, lost.value, lost.expected,
+        [alive = std::weak_ptr(alive_), team = team](const StoreReply& reply) {
+          const auto self = alive.lock();
+          if (self != nullptr) (*self)->OnLostTextWritten(team, reply);
+        });
+  }
+}
+
+void ConfigDistributor::OnLostTextWritten(const TeamName& team,
+                                          const StoreReply& reply) {
+  const auto found = lost_texts_.find(team);
+  if (found == lost_texts_.end()) return;
+  if (reply.status == StoreStatus::kOk) {
+    const std::string value = std::move(found->second.value);
+    lost_texts_.erase(found);
+    if (Apply(team, reply.object.version, value, now_)) {
+      Disseminate(team, reply.object.version, value, {});
+    }
+  } else if (reply.status == StoreStatus::kConflict) {
+    // The watch delivers the present object.
+    lost_texts_.erase(found);
+  } else {
+    found->second.in_flight = false;
+    found->second.write_at = now_ + kLostTextRetryDelay;
+  }
+}
+
+bool ConfigDistributor::IsWatcher() const {
+  return members_.IsAmongFirstInDataCentre(kWatcherRendezvousKey,
+                                           kWatchersPerDataCentre);
 }
 
 }  // namespace carawayhaven
--- a/src/core/config/config_distributor.h
+++ b/src/core/config/config_distributor.h
@@ -3,8 +3,10 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <random>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -50,6 +52,12 @@
 /// differs sends another request.
 constexpr std::size_t kMaxReplyBytes = 4 * 1024 * 1024;
 
+/// How long a VM that is no watcher leaves it to the watchers to write a lost
+/// text again, with as much jitter.
+constexpr Duration kLostTextDelay = std::chrono::seconds(1);
+/// Time after which writing a lost text is tried again.
+constexpr Duration kLostTextRetryDelay = std::chrono::milliseconds(500);
+
 /// Counters since the start of the process.
 struct ConfigCounters {
   std::uint64_t store_calls = 0;
@@ -61,7 +69,8 @@
 
 /// Applies the configuration versions of all teams, received from the
 /// platform's store and from peers, to the ConfigStore and disseminates new
-/// versions to peers. Not thread-safe; all calls must come from the thread of
+/// versions to peers. Writes texts in force to the store again when it has lost
+/// them. Not thread-safe; all calls must come from the thread of
 /// the event loop.
 class ConfigDistributor : public PeerEvents {
  public:
@@ -87,6 +96,15 @@
   const ConfigCounters& counters() const { return counters_; }
 
  private:
+  /// A text that the store lost when it was restored from a copy.
+  struct LostText {
+    /// Version of the object that the text replaces; zero if there is none.
+    ObjectVersion expected = 0;
+    std::string value;
+    TimePoint write_at;
+    bool in_flight = false;
+  };
+
   void OnConfigUpdate(const VmName& from, const ConfigUpdateMessage& update,
                       TimePoint now);
   void OnConfigRequest(const VmName& from, const ConfigRequestMessage& request);
@@ -96,6 +114,14 @@
   void Disseminate(std::string_view team, std::uint64_t version,
                    std::string_view value, const VmName& except);
   void SendRequest(const VmName& to, TimePoint now);
+  void AddLostText(std::string_view team, ObjectVersion expected,
+                   std::string_view value, TimePoint now);
+  /// Finds the teams that are missing in a complete list of a restored store.
+  void FindMissingTeams(const StoreReply& list);
+  /// Writes the lost texts that are due to the store.
+  void WriteLostTexts(TimePoint now);
+  void OnLostTextWritten(const TeamName& team, const StoreReply& reply);
+  bool IsWatcher() const;
   void StartWatch();
   void OnWatchReply(const StoreReply& reply);
 
@@ -121,6 +147,7 @@
   TimePoint next_request_allowed_ = TimePoint::min();
   VmName requested_peer_;
   TimePoint reply_window_end_ = TimePoint::min();
+  std::map<TeamName, LostText, std::less<>> lost_texts_;
   ConfigCounters counters_;
 };
 
--- a/src/core/config/config_store.cc
+++ b/src/core/config/config_store.cc
@@ -9,6 +9,7 @@
 
 #include "carawayhaven/error_messages.h"
 #include "core/mutation.h"
+#include "core/platform_store.h"
 
 namespace carawayhaven {
 namespace {
@@ -29,6 +30,16 @@
                               XXH3_64bits(versions.data(), sizeof(versions)));
 }
 
+// Returns whether `object` is based on the submission, directly or through
+// other submissions.
+bool HasReplaced(const TeamObject& object, std::string_view submission) {
+  return object.submission != submission &&
+         std::any_of(object.earlier.begin(), object.earlier.end(),
+                     [&](const EarlierSubmission& earlier) {
+                       return earlier.submission == submission;
+                     });
+}
+
 }  // namespace
 
 ApplyResult ConfigStore::Apply(std::string_view team, std::uint64_t version,
@@ -37,12 +48,27 @@
   if (version == 0 ||
       (found != teams_.end() && version <= found->second.version &&
        !MutationEnabled(Mutation::kApplyOlderConfig))) {
-    return ApplyResult::kStale;
+    if (version == 0 || EraOf(version) == EraOf(found->second.version)) {
+      return ApplyResult::kStale;
+    }
+    const auto lost = TeamObject::Parse(value);
+    const auto in_force = TeamObject::Parse(found->second.value);
+    return lost.has_value() && in_force.has_value() &&
+                   HasReplaced(*lost, in_force->submission)
+               ? ApplyResult::kLost
+               : ApplyResult::kStale;
   }
   const std::uint64_t highest_seen =
       found == teams_.end() ? 0 : found->second.highest_seen;
   std::vector<ConfigError> errors;
   std::optional<TeamObject> object = TeamObject::Parse(value);
+  if (object.has_value() && found != teams_.end() &&
+      EraOf(version) > EraOf(found->second.version)) {
+    const auto in_force = TeamObject::Parse(found->second.value);
+    if (in_force.has_value() && HasReplaced(*in_force, object->submission)) {
+      return ApplyResult::kReplaced;
+    }
+  }
   TeamConfigResult parsed;
   if (!object.has_value()) {
     errors.push_back({{}, error_messages::kMalformedTeamObject});
--- a/src/core/config/config_store.h
+++ b/src/core/config/config_store.h
@@ -28,6 +28,14 @@
   /// The version is newer but its text is invalid. The last valid version stays
   /// in force, and the rejected version is recorded.
   kRejected,
+  /// The version is of a later era, but the version in force has replaced its
+  /// text: the store was restored from a copy. Nothing was changed; the text in
+  /// force has to be written to the store again.
+  kReplaced,
+  /// The version is of an earlier era, but has replaced the text in force,
+  /// which a restored store has brought back. Nothing was changed; the given
+  /// text has to be written to the store again.
+  kLost,
 };
 
 /// The configuration of all teams on this proxy. The version in force of a team
--- a/test/config/config_distribution_test.cc
+++ b/test/config/config_distribution_test.cc
@@ -312,6 +312,106 @@
   ExpectNeverReverts(base, seconds(10));
 }
 
+// The store is away for a moment and restored to the state of `copied_at`.
+class ConfigDistributionWithRestoredStore : public ConfigDistribution {
+ protected:
+  void RestoreStore(TimePoint copied_at) {
+    cluster.store.SetDown(true);
+    cluster.RunFor(seconds(2));
+    cluster.store.Restore(copied_at);
+    cluster.store.SetDown(false);
+  }
+  /// Runs until the store and all VMs have the text of the submission.
+  bool IsRestoredWithinLimit(const std::string& comment) {
+    const auto restored = [&] {
+      const ObjectVersion version = cluster.store.VersionOf("teams/t");
+      if (version == 0 || !cluster.IsInForceEverywhere("t", version)) {
+        return false;
+      }
+      const std::string needle = "# " + comment + "\\n";
+      return cluster.store.Contents().at("teams/t").find(needle) !=
+                 std::string::npos &&
+             cluster.HoldsOnAllRunning([&](const auto& node) {
+               return node.configs.FindTeam("t")->value.find(needle) !=
+                      std::string::npos;
+             });
+    };
+    cluster.RunUntil(restored, 2 * kInForceLimit);
+    return restored();
+  }
+};
+
+// Guards against watches that follow the revisions of the lost state.
+TEST_F(ConfigDistributionWithRestoredStore, LaterChangesAreInForceInTime) {
+  ASSERT_EQ(SubmitAt(3, first, "second").status, SubmitStatus::kAccepted);
+  RestoreStore(cluster.simulation.now());
+  cluster.RunFor(seconds(3));
+  const ObjectVersion version = cluster.store.Write(
+      "teams/t", TeamValue(TeamText("t", {"s-1"}, "direct"), "y"));
+  EXPECT_TRUE(IsInForceWithinLimit(version));
+}
+
+// Guards against an accepted text that is replaced by the one of the copy.
+TEST_F(ConfigDistributionWithRestoredStore, LostTextStaysAndIsWrittenAgain) {
+  const TimePoint copied_at = cluster.simulation.now();
+  const SubmitResult second = SubmitAt(3, first, "second");
+  ASSERT_TRUE(IsInForceWithinLimit(second.version));
+  RestoreStore(copied_at);
+  for (Duration passed{0}; passed < seconds(5); passed += milliseconds(10)) {
+    cluster.RunFor(milliseconds(10));
+    ASSERT_TRUE(cluster.HoldsOnAllRunning([](const auto& node) {
+      return node.configs.FindTeam("t")->value.find("# second") !=
+             std::string::npos;
+    }));
+  }
+  EXPECT_TRUE(IsRestoredWithinLimit("second"));
+}
+
+// Guards against a team that is missing in the store after its text was
+// accepted.
+TEST_F(ConfigDistributionWithRestoredStore, LostTeamIsWrittenAgain) {
+  cluster.store.Write("teams/u", TeamValue(TeamText("u", {"s-2"})));
+  cluster.RunFor(seconds(3));
+  const TimePoint copied_at = cluster.simulation.now();
+  cluster.RunFor(seconds(1));
+  std::optional<SubmitResult> result;
+  cluster.nodes[4]->submitter.Submit(
+      "v", TeamText("v", {"s-3"}), 0,
+      [&result](const SubmitResult& given) { result = given; },
+      cluster.simulation.now());
+  cluster.Schedule(*cluster.nodes[4]);
+  cluster.RunUntil([&] { return result.has_value(); }, seconds(5));
+  ASSERT_TRUE(result.has_value());
+  ASSERT_EQ(result->status, SubmitStatus::kAccepted);
+  cluster.RunFor(seconds(3));
+  RestoreStore(copied_at);
+  ASSERT_EQ(cluster.store.VersionOf("teams/v"), 0U);
+  cluster.RunFor(2 * kInForceLimit);
+  const ObjectVersion version = cluster.store.VersionOf("teams/v");
+  EXPECT_NE(version, 0U);
+  EXPECT_TRUE(cluster.IsInForceEverywhere("v", version));
+}
+
+// Guards against a text that was accepted shortly before the store went away
+// and reaches the watchers only after they have read the copy.
+TEST_F(ConfigDistributionWithRestoredStore, WatchersLearnLostTextLater) {
+  const TimePoint copied_at = cluster.simulation.now();
+  cluster.Partition("mendoza", "cordoba", true);
+  cluster.Partition("mendoza", "parana", true);
+  cluster.store.SetCutOff("cordoba", true);
+  cluster.store.SetCutOff("parana", true);
+  ASSERT_EQ(SubmitAt(0, first, "second").status, SubmitStatus::kAccepted);
+  RestoreStore(copied_at);
+  cluster.store.SetCutOff("mendoza", true);
+  cluster.store.SetCutOff("cordoba", false);
+  cluster.store.SetCutOff("parana", false);
+  cluster.RunFor(seconds(5));
+  cluster.store.SetCutOff("mendoza", false);
+  cluster.Partition("mendoza", "cordoba", false);
+  cluster.Partition("mendoza", "parana", false);
+  EXPECT_TRUE(IsRestoredWithinLimit("second"));
+}
+
 // Guards against a VM that forwards the same version repeatedly.
 TEST_F(ConfigDistribution, EachProxyForwardsAVersionOnce) {
   const auto sent = [&] {
