Prefix watcher: list again when the store was restored

Callers saw: after the store was restored from a copy, a proxy followed neither the list of VMs nor the group records any more.

Cause: a watch after a revision of an earlier era was retried with the same revision for ever. The watcher now lists again, without a back-off since the store has replied.

Evidence: PrefixWatcherTest.StoreIsRestoredObjectsAreListedAgain failed before (the next watch was after the lost revision); passes after.

--- a/src/proxy/prefix_watcher.cc
+++ b/src/proxy/prefix_watcher.cc
@@ -40,6 +40,11 @@
 }
 
 void PrefixWatcher::OnReply(const StoreReply& reply) {
+  if (reply.status == StoreStatus::kRevisionTooOld) {
+    revision_ = 0;
+    next_ = next_watch_at_;
+    return;
+  }
   if (reply.status != StoreStatus::kOk) {
     failed_ = true;
     next_ = TimePoint::min();
--- a/src/proxy/prefix_watcher.h
+++ b/src/proxy/prefix_watcher.h
@@ -13,7 +13,8 @@
 namespace carawayhaven {
 
 /// Lists the objects under a prefix of the platform's store once, then watches
-/// the prefix for as long as this VM is a watcher. Not thread-safe.
+/// the prefix for as long as this VM is a watcher. Lists again when the store
+/// was restored from a copy. Not thread-safe.
 class PrefixWatcher {
  public:
   /// Bounds of the back-off after a failed call. The delay is doubled after
--- a/test/proxy/prefix_watcher_test.cc
+++ b/test/proxy/prefix_watcher_test.cc
@@ -98,5 +98,17 @@
   EXPECT_EQ(store_.watches, 1);
 }
 
+// Guards against a watch that follows the revisions of a lost state.
+TEST_F(PrefixWatcherTest, StoreIsRestoredObjectsAreListedAgain) {
+  watcher_.Tick(now_);
+  store_.Answer(StoreStatus::kOk, MakeVersion(1, 9));
+  now_ += seconds(1);
+  watcher_.Tick(now_);
+  ASSERT_EQ(store_.last_after, MakeVersion(1, 9));
+  store_.Answer(StoreStatus::kRevisionTooOld, 0);
+  RunFor(milliseconds(250), StoreStatus::kOk);
+  EXPECT_EQ(store_.last_after, 0U);
+}
+
 }  // namespace
 }  // namespace carawayhaven
