Groups: write the known terms again when the store was restored

Callers saw: after the store was restored from a copy, it kept a group record of an older term, or none, from which a starting proxy takes the primary.

Cause: a term is published once, when it begins. The VMs that watch the group records now publish each known term above the first when a list of a later era arrives. The publisher reads first, so it never lowers a stored term, and a higher one that it finds is applied. The calls are spread over 2 s.

PrefixWatcherTest.StoreIsRestoredIsReportedOnce guards the call itself.

--- a/src/core/group/group_directory.h
+++ b/src/core/group/group_directory.h
@@ -32,6 +32,11 @@
   /// changes nothing, when the update contains nothing new.
   bool Apply(const GroupUpdateMessage& update);
 
+  /// The known groups.
+  const std::map<ServiceName, GroupView, std::less<>>& views() const {
+    return views_;
+  }
+
   /// Returns the highest known term of the service, or zero when its group is
   /// not known.
   Term TermOf(std::string_view service) const;
--- a/src/proxy/group_monitor_set.cc
+++ b/src/proxy/group_monitor_set.cc
@@ -12,6 +12,12 @@
 #include "core/peer_message.h"
 
 namespace carawayhaven {
+namespace {
+
+// Spreads the calls of all groups over this time.
+constexpr Duration kMaxPublishDelay = std::chrono::seconds(2);
+
+}  // namespace
 
 GroupMonitorSet::GroupMonitorSet(const ServiceDirectory& services,
                                  GroupDirectory& groups,
@@ -77,6 +83,20 @@
   }
 }
 
+void GroupMonitorSet::OnStoreRestored(TimePoint now) {
+  std::uniform_int_distribution<Duration::rep> delay(0,
+                                                     kMaxPublishDelay.count());
+  for (const auto& [name, view] : groups_.views()) {
+    // The first term of a group is declared, not recorded.
+    if (view.term <= 1) continue;
+    const auto [publisher, added] = publishers_.try_emplace(
+        name, store_, random_,
+        [this](const GroupUpdateMessage& stored) { found_.push_back(stored); });
+    publisher->second.Publish({name, view.term, view.primary, view.term_starts},
+                              Duration(delay(random_)), now);
+  }
+}
+
 void GroupMonitorSet::StartPlannedChanges(
     const std::function<bool(const EndpointName&)>& leaves, TimePoint now) {
   for (const auto& [name, monitor] : monitors_) {
@@ -91,11 +111,21 @@
 }
 
 void GroupMonitorSet::Tick(TimePoint now) {
+  for (auto& [name, publisher] : publishers_) publisher.Tick(now);
+  std::erase_if(publishers_,
+                [](const auto& entry) { return entry.second.done(); });
+  for (const GroupUpdateMessage& stored : std::exchange(found_, {})) {
+    OnAnnouncement(stored, now);
+  }
   for (const auto& [name, monitor] : monitors_) monitor->Tick(now);
 }
 
 TimePoint GroupMonitorSet::NextTick() const {
+  if (!found_.empty()) return TimePoint::min();
   TimePoint next = TimePoint::max();
+  for (const auto& [name, publisher] : publishers_) {
+    next = std::min(next, publisher.NextTick());
+  }
   for (const auto& [name, monitor] : monitors_) {
     next = std::min(next, monitor->NextTick());
   }
--- a/src/proxy/group_monitor_set.h
+++ b/src/proxy/group_monitor_set.h
@@ -6,10 +6,13 @@
 #include <memory>
 #include <random>
 #include <string_view>
+#include <vector>
 
 #include "carawayhaven/names.h"
 #include "carawayhaven/time.h"
+#include "core/group/group_announcer.h"
 #include "core/group/group_monitor.h"
+#include "core/peer_message.h"
 
 namespace carawayhaven {
 
@@ -47,6 +50,11 @@
   /// Processes the record of a group that was read from the store.
   void OnAnnouncement(const GroupUpdateMessage& update, TimePoint now);
 
+  /// To be called when the store was restored from a copy, which may lack the
+  /// newest terms. Writes the known terms to the store again where it has a
+  /// lower one or none.
+  void OnStoreRestored(TimePoint now);
+
   /// Requests a planned change of primary for each monitored group whose
   /// primary is leaving, according to the configuration or to `leaves`.
   void StartPlannedChanges(
@@ -66,6 +74,10 @@
   PlatformStore& store_;
   std::mt19937_64& random_;
   GroupMonitorHandler& handler_;
+  /// Publish the terms that a restored store may lack; removed when done.
+  std::map<ServiceName, GroupRecordPublisher, std::less<>> publishers_;
+  /// Higher terms that the publishers found in the store.
+  std::vector<GroupUpdateMessage> found_;
   std::map<ServiceName, std::unique_ptr<GroupMonitor>, std::less<>> monitors_;
 };
 
--- a/src/proxy/prefix_watcher.cc
+++ b/src/proxy/prefix_watcher.cc
@@ -8,12 +8,14 @@
 PrefixWatcher::PrefixWatcher(PlatformStore& store, std::string prefix,
                              std::mt19937_64& random,
                              std::function<bool()> is_watcher,
-                             ObjectsCallback on_objects)
+                             ObjectsCallback on_objects,
+                             RestoredCallback on_restored)
     : store_(store),
       prefix_(std::move(prefix)),
       random_(random),
       is_watcher_(std::move(is_watcher)),
       on_objects_(std::move(on_objects)),
+      on_restored_(std::move(on_restored)),
       alive_(std::make_shared<PrefixWatcher*>(this)) {}
 
 void PrefixWatcher::Tick(TimePoint now) {
@@ -52,9 +54,12 @@
   }
   listed_ = true;
   backoff_ = kInitialRetryDelay;
-  revision_ = reply.revision;
+  const bool restored =
+      EraOf(reply.revision) > EraOf(synced_revision_) && synced_revision_ != 0;
+  revision_ = synced_revision_ = reply.revision;
   next_ = next_watch_at_;
   on_objects_(reply.objects);
+  if (restored && on_restored_) on_restored_();
 }
 
 }  // namespace carawayhaven
--- a/src/proxy/prefix_watcher.h
+++ b/src/proxy/prefix_watcher.h
@@ -30,13 +30,16 @@
   static constexpr Duration kRoleCheckInterval = std::chrono::seconds(1);
 
   using ObjectsCallback = std::function<void(const std::vector<StoredObject>&)>;
+  /// Called after the first list of a restored store was delivered.
+  using RestoredCallback = std::function<void()>;
 
   /// `store` and `random` must outlive the watcher. `is_watcher` returns
   /// whether this VM keeps a watch pending; a pending watch counts as a call of
   /// the store.
   PrefixWatcher(PlatformStore& store, std::string prefix,
                 std::mt19937_64& random, std::function<bool()> is_watcher,
-                ObjectsCallback on_objects);
+                ObjectsCallback on_objects,
+                RestoredCallback on_restored = nullptr);
 
   void Tick(TimePoint now);
   TimePoint NextTick() const { return next_; }
@@ -49,8 +52,12 @@
   std::mt19937_64& random_;
   std::function<bool()> is_watcher_;
   ObjectsCallback on_objects_;
+  RestoredCallback on_restored_;
   std::shared_ptr<PrefixWatcher*> alive_;
+  /// The `after` argument of the next watch.
   ObjectVersion revision_ = 0;
+  /// Revision of the latest reply that has been delivered.
+  ObjectVersion synced_revision_ = 0;
   TimePoint next_ = TimePoint::min();
   TimePoint next_watch_at_;
   Duration backoff_ = kInitialRetryDelay;
--- a/src/proxy/proxy_process.cc
+++ b/src/proxy/proxy_process.cc
@@ -99,7 +99,8 @@
           [this](const auto& objects) { OnVmList(objects); }),
       group_watcher_(
           platform_, kGroupPrefix, random_, [this] { return IsWatcher(); },
-          [this](const auto& objects) { OnGroupList(objects); }),
+          [this](const auto& objects) { OnGroupList(objects); },
+          [this] { group_monitors_.OnStoreRestored(EventLoop::Now()); }),
       router_(configs_, groups_, membership_, peers_, random_,
               MakeRouterOptions(settings, incarnation_, groups_, tracing_)),
       pools_(configs_, groups_, membership_, endpoints_, peers_, tracing_,
--- a/test/proxy/prefix_watcher_test.cc
+++ b/test/proxy/prefix_watcher_test.cc
@@ -55,9 +55,13 @@
   ScriptedStore store_;
   std::mt19937_64 random_{1};
   bool is_watcher_ = true;
-  PrefixWatcher watcher_{store_, "groups/", random_,
+  int restores_ = 0;
+  PrefixWatcher watcher_{store_,
+                         "groups/",
+                         random_,
                          [this] { return is_watcher_; },
-                         [](const std::vector<StoredObject>&) {}};
+                         [](const std::vector<StoredObject>&) {},
+                         [this] { ++restores_; }};
 };
 
 // Guards against 830 proxies that together exceed the call rate of the store
@@ -110,5 +114,23 @@
   EXPECT_EQ(store_.last_after, 0U);
 }
 
+TEST_F(PrefixWatcherTest, StoreIsRestoredIsReportedOnce) {
+  for (const std::uint64_t revision : {9, 10}) {
+    watcher_.Tick(now_);
+    store_.Answer(StoreStatus::kOk, MakeVersion(1, revision));
+    now_ += seconds(1);
+  }
+  EXPECT_EQ(restores_, 0);
+  watcher_.Tick(now_);
+  store_.Answer(StoreStatus::kRevisionTooOld, 0);
+  EXPECT_EQ(restores_, 0);
+  for (const std::uint64_t revision : {5, 6}) {
+    now_ += seconds(1);
+    watcher_.Tick(now_);
+    store_.Answer(StoreStatus::kOk, MakeVersion(2, revision));
+    EXPECT_EQ(restores_, 1);
+  }
+}
+
 }  // namespace
 }  // namespace carawayhaven
