--- a/src/core/peer_link.h
+++ b/src/core/peer_link.h
@@ -30,8 +30,8 @@
 
   /// Queues a message for the VM and opens a link when there is none. Returns
   /// false when the VM's address is unknown or malformed or its queue is full;
-  /// the message is guaranteed not to be delivered then. True does not guarantee
-  /// delivery.
+  /// the message is guaranteed not to be delivered then. True does not
+  /// guarantee delivery.
   virtual bool Send(const VmName& vm, const PeerMessage& message) = 0;
 
   /// Sets the address ("IP:port") on which a VM accepts links.
