Drain of the proxy role: wait for callers that still receive answers

Callers lost answers when a busy process was stopped: the drain ended 1 s after its last bound even if answers were unsent, a connection sent one message for each writable event, and bytes that the kernel had taken but not sent counted as delivered.

Now a drain ends when nothing is left, when no caller's host has acknowledged a byte during 50 checks (1 s), or 5 s after the limit of the requests. A writable event sends what the socket takes, at most 64 KiB. Bytes that have not left the host count as pending (SIOCOUTQNSD).

A caller that does not read delays the end by 1 s, as before.

--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -57,6 +57,15 @@
          });
 }
 
+std::uint64_t CallerServer::DeliveredBytes() const {
+  std::uint64_t bytes = 0;
+  for (const auto& [socket, session] : sessions_) {
+    bytes += socket->DeliveredBytes();
+  }
+  for (const auto& socket : refused_) bytes += socket->DeliveredBytes();
+  return bytes;
+}
+
 void CallerServer::OnOpen(const std::shared_ptr<WebSocketConnection>& socket) {
   if (leaving_ || sessions_.size() >= max_sessions_) {
     ++stats_.sessions_refused;
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -75,6 +75,9 @@
   std::size_t sessions() const { return sessions_.size(); }
   /// True if an answer was not sent completely or a message was not read yet.
   bool HasPendingBytes() const;
+  /// Number of bytes that the callers with open connections have received.
+  /// While HasPendingBytes, a change shows that a caller still reads.
+  std::uint64_t DeliveredBytes() const;
   const CallerServerStats& stats() const { return stats_; }
 
  private:
--- a/src/net/websocket_connection.cc
+++ b/src/net/websocket_connection.cc
@@ -1,8 +1,12 @@
 #include "net/websocket_connection.h"
 
 #include <libwebsockets.h>
+#include <linux/sockios.h>
+#include <linux/tcp.h>
 #include <sys/ioctl.h>
+#include <sys/socket.h>
 
+#include <algorithm>
 #include <cstring>
 #include <vector>
 
@@ -11,6 +15,9 @@
 
 // Limit of the time in which CloseAfterSend sends the queued messages.
 constexpr int kCloseTimeoutSeconds = 5;
+// Limit of what one writable event sends, so that a connection with a long
+// queue does not delay the others.
+constexpr std::size_t kMaxBytesPerEvent = 64 * 1024;
 
 }  // namespace
 
@@ -64,8 +71,20 @@
 bool WebSocketConnection::HasPendingBytes() const {
   if (wsi_ == nullptr) return false;
   if (!send_queue_.empty() || lws_partial_buffered(wsi_) != 0) return true;
-  int unread = 0;
-  return ioctl(lws_get_socket_fd(wsi_), FIONREAD, &unread) == 0 && unread > 0;
+  const auto queue_is_empty = [fd = lws_get_socket_fd(wsi_)](unsigned queue) {
+    int bytes = 0;
+    return ioctl(fd, queue, &bytes) != 0 || bytes == 0;
+  };
+  return !queue_is_empty(SIOCOUTQNSD) || !queue_is_empty(FIONREAD);
+}
+
+std::uint64_t WebSocketConnection::DeliveredBytes() const {
+  if (wsi_ == nullptr) return 0;
+  tcp_info info{};
+  socklen_t length = sizeof(info);
+  const int result = getsockopt(lws_get_socket_fd(wsi_), IPPROTO_TCP, TCP_INFO,
+                                &info, &length);
+  return result == 0 ? info.tcpi_bytes_acked : 0;
 }
 
 void WebSocketConnection::Attach(lws* wsi) {
@@ -98,16 +117,14 @@
 
 bool WebSocketConnection::HandleWritable() {
   if (aborted_) return false;
-  if (!send_queue_.empty()) {
+  std::size_t written = 0;
+  while (!send_queue_.empty() && written < kMaxBytesPerEvent &&
+         (written == 0 || lws_send_pipe_choked(wsi_) == 0)) {
     const std::string message = std::move(send_queue_.front());
     send_queue_.pop_front();
     backlog_bytes_ -= message.size();
-    std::vector<unsigned char> buffer(LWS_PRE + message.size());
-    std::memcpy(buffer.data() + LWS_PRE, message.data(), message.size());
-    if (lws_write(wsi_, buffer.data() + LWS_PRE, message.size(),
-                  LWS_WRITE_TEXT) < 0) {
-      return false;
-    }
+    written += std::max<std::size_t>(message.size(), 1);
+    if (!Write(message)) return false;
   }
   if (!send_queue_.empty()) {
     lws_callback_on_writable(wsi_);
@@ -116,6 +133,13 @@
   return !close_after_send_;
 }
 
+bool WebSocketConnection::Write(std::string_view message) {
+  std::vector<unsigned char> buffer(LWS_PRE + message.size());
+  std::memcpy(buffer.data() + LWS_PRE, message.data(), message.size());
+  return lws_write(wsi_, buffer.data() + LWS_PRE, message.size(),
+                   LWS_WRITE_TEXT) >= 0;
+}
+
 void WebSocketConnection::HandleClose() {
   if (closed_) return;
   closed_ = true;
--- a/src/net/websocket_connection.h
+++ b/src/net/websocket_connection.h
@@ -2,6 +2,7 @@
 #define CARAWAYHAVEN_NET_WEBSOCKET_CONNECTION_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <memory>
 #include <string>
@@ -73,10 +74,15 @@
 
   bool closed() const { return closed_; }
 
-  /// True if messages were not written to the socket completely, or if bytes of
-  /// the peer have arrived that were not read yet.
+  /// True if messages have not left this host completely, for example because
+  /// the peer does not read, or if bytes of the peer have arrived that were not
+  /// read yet.
   bool HasPendingBytes() const;
 
+  /// Number of bytes whose receipt the peer's host has acknowledged since the
+  /// connection was opened; 0 once it is closed.
+  std::uint64_t DeliveredBytes() const;
+
   /// The following functions are called by WebSocketServer and WebSocketClient,
   /// from events of libwebsockets. If HandleReceive or HandleWritable returns
   /// false, the socket is closed.
@@ -89,6 +95,9 @@
   void Discard();
 
  private:
+  /// Returns false if the socket has failed.
+  bool Write(std::string_view message);
+
   lws* wsi_ = nullptr;
   WebSocketHandler& handler_;
   std::deque<std::string> send_queue_;
--- a/src/proxy/proxy_process.cc
+++ b/src/proxy/proxy_process.cc
@@ -35,8 +35,13 @@
 constexpr Duration kDrainMargin = std::chrono::seconds(1);
 // Time for the last answers to peers to be sent.
 constexpr Duration kStopDelay = std::chrono::milliseconds(100);
-// Limit of the time in which callers can receive the last answers.
-constexpr Duration kLastAnswersTimeout = std::chrono::seconds(1);
+// The last answers are given up when no caller has received any byte during
+// this many checks. Checks are counted, and not the time, so that a process
+// that was paused checks again before it gives up.
+constexpr int kMaxStalledChecks = std::chrono::seconds(1) / kIdlePollInterval;
+// Limit of the time in which callers can receive the last answers, added to the
+// limit of the drain.
+constexpr Duration kLastAnswersTimeout = std::chrono::seconds(5);
 
 std::uint64_t MakeIncarnation() {
   return static_cast<std::uint64_t>(
@@ -387,17 +392,25 @@
   if (idle || EventLoop::Now() >= drain_deadline_) {
     router_.EndAll();
     Log(LogLevel::kInfo, "drain_ended", {{"vm", settings_.vm}, {"idle", idle}});
-    drain_deadline_ = EventLoop::Now() + kLastAnswersTimeout;
+    drain_deadline_ += kLastAnswersTimeout;
+    stalled_checks_ = 0;
     loop_.RunAfter(kStopDelay, [this] { StopWhenAnswered(); });
     return;
   }
   loop_.RunAfter(kIdlePollInterval, [this] { StopWhenIdle(); });
 }
 
-// Stops the loop once the callers have their last answers. Requests that arrive
-// meanwhile are refused.
+// Stops the loop once the callers have their last answers or stop reading.
+// Requests that arrive meanwhile are refused.
 void ProxyProcess::StopWhenAnswered() {
-  if (!callers_->HasPendingBytes() || EventLoop::Now() >= drain_deadline_) {
+  const std::uint64_t delivered = callers_->DeliveredBytes();
+  const bool stalled = std::exchange(delivered_bytes_, delivered) == delivered;
+  stalled_checks_ = stalled ? stalled_checks_ + 1 : 0;
+  const bool answered = !callers_->HasPendingBytes();
+  if (answered || stalled_checks_ > kMaxStalledChecks ||
+      EventLoop::Now() >= drain_deadline_) {
+    Log(answered ? LogLevel::kInfo : LogLevel::kWarning, "callers_answered",
+        {{"vm", settings_.vm}, {"all", answered}});
     loop_.Stop();
     return;
   }
--- a/src/proxy/proxy_process.h
+++ b/src/proxy/proxy_process.h
@@ -1,6 +1,7 @@
 #ifndef CARAWAYHAVEN_PROXY_PROXY_PROCESS_H_
 #define CARAWAYHAVEN_PROXY_PROXY_PROCESS_H_
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <random>
@@ -121,6 +122,10 @@
   std::set<VmName> lost_vms_;
   bool draining_ = false;
   TimePoint drain_deadline_ = TimePoint::max();
+  /// What the callers had received at the last check of the drain, and the
+  /// number of checks since that changed.
+  std::uint64_t delivered_bytes_ = 0;
+  int stalled_checks_ = 0;
 };
 
 }  // namespace carawayhaven
--- a/test/net/loop_fixture.h
+++ b/test/net/loop_fixture.h
@@ -115,6 +115,16 @@
       received_.append(buffer, static_cast<std::size_t>(got));
     }
   }
+  /// Keeps the window small that is offered to the peer.
+  void LimitReceiveBuffer(int bytes) {
+    EXPECT_EQ(setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes)), 0);
+  }
+  /// As Read, for at most 64 KiB.
+  void ReadSome() {
+    char buffer[64 * 1024];
+    const ssize_t got = recv(fd_, buffer, sizeof(buffer), MSG_DONTWAIT);
+    if (got > 0) received_.append(buffer, static_cast<std::size_t>(got));
+  }
   const std::string& received() const { return received_; }
   void Close() {
     if (fd_ >= 0) close(fd_);
--- a/test/net/websocket_test.cc
+++ b/test/net/websocket_test.cc
@@ -76,6 +76,19 @@
   EXPECT_EQ(local_.messages, sent);
 }
 
+// Guards against a queue of small messages that needs a round of the loop for
+// each message.
+TEST_F(WebSocketServerAndClient, ManySmallMessagesTakeFewRoundsOfTheLoop) {
+  constexpr std::size_t kMessages = 2'000;
+  const auto socket = Open();
+  for (std::size_t i = 0; i < kMessages; ++i) socket->Send("small");
+  std::size_t rounds = 0;
+  loop_->OnRoundEnd([&rounds] { ++rounds; });
+  EXPECT_TRUE(RunUntil([&] { return local_.messages.size() == kMessages; }));
+  loop_->OnRoundEnd(nullptr);
+  EXPECT_LT(rounds, kMessages / 4);
+}
+
 TEST_F(WebSocketServerAndClient, MessageOverTheLimitClosesOnlyItsConnection) {
   const auto socket = Open();
   const auto other = Open();
--- a/test/proxy/proxy_process_test.cc
+++ b/test/proxy/proxy_process_test.cc
@@ -77,6 +77,23 @@
     ASSERT_TRUE(RunUntil([this] { return endpoint_.open > 0; }));
   }
 
+  // Sends the requests for an unknown service, which are answered at once. The
+  // caller does not read.
+  void SendRequests(std::size_t count) {
+    std::string requests;
+    for (std::size_t i = 0; i < count; ++i) {
+      requests += WebSocketFrame(
+          R"({"type":"request","id":7,"service":"s","statement":"x"})");
+    }
+    RunUntil([this, &requests] {
+      const std::size_t chunk =
+          std::min<std::size_t>(requests.size(), 32 * 1024);
+      caller_->Write(requests.substr(0, chunk));
+      requests.erase(0, chunk);
+      return requests.empty();
+    });
+  }
+
   // Ends the process as its main function does, and reads what is left.
   void Exit() {
     proxy_.reset();
@@ -128,17 +145,7 @@
 // caller has read them.
 TEST_F(ProxyProcessWithCaller, DrainDeliversAnswersToACallerThatReadsLate) {
   constexpr std::size_t kRequests = 25'000;
-  std::string requests;
-  for (std::size_t i = 0; i < kRequests; ++i) {
-    requests += WebSocketFrame(
-        R"({"type":"request","id":7,"service":"s","statement":"x"})");
-  }
-  RunUntil([this, &requests] {
-    const std::size_t chunk = std::min<std::size_t>(requests.size(), 32 * 1024);
-    caller_->Write(requests.substr(0, chunk));
-    requests.erase(0, chunk);
-    return requests.empty();
-  });
+  SendRequests(kRequests);
   RunTicks(200);
   proxy_->Drain();
   int ticks = 0;
@@ -150,5 +157,41 @@
   EXPECT_EQ(Count(R"("id":7)"), kRequests);
 }
 
+// Guards against a drain that ends by time alone while a slow caller still
+// receives its answers.
+TEST_F(ProxyProcessWithCaller, DrainDeliversAnswersToACallerThatReadsSlowly) {
+  constexpr std::size_t kRequests = 25'000;
+  constexpr int kReadTicks = 10;
+  caller_->LimitReceiveBuffer(32 * 1024);
+  SendRequests(kRequests);
+  RunTicks(200);
+  proxy_->Drain();
+  int ticks = 0;
+  RunUntil([this, &ticks] {
+    if (++ticks % kReadTicks == 0) caller_->ReadSome();
+    return false;
+  });
+  EXPECT_GT(ticks, 2 * 200) << "the drain has not outlasted the stall limit";
+  Exit();
+  EXPECT_EQ(Count(R"("id":7)"), kRequests);
+}
+
+// Guards against a drain that waits for a caller that has stopped reading until
+// the last bound.
+TEST_F(ProxyProcessWithCaller, DrainGivesUpACallerThatDoesNotRead) {
+  SendRequests(25'000);
+  RunTicks(200);
+  proxy_->Drain();
+  int ticks = 0;
+  RunUntil([&ticks] {
+    ++ticks;
+    return false;
+  });
+  // The drain itself ends at most 1 s after its timeout, 0 s here, and 1 s
+  // without a delivered byte follows.
+  EXPECT_LT(ticks, 3 * 200);
+  Exit();
+}
+
 }  // namespace
 }  // namespace carawayhaven
