Failover simulation: draw the delay of a message in a defined order

The delay of a message between VMs was the sum of two random draws, whose order of evaluation is up to the compiler.

--- a/test/failover/fake_failover_simulation.cc
+++ b/test/failover/fake_failover_simulation.cc
@@ -543,6 +543,7 @@
   if (target == parent_.vms_.size()) return false;
   if (target == vm_) return true;
   // Some messages are delivered late, which must not extend a lease.
+  const bool late = parent_.Chance() < 0.02;
   const Duration delay =
       parent_.Delay() +
       (parent_.Chance() < 0.02 ? Duration(milliseconds(900)) : Duration{0});
