Leader lease: hand over when the store refuses the leader alone

A leader that alone was cut off from the store kept leadership until its lease ended. It steps down when the store answered a peer and a write that it sent after that answer failed too; but it kept the newest answer, and as peers get answers more often than a write takes to fail, that was always newer than the last failed write. Now the first one counts.

Peers now read the store once a second while the leader is seen but its renewals are missing, so that such an answer does not wait for the next watch.

--- a/src/core/failover/duty_election.h
+++ b/src/core/failover/duty_election.h
@@ -75,6 +75,8 @@
   /// Tries to become the leader. No effect while a write is in flight.
   void TryAcquireLeadership();
 
+  /// When this VM learned of record(), or of its removal.
+  TimePoint record_learned_at() const { return learned_; }
   /// True when this process is the leader and no lease that an earlier leader
   /// granted can be valid any more.
   bool MayPromote(TimePoint now) const;
@@ -134,7 +136,6 @@
   TimePoint renewed_at_;
   TimePoint failing_since_ = TimePoint::max();
   TimePoint last_write_failure_at_;
-  /// When this VM learned of `record_`, or of its removal.
   TimePoint learned_;
   TimePoint next_renewal_;
   TimePoint promote_from_ = TimePoint::max();
--- a/src/core/failover/failover_manager.cc
+++ b/src/core/failover/failover_manager.cc
@@ -34,6 +34,10 @@
 // A leader whose writes the store has not confirmed for this long steps down
 // when the store answers other VMs: a renewal and its retries have failed.
 constexpr Duration kLeaderStoreTimeout = std::chrono::seconds(3);
+// The same, when the leader is seen but does not renew its lease in the store.
+constexpr Duration kOverdueRenewal =
+    LeaderElection::kRenewInterval + milliseconds(600);
+constexpr Duration kUnrenewedReadInterval = milliseconds(1000);
 // An answer of the store to a peer counts as proof that the store is up when it
 // came this long after the leader's first failed write was sent. Longer than a
 // call takes whose answer was lost just before the store went down.
@@ -164,14 +168,19 @@
 }
 
 // Needed on a VM that reaches the store but no peer with leases, and on a new
-// leader, which must know what its predecessor recorded.
+// leader, which must know what its predecessor recorded. A VM that misses
+// renewals of the leader lease finds out for the leader whether the store
+// answers other VMs.
 void FailoverManager::ReadRecordsFromStore(TimePoint now) {
-  const bool needed = election_.IsLeader(now)
-                          ? records_read_at_ < leader_since_
-                          : now - leader_seen_at_ >= kStoreReadDelay;
+  const bool unseen = now - leader_seen_at_ >= kStoreReadDelay;
+  const bool unrenewed = watches_store_for_peers_ &&
+                         now - election_.record_learned_at() >= kOverdueRenewal;
+  const bool needed = election_.IsLeader(now) ? records_read_at_ < leader_since_
+                                              : unseen || unrenewed;
   if (!needed || store_read_in_flight_ || now < next_store_read_) return;
   store_read_in_flight_ = true;
-  next_store_read_ = now + kStoreReadInterval;
+  next_store_read_ =
+      now + (unseen ? kStoreReadInterval : kUnrenewedReadInterval);
   store_.Watch(
       kProxyObjectPrefix, 0,
       [alive = std::weak_ptr(alive_), sent = now](const StoreReply& reply) {
@@ -198,8 +207,7 @@
     return false;
   }
   return now - election_.renewed_at() > kLeaderStoreTimeout &&
-         peer_store_answered_at_ >
-             election_.failing_since() + kMinPeerAnswerDelay &&
+         peer_store_answered_at_ > election_.failing_since() &&
          election_.last_write_failure_at() > peer_store_answered_at_;
 }
 
@@ -212,6 +220,19 @@
   election_.SetIncarnation(0);
   ++entry_.leadership_losses;
   WriteEntry();
+// Keeps the first answer and not the last one: a write takes a second to fail,
+// and peers get answers more often than that.
+void FailoverManager::OnStoreAnsweredPeer(TimePoint answered) {
+  const TimePoint failing_since = election_.failing_since();
+  if (failing_since == TimePoint::max() ||
+      peer_store_answered_at_ > failing_since) {
+    return;
+  }
+  if (answered > failing_since + kMinPeerAnswerDelay) {
+    peer_store_answered_at_ = answered;
+  }
+}
+
 }
 
 void FailoverManager::WriteEntry() {
@@ -435,8 +456,7 @@
     if (!election_.IsLeader(now) && election_.IsRecordOwner()) StepDown();
   }
   if (request.store_age >= Duration{0}) {
-    peer_store_answered_at_ =
-        std::max(peer_store_answered_at_, now - request.store_age);
+    OnStoreAnsweredPeer(now - request.store_age);
   }
   reply.correlation = request.correlation;
   reply.leader_record_version = election_.version();
--- a/src/core/failover/failover_manager.h
+++ b/src/core/failover/failover_manager.h
@@ -99,6 +99,7 @@
   /// whose answer shows that the records are current.
   void GrantRecordedLeases(TimePoint sent, TimePoint now);
   /// True when this VM is the leader and the store answers peers but not it.
+  void OnStoreAnsweredPeer(TimePoint answered);
   bool IsStoreLostOnlyHere(TimePoint now) const;
   /// Writes this VM's entry again so that it gets a new version, which becomes
   /// the new process number.
