Leader: a VM that misses its replies asks VMs that see it

A leader that was only slow to one VM lost leadership: the VM took over 600 ms after the last reply, and asked a peer whether it sees the leader no sooner than 500 ms after it, often not at all.

Now two VMs that run sessions are asked with the first request after a missing reply.

Messages: two more lease requests for each 250 ms in which a VM misses the leader; none otherwise, whatever the number of VMs.

--- a/src/core/failover/failover_manager.cc
+++ b/src/core/failover/failover_manager.cc
@@ -1,6 +1,7 @@
 #include "core/failover/failover_manager.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -17,6 +18,12 @@
 constexpr Duration kTickInterval = milliseconds(50);
 // The leader counts as failed when nothing has shown for this long that it is
 // alive. Each further candidate waits for one more stagger, so that only one of
+// Once the leader's reply to one request is missing, some peers are asked as
+// well. Their answers tell how long ago they saw the leader, so that a link
+// that is slow or lost does not end its leadership.
+constexpr Duration kOverdueLeaseReply =
+    kLeaseRequestInterval + 2 * kTickInterval;
+constexpr std::size_t kPeersAskedForLeader = 2;
 // them tries to take over at a time.
 constexpr Duration kLeaderTimeout = milliseconds(600);
 constexpr Duration kCandidateStagger = milliseconds(200);
@@ -435,12 +442,16 @@
   }
   if (!leader_.empty() && leader_ != self_) send_request(leader_);
   // A peer relays its own leases when the leader itself cannot be reached.
-  const std::vector<VmName>& peers = deps_.membership.Peers();
-  if (now - leader_seen_at_ > 2 * kLeaseRequestInterval && !peers.empty()) {
-    std::uniform_int_distribution<std::size_t> any(0, peers.size() - 1);
-    const VmName peer = peers[any(deps_.random)];
-    if (peer != leader_) send_request(peer);
-  }
+  if (now - leader_seen_at_ <= kOverdueLeaseReply) return;
+  // Only the VMs that run sessions see the leader.
+  std::vector<VmName> peers =
+      candidates_.empty() ? deps_.membership.Peers() : candidates_;
+  std::erase_if(
+      peers, [this](const VmName& vm) { return vm == leader_ || vm == self_; });
+  std::vector<VmName> asked;
+  std::sample(peers.begin(), peers.end(), std::back_inserter(asked),
+              kPeersAskedForLeader, deps_.random);
+  for (const VmName& vm : asked) send_request(vm);
 }
 
 void FailoverManager::OnLeaseRequest(const VmName& vm,
--- a/test/failover/failover_simulation.h
+++ b/test/failover/failover_simulation.h
@@ -8,6 +8,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/failover/failover_manager.h"
@@ -34,6 +35,8 @@
   void PauseVm(std::size_t vm, Duration duration);
   void CutVmFromStore(std::size_t vm, Duration duration);
   void CutVmFromPeers(std::size_t vm, Duration duration);
+  /// Drops all messages between the two VMs.
+  void CutLink(std::size_t a, std::size_t b, Duration duration);
   void StopStore(Duration duration);
   /// Replaces the store's objects by those that it held `age` ago and begins a
   /// new era. The store answers again after `outage`.
@@ -131,6 +134,7 @@
     StoreCallback callback;
   };
   std::vector<PendingWatch> watches_;
+  std::set<std::pair<std::size_t, std::size_t>> cut_links_;
   TimePoint store_down_until_;
   Term primary_term_ = 1;
   std::size_t primary_index_ = 0;
--- a/test/failover/failover_test.cc
+++ b/test/failover/failover_test.cc
@@ -171,6 +171,19 @@
 TEST_F(FailoverWithFiveVms,
        StoreIsRestoredWritesGoOnAndRecordsAreWrittenAgain) {
   simulation_.RunFor(seconds(10));
+// Guards against a leader that loses leadership because one VM alone gets no
+// reply from it: the other VMs tell that VM that they see the leader.
+TEST_F(FailoverWithFiveVms, LinkToTheLeaderIsCutTheLeaderStays) {
+  const std::vector<std::size_t> before = simulation_.Leaders();
+  for (std::size_t vm = 0; vm < 5; ++vm) {
+    if (vm == before.at(0)) continue;
+    simulation_.CutLink(vm, before.at(0), seconds(3));
+    simulation_.RunFor(seconds(4));
+    EXPECT_EQ(simulation_.Leaders(), before) << "vm " << vm;
+  }
+  ExpectNoViolations();
+}
+
   for (int restore = 0; restore < 2; ++restore) {
     simulation_.RestoreStore(seconds(2 + 6 * restore), milliseconds(1000));
     for (int i = 0; i < 20; ++i) {
--- a/test/failover/fake_failover_simulation.cc
+++ b/test/failover/fake_failover_simulation.cc
@@ -552,7 +552,8 @@
                                     message] {
     Vm& peer = *parent->vms_[target];
     const TimePoint now = parent->simulation_.now();
-    if (peer.peers_cut_until > now || parent->vms_[vm]->peers_cut_until > now) {
+    if (peer.peers_cut_until > now || parent->vms_[vm]->peers_cut_until > now ||
+        parent->cut_links_.contains(std::minmax(vm, target))) {
       return;
     }
     parent->RunOnVm(target, peer.process, [parent, &peer, from, message] {
@@ -754,6 +755,12 @@
 }
 void FailoverSimulation::CutVmFromPeers(std::size_t vm, Duration duration) {
   vms_[vm]->peers_cut_until = simulation_.now() + duration;
+void FailoverSimulation::CutLink(std::size_t a, std::size_t b,
+                                 Duration duration) {
+  const std::pair<std::size_t, std::size_t> link = std::minmax(a, b);
+  cut_links_.insert(link);
+  simulation_.After(duration, [this, link] { cut_links_.erase(link); });
+}
 }
 void FailoverSimulation::StopStore(Duration duration) {
   store_down_until_ = simulation_.now() + duration;
