Failover: one late report does not show that a primary answers

A dead primary was taken for alive again, and the failover began anew, when a VM's report of its last answer arrived late: the age in the report counts from when it was sent, so a report that took 900 ms looks 900 ms newer. The second newest report counts now, if several VMs report.

--- a/src/core/failover/primary_keeper.cc
+++ b/src/core/failover/primary_keeper.cc
@@ -423,6 +423,16 @@
       continue;
     }
     ++count;
+  return std::max(alive, LastReportedAliveAt());
+}
+
+// The time that a report was in transit is not known and makes the answer that
+// it reports look newer. So the second newest answer counts: one late report
+// does not show that the primary answers.
+TimePoint PrimarySupervisor::LastReportedAliveAt() const {
+  TimePoint newest{};
+  TimePoint second{};
+  std::size_t count = 0;
     if (report.report.failing) ++failing;
   }
   return count >= 2 && 2 * failing > count;
--- a/src/core/failover/primary_keeper.h
+++ b/src/core/failover/primary_keeper.h
@@ -142,6 +142,7 @@
   bool ReportsReplicaRole(const EndpointName& endpoint, TimePoint now) const;
   const EndpointState* Find(const EndpointName& name) const;
 
+  TimePoint LastReportedAliveAt() const;
   PrimarySupervisorContext context_;
   ServiceName service_;
   State state_ = State::kPassive;
