Failover: do not wait for lost answers of the store

Callers waited 1 s longer for a new primary when the answer to one write of the failover was lost, and up to 3 s for several: each step waited until its call timed out. Cause of the known red test: the withdrawal of the record got no answer.

- A write whose effect is seen through the watch is done, also without its answer.
Leader records carry a number that no other write of the process has, so that a lease counts from when that very write was sent.
- An overdue write is repeated after 150 ms, then less often.
It is conditional on the same version, so that only one of the copies takes effect; any token of the state serves, so that a slow store delays and does not stop the order.
- Steps of a replacement are taken when they are due, not at the next tick of 50 ms, and VMs ask for the lease when the leader expects the primary.

--- a/src/core/failover/duty_election.cc
+++ b/src/core/failover/duty_election.cc
@@ -26,7 +26,11 @@
   record_ = record;
   const TimePoint previous_learned = std::exchange(learned_, now);
   version_ = version;
-  if (!IsOwn(record_) || was_own) return;
+  if (IsOwn(record_) && !was_own) BeginTerm(previous_learned, now);
+  CompleteObservedWrite();
+}
+
+void LeaderElection::BeginTerm(TimePoint previous_learned, TimePoint now) {
   promote_from_ = now + kPrimaryLeaseDuration + kClockDriftMargin;
   active_predecessors_.clear();
   const TimePoint lease_end = std::max(
@@ -71,7 +75,7 @@
   // A leader record in the copy may name this process under its old number.
   incarnation_ = 0;
   // The outcome of a write in flight says nothing about this era.
-  writing_ = false;
+  pending_writes_.clear();
   return true;
 }
 
@@ -93,7 +97,8 @@
 
 void LeaderElection::OnSuperseded(ObjectVersion version) {
   // While a write is in flight, the newer version may be its result.
-  if (!writing_) superseded_by_ = std::max(superseded_by_, version);
+  if (pending_writes_.empty())
+    superseded_by_ = std::max(superseded_by_, version);
 }
 
 void LeaderElection::OnRecordRemoved(TimePoint now) {
@@ -108,13 +113,10 @@
 }
 
 void LeaderElection::TryAcquireLeadership() {
-  if (writing_ || incarnation_ == 0 || resigned_) return;
-  LeaderRecord record{self_,
-                      incarnation_,
-                      false,
-                      record_.writes + 1,
-                      PredecessorsAfterTakeOver(),
-                      era_};
+  if (!pending_writes_.empty() || incarnation_ == 0 || resigned_) return;
+  LeaderRecord record{
+      self_, incarnation_, false, record_.writes, PredecessorsAfterTakeOver(),
+      era_};
   Write(record, nullptr);
 }
 
@@ -133,20 +135,22 @@
 }
 
 void LeaderElection::WriteFencingToken(TokenCallback done) {
-  LeaderRecord record = record_;
-  ++record.writes;
-  Write(record, std::move(done));
+  if (!pending_writes_.empty() &&
+      clock_() - pending_writes_.back()->sent < kOverdueAnswer) {
+    done(std::nullopt);
+    return;
+  }
+  Write(record_, std::move(done));
 }
 
 void LeaderElection::Renew(TimePoint now) {
-  if (writing_ || resigned_ || !IsOwn(record_) ||
+  if (!pending_writes_.empty() || resigned_ || !IsOwn(record_) ||
       now - renewed_at_ < kRenewInterval || now < next_renewal_) {
     return;
   }
   next_renewal_ = now + kRenewRetryInterval;
   RemoveExpiredPredecessors(now);
   LeaderRecord record = record_;
-  ++record.writes;
   record.active_predecessors.clear();
   for (const auto& [predecessor, lease_end] : active_predecessors_) {
     record.active_predecessors.push_back(predecessor);
@@ -160,47 +164,66 @@
   if (!held) return;
   LeaderRecord record = record_;
   record.resigned = true;
-  ++record.writes;
-  writing_ = false;
   Write(record, nullptr);
 }
 
-void LeaderElection::Write(const LeaderRecord& record, TokenCallback done) {
-  if (writing_) {
-    if (done != nullptr) done(std::nullopt);
-    return;
-  }
-  writing_ = true;
-  const std::uint64_t number = ++writes_started_;
-  const TimePoint sent = clock_();
-  store_.Put(
-      kLeaderObjectPath, FormatRecord(record), version_,
-      [alive = std::weak_ptr(alive_), record, sent, number,
-       done = std::move(done)](const StoreReply& reply) {
-        const auto self = alive.lock();
-        if (self == nullptr) return;
-        LeaderElection& election = **self;
-        if (number == election.writes_started_) election.writing_ = false;
-        const bool written = reply.status == StoreStatus::kOk;
-        if (written) {
-          election.renewed_at_ = std::max(election.renewed_at_, sent);
-          election.failing_since_ = TimePoint::max();
-          election.OnRecord(record, reply.object.version, election.clock_());
-        } else if (reply.status == StoreStatus::kConflict) {
-          election.OnConflict(reply.object);
-        } else if (reply.status == StoreStatus::kNotFound &&
-                   EraOf(election.version_) < reply.era) {
-          election.OnRecordRemoved(election.clock_());
-        } else {
-          election.failing_since_ = std::min(election.failing_since_, sent);
-          election.last_write_failure_at_ = sent;
-        }
-        if (done == nullptr) return;
-        // The object watcher may have reported a later leader meanwhile.
-        const bool current =
-            written && election.version_ == reply.object.version;
-        done(current ? std::optional(reply.object.version) : std::nullopt);
-      });
+void LeaderElection::Write(LeaderRecord record, TokenCallback done) {
+  last_write_ = std::max(last_write_, record.writes) + 1;
+  record.writes = last_write_;
+  const auto write = std::make_shared<PendingWrite>(
+      PendingWrite{std::move(record), clock_(), std::move(done)});
+  pending_writes_.push_back(write);
+  store_.Put(kLeaderObjectPath, FormatRecord(write->record), version_,
+             [alive = std::weak_ptr(alive_), write](const StoreReply& reply) {
+               const auto self = alive.lock();
+               if (self == nullptr) return;
+               LeaderElection& election = **self;
+               election.RemovePendingWrite(write);
+               if (reply.status == StoreStatus::kOk) {
+                 election.OnRecord(write->record, reply.object.version,
+                                   election.clock_());
+                 election.OnWritten(*write, reply.object.version);
+               } else if (reply.status == StoreStatus::kConflict) {
+                 election.OnConflict(reply.object);
+               } else if (reply.status == StoreStatus::kNotFound &&
+                          EraOf(election.version_) < reply.era) {
+                 election.OnRecordRemoved(election.clock_());
+               } else if (election.renewed_at_ < write->sent) {
+                 election.failing_since_ =
+                     std::min(election.failing_since_, write->sent);
+                 election.last_write_failure_at_ = write->sent;
+               }
+               const TokenCallback failed = std::exchange(write->done, nullptr);
+               if (failed != nullptr) failed(std::nullopt);
+             });
+}
+
+void LeaderElection::OnWritten(PendingWrite& write, ObjectVersion version) {
+  renewed_at_ = std::max(renewed_at_, write.sent);
+  failing_since_ = TimePoint::max();
+  const TokenCallback done = std::exchange(write.done, nullptr);
+  if (done == nullptr) return;
+  // The object watcher may have reported a later leader meanwhile.
+  done(version_ == version ? std::optional(version) : std::nullopt);
+}
+
+void LeaderElection::CompleteObservedWrite() {
+  if (record_.leader != self_) return;
+  const auto found =
+      std::find_if(pending_writes_.begin(), pending_writes_.end(),
+                   [this](const std::shared_ptr<PendingWrite>& write) {
+                     return write->record.incarnation == record_.incarnation &&
+                            write->record.writes == record_.writes;
+                   });
+  if (found == pending_writes_.end()) return;
+  const std::shared_ptr<PendingWrite> write = *found;
+  pending_writes_.erase(found);
+  OnWritten(*write, version_);
+}
+
+void LeaderElection::RemovePendingWrite(
+    const std::shared_ptr<PendingWrite>& write) {
+  std::erase(pending_writes_, write);
 }
 
 void LeaderElection::OnConflict(const StoredObject& object) {
--- a/src/core/failover/duty_election.h
+++ b/src/core/failover/duty_election.h
@@ -40,6 +40,10 @@
   // granted.
   static constexpr Duration kPrimaryLeaseDuration =
       std::chrono::milliseconds(1000);
+  // An answer of the store that takes longer is taken for lost. The write that
+  // follows is conditional on the same version, so that only one of the two
+  // takes effect.
+  static constexpr Duration kOverdueAnswer = std::chrono::milliseconds(150);
   // More than two clocks can drift apart during a lease.
   static constexpr Duration kClockDriftMargin = std::chrono::milliseconds(50);
 
@@ -71,12 +75,12 @@
   /// True while this process may grant primary leases.
   bool IsLeader(TimePoint now) const;
   const LeaderRecord& record() const { return record_; }
+  /// When this VM learned of record(), or of its removal.
+  TimePoint record_learned_at() const { return learned_; }
 
   /// Tries to become the leader. No effect while a write is in flight.
   void TryAcquireLeadership();
 
-  /// When this VM learned of record(), or of its removal.
-  TimePoint record_learned_at() const { return learned_; }
   /// True when this process is the leader and no lease that an earlier leader
   /// granted can be valid any more.
   bool MayPromote(TimePoint now) const;
@@ -95,6 +99,8 @@
   /// To be called by the leader only. Writes the leader object, which shows
   /// that this VM is still the leader: the write fails if another VM has
   /// written the object. Its new version is a fencing token for one promotion.
+  /// Fails at once while the answer of another write may still come; an overdue
+  /// one is not waited for.
   void WriteFencingToken(TokenCallback done);
 
   /// True when the leader object names this process, even if its leader lease
@@ -113,10 +119,28 @@
   void Resign(TimePoint now);
 
  private:
+  /// A write whose result is not known yet.
+  struct PendingWrite {
+    LeaderRecord record;
+    TimePoint sent;
+    TokenCallback done;
+  };
+
   bool IsOwn(const LeaderRecord& record) const;
   std::vector<LeaderIdentity> PredecessorsAfterTakeOver() const;
   void RemoveExpiredPredecessors(TimePoint now);
-  void Write(const LeaderRecord& record, TokenCallback done);
+  /// The leader object names this process since `now`, and named another one,
+  /// as was learned at `previous_learned`.
+  void BeginTerm(TimePoint previous_learned, TimePoint now);
+  /// Writes the record under a number that no earlier write of this process
+  /// has used.
+  void Write(LeaderRecord record, TokenCallback done);
+  /// The write was done and gave the leader object this version.
+  void OnWritten(PendingWrite& write, ObjectVersion version);
+  /// Completes the write in flight that the known record is the result of: the
+  /// answer of the write may be lost.
+  void CompleteObservedWrite();
+  void RemovePendingWrite(const std::shared_ptr<PendingWrite>& write);
   /// Leaders of an earlier era, or whose record was overwritten by a write of
   /// an earlier era, may still grant leases, and the record does not name them.
   bool MayHaveLostPredecessors() const;
@@ -141,8 +165,10 @@
   TimePoint promote_from_ = TimePoint::max();
   std::map<LeaderIdentity, TimePoint> active_predecessors_;
   ObjectVersion superseded_by_ = 0;
-  bool writing_ = false;
-  std::uint64_t writes_started_ = 0;
+  /// Oldest first. There is more than one only if an answer is overdue.
+  std::vector<std::shared_ptr<PendingWrite>> pending_writes_;
+  /// Number of the last write that this process has started.
+  std::uint64_t last_write_ = 0;
   bool resigned_ = false;
   std::shared_ptr<LeaderElection*> alive_;
 };
--- a/src/core/failover/failover_manager.cc
+++ b/src/core/failover/failover_manager.cc
@@ -15,15 +15,17 @@
 
 // A quarter of the primary lease duration, so that three replies may be lost.
 constexpr Duration kLeaseRequestInterval = milliseconds(250);
+// As kLeaseRequestInterval, while a primary is expected at any moment.
+constexpr Duration kMinLeaseRequestInterval = milliseconds(100);
 constexpr Duration kTickInterval = milliseconds(50);
-// The leader counts as failed when nothing has shown for this long that it is
-// alive. Each further candidate waits for one more stagger, so that only one of
 // Once the leader's reply to one request is missing, some peers are asked as
 // well. Their answers tell how long ago they saw the leader, so that a link
 // that is slow or lost does not end its leadership.
 constexpr Duration kOverdueLeaseReply =
     kLeaseRequestInterval + 2 * kTickInterval;
 constexpr std::size_t kPeersAskedForLeader = 2;
+// The leader counts as failed when nothing has shown for this long that it is
+// alive. Each further candidate waits for one more stagger, so that only one of
 // them tries to take over at a time.
 constexpr Duration kLeaderTimeout = milliseconds(600);
 constexpr Duration kCandidateStagger = milliseconds(200);
@@ -32,6 +34,10 @@
 // answers.
 constexpr Duration kStoreReadDelay = milliseconds(400);
 constexpr Duration kStoreReadInterval = milliseconds(350);
+// The same, when the leader is seen but does not renew its lease in the store.
+constexpr Duration kOverdueRenewal =
+    LeaderElection::kRenewInterval + milliseconds(600);
+constexpr Duration kUnrenewedReadInterval = milliseconds(1000);
 // Wait before a VM that no peer answers tries to take over.
 constexpr Duration kIsolatedTakeOverDelay = std::chrono::seconds(4);
 // A VM that lost leadership waits before it tries to take over, so that
@@ -41,10 +47,6 @@
 // A leader whose writes the store has not confirmed for this long steps down
 // when the store answers other VMs: a renewal and its retries have failed.
 constexpr Duration kLeaderStoreTimeout = std::chrono::seconds(3);
-// The same, when the leader is seen but does not renew its lease in the store.
-constexpr Duration kOverdueRenewal =
-    LeaderElection::kRenewInterval + milliseconds(600);
-constexpr Duration kUnrenewedReadInterval = milliseconds(1000);
 // An answer of the store to a peer counts as proof that the store is up when it
 // came this long after the leader's first failed write was sent. Longer than a
 // call takes whose answer was lost just before the store went down.
@@ -218,15 +220,6 @@
          election_.last_write_failure_at() > peer_store_answered_at_;
 }
 
-// Called when another VM took leadership over from this one, or should do so.
-// The new version of the entry shows that this process grants no leases any
-// more under its old number. Until the entry is written, the process takes no
-// part in the election.
-void FailoverManager::StepDown() {
-  if (step_down_pending_) return;
-  election_.SetIncarnation(0);
-  ++entry_.leadership_losses;
-  WriteEntry();
 // Keeps the first answer and not the last one: a write takes a second to fail,
 // and peers get answers more often than that.
 void FailoverManager::OnStoreAnsweredPeer(TimePoint answered) {
@@ -240,6 +233,15 @@
   }
 }
 
+// Called when another VM took leadership over from this one, or should do so.
+// The new version of the entry shows that this process grants no leases any
+// more under its old number. Until the entry is written, the process takes no
+// part in the election.
+void FailoverManager::StepDown() {
+  if (step_down_pending_) return;
+  election_.SetIncarnation(0);
+  ++entry_.leadership_losses;
+  WriteEntry();
 }
 
 void FailoverManager::WriteEntry() {
@@ -527,6 +529,11 @@
   }
   for (const LeaseGrant& lease : reply.leases) ApplyLease(lease, sent, now);
   for (const PrimaryAbsence& absence : reply.absences) {
+    // Asks again when the primary is due, if that is sooner than the next
+    // request.
+    next_lease_request_ = std::min(
+        next_lease_request_,
+        now + std::max<Duration>(absence.ready_in, kMinLeaseRequestInterval));
     deps_.router.ExpectPrimary(absence.service, now + absence.ready_in, now);
   }
 }
@@ -546,8 +553,9 @@
 
 void FailoverManager::Tick(TimePoint now) {
   if (!watcher_.listed() || (active_ && WatchesStore(now))) watcher_.Tick(now);
-  if (now < next_tick_) return;
+  if (now < NextTick()) return;
   next_tick_ = now + (active_ ? kTickInterval : kLeaseRequestInterval);
+  replacements_.clear();
   RegisterAgain(now);
   if (!active_) return;
   election_.Renew(now);
@@ -561,7 +569,10 @@
     if (election_.era() != 0) AnnounceEra();
   }
   if (!leads || records_read_at_ >= leader_since_) {
-    for (const auto& [name, supervisor] : supervisors_) supervisor->Tick(now);
+    for (const auto& [name, supervisor] : supervisors_) {
+      supervisor->Tick(now);
+      if (supervisor->IsReplacing()) replacements_.push_back(supervisor.get());
+    }
   }
   GrantOwnLeases(now);
   const bool isolated = IsStoreLostOnlyHere(now);
@@ -578,6 +589,12 @@
   ReadRecordsFromStore(now);
 }
 
-TimePoint FailoverManager::NextTick() const { return next_tick_; }
+TimePoint FailoverManager::NextTick() const {
+  TimePoint next = next_tick_;
+  for (const PrimarySupervisor* supervisor : replacements_) {
+    next = std::min(next, supervisor->NextTick());
+  }
+  return next;
+}
 
 }  // namespace carawayhaven
--- a/src/core/failover/failover_manager.h
+++ b/src/core/failover/failover_manager.h
@@ -140,6 +140,9 @@
   CorrelationId next_correlation_ = 1;
   std::map<CorrelationId, TimePoint> requests_;
   TimePoint next_lease_request_;
+  /// Supervisors that replace a primary. Each of their steps is taken when it
+  /// is due and not at the next tick, since callers wait for it.
+  std::vector<const PrimarySupervisor*> replacements_;
   TimePoint next_tick_;
   /// When a leader was last alive, as far as this VM knows.
   TimePoint leader_seen_at_;
--- a/src/core/failover/primary_keeper.cc
+++ b/src/core/failover/primary_keeper.cc
@@ -40,6 +40,7 @@
 // order.
 constexpr Duration kExpectedOrderTime = milliseconds(200);
 constexpr Duration kRetryInterval = milliseconds(150);
+constexpr Duration kMaxRetryDelay = milliseconds(1200);
 // An endpoint that refused an order is not chosen again for this long.
 constexpr Duration kRefusalExclusionTime = std::chrono::seconds(3);
 // A promotion that has not taken effect within this time is ordered again.
@@ -58,6 +59,12 @@
   return kNames[state];
 }
 
+// Records that differ only in their number have the same effect.
+bool HaveSameContent(const PrimaryRecord& a, const PrimaryRecord& b) {
+  return a.primary == b.primary && a.term == b.term && a.phase == b.phase &&
+         a.era == b.era;
+}
+
 }  // namespace
 
 PrimarySupervisor::PrimarySupervisor(const PrimarySupervisorContext& context,
@@ -76,6 +83,9 @@
   recorded_ = true;
   record_readable_ = true;
   record_writes_ = std::max(record_writes_, record.writes);
+  if (pending_record_ && HaveSameContent(*pending_record_, record)) {
+    OnRecordWritten();
+  }
 }
 
 void PrimarySupervisor::OnUnreadableRecord(ObjectVersion version,
@@ -130,9 +140,12 @@
                               TimePoint now) {
   state_ = state;
   state_entered_at_ = now;
+  ++state_entries_;
   // Invalidates the calls in flight: they belong to the state that ends.
   ++attempt_;
   call_in_flight_ = false;
+  pending_record_.reset();
+  retry_delay_ = kRetryInterval;
   record_written_ = false;
   next_query_ = now;
   next_tick_ = now;
@@ -159,6 +172,11 @@
   return lease;
 }
 
+bool PrimarySupervisor::IsReplacing() const {
+  return state_ == State::kStopped || state_ == State::kChoosing ||
+         state_ == State::kPromoting || state_ == State::kConfirming;
+}
+
 std::optional<Duration> PrimarySupervisor::TimeUntilReady(TimePoint now) const {
   switch (state_) {
     case State::kPassive:
@@ -167,9 +185,7 @@
       return std::nullopt;
     case State::kStopped: {
       const TimePoint withdrawn = record_written_ ? record_written_at_ : now;
-      const TimePoint expired = std::max(grants_stopped_at_, withdrawn) +
-                                LeaderElection::kPrimaryLeaseDuration +
-                                LeaderElection::kClockDriftMargin;
+      const TimePoint expired = LeaseEndAfter(withdrawn);
       return std::max(expired - now, Duration{0}) + kExpectedOrderTime +
              last_promotion_time_;
     }
@@ -407,11 +423,24 @@
   if (const EndpointState* endpoint = Find(primary_)) {
     alive = std::max(alive, endpoint->last_answer);
   }
+  return std::max(alive, LastReportedAliveAt());
+}
+
+// The time that a report was in transit is not known and makes the answer that
+// it reports look newer. So the second newest answer counts: one late report
+// does not show that the primary answers.
+TimePoint PrimarySupervisor::LastReportedAliveAt() const {
+  TimePoint newest{};
+  TimePoint second{};
+  std::size_t count = 0;
   for (const auto& [vm, report] : reports_) {
     if (report.report.endpoint != primary_) continue;
-    alive = std::max(alive, report.received - report.report.answer_age);
+    ++count;
+    const TimePoint answered = report.received - report.report.answer_age;
+    second = std::max(second, std::min(newest, answered));
+    newest = std::max(newest, answered);
   }
-  return alive;
+  return count > 1 ? second : newest;
 }
 
 bool PrimarySupervisor::MostVmsReportFailure(TimePoint now) const {
@@ -423,16 +452,6 @@
       continue;
     }
     ++count;
-  return std::max(alive, LastReportedAliveAt());
-}
-
-// The time that a report was in transit is not known and makes the answer that
-// it reports look newer. So the second newest answer counts: one late report
-// does not show that the primary answers.
-TimePoint PrimarySupervisor::LastReportedAliveAt() const {
-  TimePoint newest{};
-  TimePoint second{};
-  std::size_t count = 0;
     if (report.report.failing) ++failing;
   }
   return count >= 2 && 2 * failing > count;
@@ -473,7 +492,7 @@
   if (probe.status() && probe.status()->is_primary) {
     term_ = std::max(term_, probe.status()->term);
   }
-  if (!record_written_ && !call_in_flight_ && now >= retry_at_) {
+  if (!record_written_ && now >= retry_at_) {
     WriteRecord({primary_, term_, PrimaryPhase::kServing, 0, era_}, now);
   }
   const TimePoint alive = std::max(LastAliveAt(), state_entered_at_);
@@ -497,6 +516,12 @@
   }
 }
 
+TimePoint PrimarySupervisor::LeaseEndAfter(TimePoint withdrawn) const {
+  return std::max(grants_stopped_at_, withdrawn) +
+         LeaderElection::kPrimaryLeaseDuration +
+         LeaderElection::kClockDriftMargin;
+}
+
 void PrimarySupervisor::AwaitLeaseExpiry(TimePoint now) {
   const EndpointState* endpoint = Find(primary_);
   if (endpoint != nullptr && now >= next_query_) {
@@ -514,15 +539,14 @@
   // VMs that reach no peer take their lease from the record, so the record must
   // be withdrawn as well.
   if (!record_written_) {
-    if (!call_in_flight_ && now >= retry_at_) {
+    if (now >= retry_at_) {
       WriteRecord({primary_, term_, PrimaryPhase::kStopping, 0, era_}, now);
     }
     return;
   }
-  const bool expired = now >= std::max(grants_stopped_at_, record_written_at_) +
-                                  LeaderElection::kPrimaryLeaseDuration +
-                                  LeaderElection::kClockDriftMargin;
-  if (!expired || !context_.election.MayPromote(now)) return;
+  const TimePoint lease_end = LeaseEndAfter(record_written_at_);
+  if (now < lease_end) next_tick_ = std::min(next_tick_, lease_end);
+  if (now < lease_end || !context_.election.MayPromote(now)) return;
   if (!IsLeaving() && !vms_fail && !replica && now - alive < kDeadAfter) return;
   handover_position_.reset();
   chosen_.clear();
@@ -597,9 +621,13 @@
     return;
   }
   record.writes = ++record_writes_;
+  pending_record_ = record;
   call_in_flight_ = true;
   const std::uint64_t attempt = ++attempt_;
-  retry_at_ = now + kRetryInterval;
+  // A lost answer is not waited for: the next write is conditional on the same
+  // version, so that only one of the two takes effect.
+  retry_at_ = now + retry_delay_;
+  retry_delay_ = std::min(2 * retry_delay_, kMaxRetryDelay);
   context_.store.Put(
       std::string(kPrimaryPrefix) + service_, FormatRecord(record),
       record_version_,
@@ -617,16 +645,28 @@
                    EraOf(supervisor.record_version_) < reply.era) {
           supervisor.OnRecordRemoved();
         }
-        if (attempt != supervisor.attempt_) return;
+        if (attempt != supervisor.attempt_ || !supervisor.pending_record_) {
+          return;
+        }
+        supervisor.pending_record_.reset();
         supervisor.call_in_flight_ = false;
+        supervisor.retry_delay_ = kRetryInterval;
         supervisor.next_tick_ = {};
-        if (!written) return;
-        supervisor.retry_at_ = {};
-        supervisor.record_written_ = true;
-        supervisor.record_written_at_ = supervisor.context_.clock();
+        if (written) supervisor.OnRecordWritten();
       });
 }
 
+// The time at which the write was done is not known if its answer was lost;
+// that its effect was seen now is the latest possible time.
+void PrimarySupervisor::OnRecordWritten() {
+  pending_record_.reset();
+  call_in_flight_ = false;
+  next_tick_ = {};
+  retry_at_ = {};
+  record_written_ = true;
+  record_written_at_ = context_.clock();
+}
+
 void PrimarySupervisor::OnConflict(const StoredObject& object) {
   try {
     OnRecord(ParsePrimaryRecord(object.value), object.version);
@@ -640,20 +680,22 @@
 // the fencing token then shows that this VM is still the leader right before
 // the order is sent.
 void PrimarySupervisor::Promote(TimePoint now) {
-  if (call_in_flight_ || now < retry_at_) return;
-  if (!context_.election.MayPromote(now)) return;
+  if (now < retry_at_ || !context_.election.MayPromote(now)) return;
   if (!record_written_) {
     WriteRecord({chosen_, term_, PrimaryPhase::kPromoting, 0, era_}, now);
     return;
   }
   call_in_flight_ = true;
-  retry_at_ = now + kRetryInterval;
-  const std::uint64_t attempt = ++attempt_;
-  context_.election.WriteFencingToken([alive = std::weak_ptr(alive_), attempt,
+  retry_at_ = now + retry_delay_;
+  retry_delay_ = std::min(2 * retry_delay_, kMaxRetryDelay);
+  // The token of any write of this state serves: a slow answer to the first is
+  // not discarded because a second was sent.
+  context_.election.WriteFencingToken([alive = std::weak_ptr(alive_),
+                                       entry = state_entries_,
                                        requested_at = now](
                                           std::optional<ObjectVersion> token) {
     const auto self = alive.lock();
-    if (self == nullptr || attempt != (*self)->attempt_) return;
+    if (self == nullptr || entry != (*self)->state_entries_) return;
     PrimarySupervisor& supervisor = **self;
     const TimePoint sent = supervisor.context_.clock();
     // A leader whose process was paused meanwhile may have a successor.
--- a/src/core/failover/primary_keeper.h
+++ b/src/core/failover/primary_keeper.h
@@ -67,6 +67,9 @@
   void Tick(TimePoint now);
   TimePoint NextTick() const { return next_tick_; }
 
+  /// True from when the primary is not used any more until its successor is.
+  bool IsReplacing() const;
+
   /// The lease for the primary that may be granted now, or nothing.
   std::optional<LeaseGrant> GrantableLease(TimePoint now) const;
 
@@ -123,11 +126,15 @@
   void Serve(const EndpointProbe& probe, std::string_view why, TimePoint now);
   void StopWithoutPrimary(TimePoint now);
   void MonitorPrimary(TimePoint now);
+  /// When the last lease ends, if the record was withdrawn at this time.
+  TimePoint LeaseEndAfter(TimePoint withdrawn) const;
   void AwaitLeaseExpiry(TimePoint now);
   void ChooseReplica(TimePoint now);
   /// Writes the record, unless it is a serving record that the store holds
   /// already. Sets record_written_ once the store holds it.
   void WriteRecord(PrimaryRecord record, TimePoint now);
+  /// The store holds the record that the present state asked for.
+  void OnRecordWritten();
   /// A write was refused because the store holds `object`.
   void OnConflict(const StoredObject& object);
   void Promote(TimePoint now);
@@ -135,6 +142,7 @@
   void ConfirmPromotion(TimePoint now);
   void QueryAll(TimePoint now);
   TimePoint LastAliveAt() const;
+  TimePoint LastReportedAliveAt() const;
   bool MostVmsReportFailure(TimePoint now) const;
   bool IsLeaving() const;
   /// True when the endpoint's last status is recent and reports another role
@@ -142,7 +150,6 @@
   bool ReportsReplicaRole(const EndpointName& endpoint, TimePoint now) const;
   const EndpointState* Find(const EndpointName& name) const;
 
-  TimePoint LastReportedAliveAt() const;
   PrimarySupervisorContext context_;
   ServiceName service_;
   State state_ = State::kPassive;
@@ -171,10 +178,15 @@
   EndpointName chosen_;
   std::map<EndpointName, TimePoint> excluded_until_;
   bool call_in_flight_ = false;
+  /// The write in flight, whose answer may be lost.
+  std::optional<PrimaryRecord> pending_record_;
   bool record_written_ = false;
   TimePoint record_written_at_;
   std::uint64_t attempt_ = 0;
+  std::uint64_t state_entries_ = 0;
   TimePoint retry_at_;
+  /// Time from the next write of the record until it is repeated.
+  Duration retry_delay_{0};
   std::uint32_t sync_replicas_ = 0;
   /// Time from the order of the last promotion until it took effect.
   Duration last_promotion_time_ = kAssumedPromotionTime;
--- a/test/failover/failover_test.cc
+++ b/test/failover/failover_test.cc
@@ -65,12 +65,53 @@
 // (0.6 s), the expiry of the last lease (1.05 s), the promotion (0.3 s here), a
 // lease request interval (0.25 s), and four ticks of 50 ms for writing two
 // records, writing the fencing token and comparing the replicas.
+constexpr Duration kPlainCrashBound = milliseconds(2650);
+
 TEST_F(FailoverWithFiveVms, PrimaryCrashesNoTimeIsLostOnItsAnswers) {
   simulation_.CrashEndpoint(0, seconds(20));
-  EXPECT_LT(TimeToNextAcknowledgement(seconds(10)), milliseconds(2650));
+  EXPECT_LT(TimeToNextAcknowledgement(seconds(10)), kPlainCrashBound);
   ExpectNoViolations();
 }
 
+// Guards against a step of the failover that waits until a lost answer of the
+// store times out, and against a late report that makes a dead primary look
+// alive. The bound of a plain crash holds for 99 of 100 seeds, although in the
+// simulation 5% of the answers are lost and 2% of the messages are late.
+TEST(FailoverOverSeeds, PrimaryCrashesLostAnswersAreNotWaitedFor) {
+  constexpr std::uint64_t kSeeds = 400;
+  std::vector<std::uint64_t> slow;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    FailoverSimulation simulation(5, seed);
+    simulation.RunFor(seconds(3));
+    simulation.CrashEndpoint(0, seconds(20));
+    const std::size_t before = simulation.acknowledged();
+    simulation.RunFor(kPlainCrashBound);
+    if (simulation.acknowledged() == before) slow.push_back(seed);
+    EXPECT_EQ(simulation.violations(), std::vector<std::string>())
+        << "seed " << seed;
+  }
+  EXPECT_LE(slow.size(), kSeeds / 100) << ::testing::PrintToString(slow);
+}
+
+// Guards against a leader that keeps leadership until its lease ends although
+// the store refuses it alone: the answers that its peers get keep coming, so
+// the newest of them is always newer than its last failed write.
+TEST(FailoverOverSeeds, StoreIsCutFromTheLeaderAnotherTakesOver) {
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    FailoverSimulation simulation(5, seed);
+    simulation.RunFor(seconds(3));
+    const std::vector<std::size_t> before = simulation.Leaders();
+    ASSERT_EQ(before.size(), 1U) << "seed " << seed;
+    simulation.CutVmFromStore(before.front(), seconds(30));
+    simulation.RunFor(seconds(8));
+    const std::vector<std::size_t> after = simulation.Leaders();
+    ASSERT_EQ(after.size(), 1U) << "seed " << seed;
+    EXPECT_NE(after, before) << "seed " << seed;
+    EXPECT_EQ(simulation.violations(), std::vector<std::string>())
+        << "seed " << seed;
+  }
+}
+
 // The restart of the crashed leader's process after 2 s shows that the process
 // grants no leases any more. After that, the bound allows for the expiry of the
 // last lease (1.05 s), the promotion (0.3 s), a lease request interval (0.25 s)
@@ -130,6 +171,19 @@
   ExpectNoViolations();
 }
 
+// Guards against a leader that loses leadership because one VM alone gets no
+// reply from it: the other VMs tell that VM that they see the leader.
+TEST_F(FailoverWithFiveVms, LinkToTheLeaderIsCutTheLeaderStays) {
+  const std::vector<std::size_t> before = simulation_.Leaders();
+  for (std::size_t vm = 0; vm < 5; ++vm) {
+    if (vm == before.at(0)) continue;
+    simulation_.CutLink(vm, before.at(0), seconds(3));
+    simulation_.RunFor(seconds(4));
+    EXPECT_EQ(simulation_.Leaders(), before) << "vm " << vm;
+  }
+  ExpectNoViolations();
+}
+
 TEST_F(FailoverWithFiveVms, VmIsCutFromPeersItTakesItsLeaseFromTheStore) {
   const std::size_t cut = (simulation_.Leaders().at(0) + 1) % 5;
   for (std::size_t vm = 0; vm < 5; ++vm) {
@@ -171,19 +225,6 @@
 TEST_F(FailoverWithFiveVms,
        StoreIsRestoredWritesGoOnAndRecordsAreWrittenAgain) {
   simulation_.RunFor(seconds(10));
-// Guards against a leader that loses leadership because one VM alone gets no
-// reply from it: the other VMs tell that VM that they see the leader.
-TEST_F(FailoverWithFiveVms, LinkToTheLeaderIsCutTheLeaderStays) {
-  const std::vector<std::size_t> before = simulation_.Leaders();
-  for (std::size_t vm = 0; vm < 5; ++vm) {
-    if (vm == before.at(0)) continue;
-    simulation_.CutLink(vm, before.at(0), seconds(3));
-    simulation_.RunFor(seconds(4));
-    EXPECT_EQ(simulation_.Leaders(), before) << "vm " << vm;
-  }
-  ExpectNoViolations();
-}
-
   for (int restore = 0; restore < 2; ++restore) {
     simulation_.RestoreStore(seconds(2 + 6 * restore), milliseconds(1000));
     for (int i = 0; i < 20; ++i) {
--- a/test/failover/fake_failover_simulation.cc
+++ b/test/failover/fake_failover_simulation.cc
@@ -545,8 +545,7 @@
   // Some messages are delivered late, which must not extend a lease.
   const bool late = parent_.Chance() < 0.02;
   const Duration delay =
-      parent_.Delay() +
-      (parent_.Chance() < 0.02 ? Duration(milliseconds(900)) : Duration{0});
+      parent_.Delay() + (late ? Duration(milliseconds(900)) : Duration{0});
   const VmName from = parent_.vms_[vm_]->name;
   parent_.simulation_.After(delay, [parent = &parent_, from, target, vm = vm_,
                                     message] {
@@ -755,13 +754,13 @@
 }
 void FailoverSimulation::CutVmFromPeers(std::size_t vm, Duration duration) {
   vms_[vm]->peers_cut_until = simulation_.now() + duration;
+}
 void FailoverSimulation::CutLink(std::size_t a, std::size_t b,
                                  Duration duration) {
   const std::pair<std::size_t, std::size_t> link = std::minmax(a, b);
   cut_links_.insert(link);
   simulation_.After(duration, [this, link] { cut_links_.erase(link); });
 }
-}
 void FailoverSimulation::StopStore(Duration duration) {
   store_down_until_ = simulation_.now() + duration;
 }
