Routes: a data centre gets new versions from the store first

In a storm of versions with 1,300 routes the leader sent each version to each VM of the other data centres that showed an older one, and VMs asked any peer for it, whatever its region, while the watcher of their own data centre was about to deliver it: 6 of the 12 VMs that run sessions took one from the leader in another region.

A VM helps another data centre only when that has shown the same old version for 600 ms. A VM that advances in a storm is not behind in this sense.

--- a/src/core/config/config_exchange_limiter.cc
+++ b/src/core/config/config_exchange_limiter.cc
@@ -14,6 +14,13 @@
   sent_[vm] = {version, now};
 }
 
+bool ConfigExchangeLimiter::IsStuck(const VmName& vm, std::uint64_t shown,
+                                    TimePoint now) {
+  const auto [found, is_new] = shown_.try_emplace(vm, Exchange{shown, now});
+  if (found->second.version != shown) found->second = {shown, now};
+  return now - found->second.at >= kLocalDeliveryTime;
+}
+
 bool ConfigExchangeLimiter::MayRequest(std::uint64_t version,
                                        TimePoint now) const {
   return requested_.version < version || now - requested_.at >= kRequestDelay;
--- a/src/core/config/config_exchange_limiter.h
+++ b/src/core/config/config_exchange_limiter.h
@@ -19,13 +19,25 @@
   static constexpr Duration kResendDelay = std::chrono::milliseconds(1500);
   /// A version that has not arrived after this time is requested again.
   static constexpr Duration kRequestDelay = std::chrono::milliseconds(1000);
+  /// Each data centre has a VM that reads new versions from the store and sends
+  /// them to the others. Another data centre helps out after this time, which
+  /// allows for a large version on a slow link.
+  static constexpr Duration kLocalDeliveryTime = std::chrono::milliseconds(600);
 
   /// True if the version, or a later one, was not sent to the peer within
   /// kResendDelay before `now`.
   bool MaySend(const VmName& vm, std::uint64_t version, TimePoint now) const;
   void OnSent(const VmName& vm, std::uint64_t version, TimePoint now);
   /// The connection to the peer ended; what was sent may be lost.
-  void OnPeerLost(const VmName& vm) { sent_.erase(vm); }
+  void OnPeerLost(const VmName& vm) {
+    sent_.erase(vm);
+    shown_.erase(vm);
+  }
+
+  /// To be called whenever a VM shows a version that is older than the known
+  /// one. True if it has shown the same one for kLocalDeliveryTime, so that it
+  /// seems to get no later one within its data centre.
+  bool IsStuck(const VmName& vm, std::uint64_t shown, TimePoint now);
 
   /// True if the version, or a later one, was not requested from any peer
   /// within kRequestDelay before `now`.
@@ -39,6 +51,8 @@
   };
 
   std::map<VmName, Exchange> sent_;
+  /// The older version that a VM showed last, and since when.
+  std::map<VmName, Exchange> shown_;
   Exchange requested_;
 };
 
--- a/src/proxy/session_proxy.cc
+++ b/src/proxy/session_proxy.cc
@@ -126,7 +126,7 @@
   if (const auto* request = std::get_if<LeaseRequestMessage>(&message)) {
     cluster_->failover.OnLeaseRequest(vm, *request, now);
     if (request->config_version < routes_.version) {
-      SendRoutes(vm);
+      OfferRoutes(vm, request->config_version);
     } else if (request->config_version > routes_.version) {
       RequestRoutes(vm, request->config_version);
     }
--- a/src/proxy/session_proxy.h
+++ b/src/proxy/session_proxy.h
@@ -101,6 +101,8 @@
 
   void SendRoutes(const VmName& vm);
   /// `version` is the version that the peer has.
+  bool IsInOwnDataCentre(const VmName& vm) const;
+  void OfferRoutes(const VmName& vm, std::uint64_t shown);
   void RequestRoutes(const VmName& vm, std::uint64_t version);
   void RegisterVm();
   void OnRegistered(ObjectVersion version);
--- a/src/proxy/session_proxy_routes.cc
+++ b/src/proxy/session_proxy_routes.cc
@@ -58,8 +58,25 @@
   }
 }
 
+bool SessionProxy::IsInOwnDataCentre(const VmName& vm) const {
+  const MemberTable::Member* member = cluster_->membership.table().Find(vm);
+  return member != nullptr &&
+         member->record.data_centre == settings_.data_centre;
+}
+
+// `vm` shows an older version than the one in force here.
+void SessionProxy::OfferRoutes(const VmName& vm, std::uint64_t shown) {
+  if (exchange_limiter_.IsStuck(vm, shown, EventLoop::Now()) ||
+      IsInOwnDataCentre(vm)) {
+    SendRoutes(vm);
+  }
+}
+
 void SessionProxy::RequestRoutes(const VmName& vm, std::uint64_t version) {
   const TimePoint now = EventLoop::Now();
+  const bool stuck =
+      exchange_limiter_.IsStuck(settings_.vm, routes_.version, now);
+  if (!stuck && !IsInOwnDataCentre(vm)) return;
   if (!exchange_limiter_.MayRequest(version, now)) return;
   if (cluster_->peers.Send(
           vm, ConfigRequestMessage{{{kRoutesTeam, routes_.version}}})) {
--- a/test/config/config_exchange_limiter_test.cc
+++ b/test/config/config_exchange_limiter_test.cc
@@ -55,5 +55,23 @@
   EXPECT_TRUE(limiter_.MayRequest(7, now_ + milliseconds(1000)));
 }
 
+// Guards against a copy of each version of a storm from the leader to each VM
+// of the other data centres, which get these versions from the store.
+TEST_F(ConfigExchangeLimiterOfAVm, VmThatAdvancesInAStormIsNotStuck) {
+  for (std::uint64_t version = 1; version <= 25; ++version) {
+    EXPECT_FALSE(limiter_.IsStuck("vm-2", version, now_)) << version;
+    now_ += milliseconds(250);
+  }
+}
+
+// Guards against a VM that stays at an old version because its data centre gets
+// none from the store.
+TEST_F(ConfigExchangeLimiterOfAVm, VmThatStaysBehindIsStuck) {
+  EXPECT_FALSE(limiter_.IsStuck("vm-2", 7, now_));
+  EXPECT_FALSE(limiter_.IsStuck("vm-2", 7, now_ + milliseconds(599)));
+  EXPECT_TRUE(limiter_.IsStuck("vm-2", 7, now_ + milliseconds(600)));
+  EXPECT_FALSE(limiter_.IsStuck("vm-3", 7, now_ + milliseconds(600)));
+}
+
 }  // namespace
 }  // namespace carawayhaven
