Session placement: a VM watches the store only once it is selected

A VM that runs sessions is ready one call of the store (4 ms) later; the others are ready earlier. A start costs a VM that is not selected its entry and one list: 2 calls, as before with the number of VMs; no watches.

--- a/src/core/failover/failover_manager.h
+++ b/src/core/failover/failover_manager.h
@@ -59,7 +59,10 @@
 
   /// Sets whether this VM runs sessions. Only VMs that do request leases and
   /// take part in the leader election.
-  void SetActive(bool active) { active_ = active; }
+  void SetActive(bool active) {
+    if (active && !active_) next_tick_ = {};
+    active_ = active;
+  }
   /// Sets the candidates for leadership, in the order in which they try to take
   /// over; a VM that is not among them tries last. Without candidates, the
   /// membership's owner candidates are used.
--- a/src/proxy/session_proxy.cc
+++ b/src/proxy/session_proxy.cc
@@ -108,6 +108,7 @@
   entry_version_ = version;
   Log(LogLevel::kInfo, "vm_registered", {{"version", version}});
   cluster_ = std::make_unique<Cluster>(*this, version);
+  cluster_->failover.SetActive(active_);
   cluster_->digest.value.count = routes_.version;
   if (routes_.version > 0) cluster_->failover.SetRoutes(routes_);
 }
@@ -170,6 +171,7 @@
 void SessionProxy::OnRound() {
   const TimePoint now = EventLoop::Now();
   if (next_wakeup_ <= now) next_wakeup_ = TimePoint::max();
+  if (cluster_ != nullptr && !placed_) UpdatePlacement(now);
   TimePoint next = next_sweep_;
   const bool watches_store = active_ && drain_started_ == TimePoint::max();
   if (watches_store) {
--- a/src/proxy/session_proxy.h
+++ b/src/proxy/session_proxy.h
@@ -150,7 +150,11 @@
   ObjectVersion entry_version_ = 0;
   TimePoint next_sweep_;
   /// This VM watches the store and may run sessions.
-  bool active_ = true;
+  /// False until the list of VMs is known: each VM that watches the store at
+  /// the start gets every entry that the others write.
+  bool active_ = false;
+  /// True once the placement was computed from a list of VMs.
+  bool placed_ = false;
   TimePoint active_since_;
   SessionActivity activity_;
   TimePoint drain_started_ = TimePoint::max();
--- a/src/proxy/session_proxy_placement.cc
+++ b/src/proxy/session_proxy_placement.cc
@@ -118,6 +118,7 @@
 void SessionProxy::UpdatePlacement(TimePoint now) {
   FailoverManager& failover = cluster_->failover;
   if (!failover.listed()) return;
+  placed_ = true;
   const std::size_t vms = cluster_->placement.TotalSessionVmCount();
   if (connection_share_.SetVmCount(vms, now)) UpdateConnectionLimits(now);
   failover.SetCandidates(cluster_->placement.AllSessionVms());
--- a/test/membership/session_placement_test.cc
+++ b/test/membership/session_placement_test.cc
@@ -48,6 +48,25 @@
   EXPECT_EQ(session_vms, 2U);
 }
 
+// Guards against a cold start of a large fleet in which most VMs run sessions,
+// and so watch the store, until they have seen the entries of the others. Each
+// VM lists the entries when it has written its own; of the VMs that list after
+// k others, 2 of k+1 are selected, which is 8 of 32 on average.
+TEST_F(SessionPlacementOfVms, LargeFleetStartsFewVmsRunSessions) {
+  constexpr int kDataCentres = 6;
+  constexpr int kVms = 32;
+  int selected = 0;
+  for (int dc = 0; dc < kDataCentres; ++dc) {
+    const std::string name = "dc-" + std::to_string(dc);
+    for (int self = 0; self < kVms; ++self) {
+      MemberTable table(Record(name, self));
+      Fill(table, name, 0, self);
+      if (SessionPlacement(table).IsSessionVm()) ++selected;
+    }
+  }
+  EXPECT_LE(selected, kDataCentres * kVms / 3);
+}
+
 TEST_F(SessionPlacementOfVms, RelayTargetsOfTheOwnDataCentreComeFirst) {
   MemberTable table(Record("mendoza", 0));
   Fill(table, "mendoza", 1, 13);
