Leader election: a refused candidate leaves time to the new leader

After the leader was lost while the store was down, several VMs took leadership over from each other within half a second. A candidate whose write was refused learned the new leader's record from the refusal, but its view of when it last saw a leader stayed old, so it tried again 300 ms later against the new version.

The record learned from a refusal now counts like one from the watch.

--- a/src/core/failover/failover_manager.cc
+++ b/src/core/failover/failover_manager.cc
@@ -318,6 +318,18 @@
   deps_.observer.OnLeaderChanged(leader, election_.IsLeader(now));
 }
 
+// The refusal of this VM's own write may show a record that the object watcher
+// has not delivered yet. Gives a new leader time to reach all VMs.
+void FailoverManager::NoteRecordedLeader(TimePoint now) {
+  const LeaderRecord& record = election_.record();
+  if (record.leader.empty() || record.resigned ||
+      election_.record_learned_at() <= leader_seen_at_) {
+    return;
+  }
+  leader_seen_at_ = election_.record_learned_at();
+  SetLeader(record.leader, now);
+}
+
 // Candidates try in the order of their rank: each waits until those before it
 // had time to take over.
 void FailoverManager::TakeOverIfDue(TimePoint now) {
@@ -326,7 +338,10 @@
     return;
   }
   const bool current = election_.IsRecordCurrent();
-  if (current) reclaims_leadership_ = false;
+  if (current) {
+    reclaims_leadership_ = false;
+    NoteRecordedLeader(now);
+  }
   if (reclaims_leadership_) {
     next_take_over_ = now + kTakeOverRetry;
     election_.TryAcquireLeadership();
--- a/src/core/failover/failover_manager.h
+++ b/src/core/failover/failover_manager.h
@@ -94,6 +94,7 @@
   TimePoint store_answered_at() const { return store_answered_at_; }
 
  private:
+  void NoteRecordedLeader(TimePoint now);
   void TakeOverIfDue(TimePoint now);
   void DetectStoppedPredecessors(TimePoint now);
   void RequestLeases(TimePoint now);
--- a/test/failover/failover_test.cc
+++ b/test/failover/failover_test.cc
@@ -93,6 +93,27 @@
   EXPECT_LE(slow.size(), kSeeds / 100) << ::testing::PrintToString(slow);
 }
 
+// Guards against candidates that take leadership over from each other when the
+// store answers again. The refusal of its own write tells a candidate of the
+// new leader, which has had no time yet to reach it.
+TEST(FailoverOverSeeds, LeaderIsLostWhileTheStoreIsDownOneSuccessorTakesOver) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    FailoverSimulation simulation(24, seed);
+    simulation.RunFor(seconds(3));
+    ASSERT_EQ(simulation.Leaders().size(), 1U) << "seed " << seed;
+    simulation.CrashVm(simulation.Leaders().front(), seconds(60));
+    simulation.StopStore(seconds(5));
+    std::set<std::size_t> successors;
+    for (int i = 0; i < 200; ++i) {
+      simulation.RunFor(milliseconds(50));
+      for (const std::size_t vm : simulation.Leaders()) successors.insert(vm);
+    }
+    EXPECT_EQ(successors.size(), 1U) << "seed " << seed;
+    EXPECT_EQ(simulation.violations(), std::vector<std::string>())
+        << "seed " << seed;
+  }
+}
+
 // Guards against a leader that keeps leadership until its lease ends although
 // the store refuses it alone: the answers that its peers get keep coming, so
 // the newest of them is always newer than its last failed write.
