Endpoint watcher: take changes in quick succession together

A watch that returned changes is now followed by the next one 200 ms after it was sent at the earliest. The first change after a pause is not delayed.

--- a/src/core/config/object_watcher.cc
+++ b/src/core/config/object_watcher.cc
@@ -1,5 +1,6 @@
 #include "core/config/object_watcher.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 #include <vector>
@@ -83,7 +84,7 @@
       synced_revision_ != 0 && EraOf(reply.revision) > EraOf(synced_revision_);
   revision_ = synced_revision_ = reply.revision;
   synced_at_ = sent;
-  next_ = now;
+  next_ = reply.complete ? now : std::max(now, sent + min_interval_);
   if (restored) events_.OnStoreRestored(now);
   events_.OnObjectsSynced(sent, now);
 }
--- a/src/core/config/object_watcher.h
+++ b/src/core/config/object_watcher.h
@@ -49,6 +49,11 @@
   void Tick(TimePoint now);
   TimePoint NextTick() const { return next_; }
 
+  /// Sets the shortest time between two watches that return changes, so that
+  /// changes in quick succession arrive together. The first change after a
+  /// pause is not delayed. 0 at first.
+  void SetMinInterval(Duration interval) { min_interval_ = interval; }
+
   /// Makes the next call list all objects instead of waiting for changes.
   void Relist(TimePoint now);
 
@@ -73,6 +78,7 @@
   /// Revision of the latest reply that has been delivered.
   ObjectVersion synced_revision_ = 0;
   std::map<std::string, ObjectVersion> known_;
+  Duration min_interval_{0};
   TimePoint next_;
   TimePoint synced_at_;
   bool listed_ = false;
--- a/src/proxy/session_proxy_watchers.h
+++ b/src/proxy/session_proxy_watchers.h
@@ -59,7 +59,11 @@
 class SessionProxy::EndpointsWatcher : public StoreWatcher {
  public:
   explicit EndpointsWatcher(SessionProxy& proxy)
-      : StoreWatcher(proxy, proxy.deps_.documents.endpoints_prefix()) {}
+      : StoreWatcher(proxy, proxy.deps_.documents.endpoints_prefix()) {
+    // The endpoints of a large deployment change one after the other, at the
+    // start for seconds on end.
+    object_watcher().SetMinInterval(std::chrono::milliseconds(200));
+  }
 
   void OnObject(const StoredObject& object, TimePoint now) override {
     try {
--- a/test/config/object_watcher_test.cc
+++ b/test/config/object_watcher_test.cc
@@ -62,6 +62,73 @@
                          random_, *this};
 };
 
+/// Counts the calls of a client.
+class CountingStore : public PlatformStore {
+ public:
+  explicit CountingStore(PlatformStore& store) : store_(store) {}
+
+  void Get(std::string_view path, StoreCallback callback) override {
+    store_.Get(path, std::move(callback));
+  }
+  void Put(std::string_view path, std::string_view value,
+           ObjectVersion expected, StoreCallback callback) override {
+    store_.Put(path, value, expected, std::move(callback));
+  }
+  void Watch(std::string_view prefix, ObjectVersion after,
+             StoreCallback callback) override {
+    ++watches;
+    store_.Watch(prefix, after, std::move(callback));
+  }
+
+  int watches = 0;
+
+ private:
+  PlatformStore& store_;
+};
+
+class WatcherOfManyChanges : public WatcherOfARestoredStore {
+ protected:
+  WatcherOfManyChanges() { slow_.SetMinInterval(milliseconds(200)); }
+
+  void RunFor(Duration duration) {
+    for (Duration passed{0}; passed < duration; passed += kStep) {
+      simulation_.RunFor(kStep);
+      if (slow_.NextTick() <= simulation_.now()) {
+        slow_.Tick(simulation_.now());
+      }
+    }
+  }
+
+  CountingStore counting_{client_};
+  ObjectWatcher slow_{counting_, "k/", [this] { return simulation_.now(); },
+                      random_, *this};
+};
+
+// Guards against one call for each of the changes with which the endpoints of a
+// large deployment start: 60 entries in 3 s, in each of which every watcher was
+// woken before.
+TEST_P(WatcherOfManyChanges, ChangesInQuickSuccessionArriveTogether) {
+  RunFor(seconds(1));
+  const int before = counting_.watches;
+  for (int i = 0; i < 60; ++i) {
+    store_.Write("k/" + std::to_string(i), "1");
+    RunFor(milliseconds(50));
+  }
+  EXPECT_LE(counting_.watches - before, 3000 / 200 + 2);
+  RunFor(milliseconds(300));
+  EXPECT_EQ(reported_, store_.Contents());
+}
+
+// Guards against a delay of a single change.
+TEST_P(WatcherOfManyChanges, ChangeAfterAPauseIsReportedAtOnce) {
+  RunFor(seconds(1));
+  store_.Write("k/a", "1");
+  RunFor(milliseconds(100));
+  EXPECT_EQ(reported_, store_.Contents());
+}
+
+INSTANTIATE_TEST_SUITE_P(Once, WatcherOfManyChanges, testing::Values(1));
+
 class WatcherOfARestoredStoreOnce : public WatcherOfARestoredStore {};
 
 // Guards against a watch that goes on after the revision of the lost state: the
