--- a/src/core/failover/duty_election.cc
+++ b/src/core/failover/duty_election.cc
@@ -97,8 +97,8 @@
 
 void LeaderElection::OnSuperseded(ObjectVersion version) {
   // While a write is in flight, the newer version may be its result.
-  if (pending_writes_.empty())
-    superseded_by_ = std::max(superseded_by_, version);
+  if (!pending_writes_.empty()) return;
+  superseded_by_ = std::max(superseded_by_, version);
 }
 
 void LeaderElection::OnRecordRemoved(TimePoint now) {
--- a/src/core/failover/duty_election.h
+++ b/src/core/failover/duty_election.h
@@ -129,8 +129,8 @@
   bool IsOwn(const LeaderRecord& record) const;
   std::vector<LeaderIdentity> PredecessorsAfterTakeOver() const;
   void RemoveExpiredPredecessors(TimePoint now);
-  /// The leader object names this process since `now`, and named another one,
-  /// as was learned at `previous_learned`.
+  /// This VM learned at `now` that the leader object names this process, and at
+  /// `previous_learned` of the record before.
   void BeginTerm(TimePoint previous_learned, TimePoint now);
   /// Writes the record under a number that no earlier write of this process
   /// has used.
--- a/src/core/failover/failover_manager.h
+++ b/src/core/failover/failover_manager.h
@@ -155,8 +155,10 @@
   TimePoint records_read_at_;
   /// When this VM last became the leader.
   TimePoint leader_since_;
-  /// When the store last answered this VM, and any of its peers.
+  /// When the store last answered this VM.
   TimePoint store_answered_at_;
+  /// When the store first answered a peer long enough after this leader's
+  /// writes began to fail. Outdated if it is before failing_since().
   TimePoint peer_store_answered_at_;
   TimePoint next_step_down_;
   bool store_read_in_flight_ = false;
--- a/src/core/failover/primary_keeper.cc
+++ b/src/core/failover/primary_keeper.cc
@@ -143,7 +143,6 @@
   ++state_entries_;
   // Invalidates the calls in flight: they belong to the state that ends.
   ++attempt_;
-  call_in_flight_ = false;
   pending_record_.reset();
   retry_delay_ = kRetryInterval;
   record_written_ = false;
@@ -622,7 +621,6 @@
   }
   record.writes = ++record_writes_;
   pending_record_ = record;
-  call_in_flight_ = true;
   const std::uint64_t attempt = ++attempt_;
   // A lost answer is not waited for: the next write is conditional on the same
   // version, so that only one of the two takes effect.
@@ -649,7 +647,6 @@
           return;
         }
         supervisor.pending_record_.reset();
-        supervisor.call_in_flight_ = false;
         supervisor.retry_delay_ = kRetryInterval;
         supervisor.next_tick_ = {};
         if (written) supervisor.OnRecordWritten();
@@ -660,7 +657,6 @@
 // that its effect was seen now is the latest possible time.
 void PrimarySupervisor::OnRecordWritten() {
   pending_record_.reset();
-  call_in_flight_ = false;
   next_tick_ = {};
   retry_at_ = {};
   record_written_ = true;
@@ -685,7 +681,6 @@
     WriteRecord({chosen_, term_, PrimaryPhase::kPromoting, 0, era_}, now);
     return;
   }
-  call_in_flight_ = true;
   retry_at_ = now + retry_delay_;
   retry_delay_ = std::min(2 * retry_delay_, kMaxRetryDelay);
   // The token of any write of this state serves: a slow answer to the first is
@@ -701,7 +696,7 @@
     // A leader whose process was paused meanwhile may have a successor.
     if (!token || sent - requested_at > LeaderElection::kPrimaryLeaseDuration ||
         !supervisor.context_.election.IsLeader(sent)) {
-      supervisor.call_in_flight_ = false;
+      supervisor.retry_delay_ = kRetryInterval;
       return;
     }
     // Does not wait for the answer, which may be lost or late: kConfirming
--- a/src/core/failover/primary_keeper.h
+++ b/src/core/failover/primary_keeper.h
@@ -177,7 +177,6 @@
   std::optional<LogPosition> handover_position_;
   EndpointName chosen_;
   std::map<EndpointName, TimePoint> excluded_until_;
-  bool call_in_flight_ = false;
   /// The write in flight, whose answer may be lost.
   std::optional<PrimaryRecord> pending_record_;
   bool record_written_ = false;
