--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -305,6 +305,9 @@
         self.sequence = 0
         # Whether the READY line after BUSY has "-" in place of a position.
         self.busy_without_position = False
+        # Whether STATUS waits for a slot like a statement, and is answered with
+        # BUSY only when the queue is full.
+        self.status_waits = False
         self.status_counts = {"row": 0, "busy": 0}
         group.backends.append(self)
 
@@ -526,10 +529,14 @@
 
     async def _admin(self, word, text):
         # STATUS takes a slot, or is answered with BUSY.
-        if self.busy >= self.slots:
+        if self.status_waits:
+            has_slot = await self._take_slot()
+        else:
+            has_slot = self.busy < self.slots
+            self.busy += has_slot
+        if not has_slot:
             self.status_counts["busy"] += 1
             return [], "BUSY", "-"
-        self.busy += 1
         await asyncio.sleep(0.001)
         self._free_slot()
         self.status_counts["row"] += 1
