--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""An acknowledged commit is lost by a promotion although SyncReplicas is 1."""
+"""A promotion doesn't wait for the slow replica that has the last commits."""
 
 import asyncio
 import pathlib
@@ -22,29 +22,37 @@
     try:
         await deployment.start()
         deployment.group.on_promoted = on_promoted
+        for backend in deployment.backends:
+            backend.status_waits = True
         load = standins.Load(deployment)
         load.start()
         await asyncio.sleep(5)
-        primary, in_time, deaf = deployment.backends
+        primary, slow, deaf = deployment.backends
         if trouble:
             record.say(f"{deaf.name} receives nothing for 6.5 s")
             deaf.deaf = True
-        await asyncio.sleep(3)
+        await asyncio.sleep(2)
+        if trouble:
+            record.say(f"work takes 5 times as long on {slow.name} for 6.5 s")
+            slow.work_x = 5.0
+        await asyncio.sleep(1)
         for backend in deployment.backends:
             backend.status_counts = {"row": 0, "busy": 0}
         if trouble:
             primary.crash()
             record.say(f"{primary.name}, the primary, crashes for 7 s; "
                        f"commits received: {len(primary.log)}, "
-                       f"{in_time.name} {len(in_time.log)}, "
+                       f"{slow.name} {len(slow.log)}, "
                        f"{deaf.name} {len(deaf.log)}")
         await asyncio.sleep(3.5)
-        record.say(f"STATUS answers of {in_time.name} since: "
-                   f"{in_time.status_counts}")
+        record.say(f"STATUS answers of {slow.name} since: "
+                   f"{slow.status_counts}")
         deaf.deaf = False
         if deployment.group.primary is not deaf:
             deaf.follow(deployment.group.primary)
-        await asyncio.sleep(3.5)
+        await asyncio.sleep(2)
+        slow.work_x = 1.0
+        await asyncio.sleep(1.5)
         if trouble:
             await primary.start()
         await asyncio.sleep(3)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,63 +1,57 @@
-"""A promotion doesn't wait for the slow replica that has the last commits."""
+"""Reads with an age run on replicas that are further behind than that age."""
 
 import asyncio
 import pathlib
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
 import standins  # noqa: E402
 
+MAX_AGE_S = {"bounded_staleness": 1.5, "read_your_writes": 2.5}
+
 
 async def case(record, trouble):
-    deployment = standins.Deployment(record, sync=1)
+    deployment = standins.Deployment(record)
     broken = []
-
-    def on_promoted(old, chosen):
-        for commit in old.log[len(chosen.log):]:
-            if commit.acked_at is not None:
+    reads = {"replica": 0, "primary": 0}
+
+    def on_read(backend, query_id, _in_transaction):
+        reads[backend.role] += 1
+        first_byte_at = load.sent_at[query_id]
+        oldest = first_byte_at - MAX_AGE_S[load.database_of[query_id]]
+        for commit in backend.log_of_primary()[backend.applied:]:
+            if commit.acked_at is not None and commit.acked_at < oldest and \
+                    not commit.rolled_back:
                 broken.append(
-                    f"LOST: commit {commit} of write {commit.ids[0]} was "
-                    f"acknowledged and isn't in the log of {chosen.name}")
+                    f"STALE: read {query_id} ({load.database_of[query_id]}) ran "
+                    f"on {backend.name} without commit {commit}, which was "
+                    f"acknowledged {first_byte_at - commit.acked_at:.2f} s "
+                    f"before the read was sent")
+                return
 
     try:
         await deployment.start()
-        deployment.group.on_promoted = on_promoted
-        for backend in deployment.backends:
-            backend.status_waits = True
+        deployment.group.on_read = on_read
         load = standins.Load(deployment)
+        primary, *replicas = deployment.backends
+        primary.busy_without_position = True
         load.start()
         await asyncio.sleep(5)
-        primary, slow, deaf = deployment.backends
-        if trouble:
-            record.say(f"{deaf.name} receives nothing for 6.5 s")
-            deaf.deaf = True
-        await asyncio.sleep(2)
-        if trouble:
-            record.say(f"work takes 5 times as long on {slow.name} for 6.5 s")
-            slow.work_x = 5.0
-        await asyncio.sleep(1)
-        for backend in deployment.backends:
-            backend.status_counts = {"row": 0, "busy": 0}
-        if trouble:
-            primary.crash()
-            record.say(f"{primary.name}, the primary, crashes for 7 s; "
-                       f"commits received: {len(primary.log)}, "
-                       f"{slow.name} {len(slow.log)}, "
-                       f"{deaf.name} {len(deaf.log)}")
-        await asyncio.sleep(3.5)
-        record.say(f"STATUS answers of {slow.name} since: "
-                   f"{slow.status_counts}")
-        deaf.deaf = False
-        if deployment.group.primary is not deaf:
-            deaf.follow(deployment.group.primary)
-        await asyncio.sleep(2)
-        slow.work_x = 1.0
-        await asyncio.sleep(1.5)
+        record.say(f"reads so far: {reads}; STATUS answers of "
+                   f"{primary.name}: {primary.status_counts}")
         if trouble:
-            await primary.start()
-        await asyncio.sleep(3)
+            record.say("both replicas apply 150 times as late for 7 s")
+            for replica in replicas:
+                replica.lag_x = 150
+        await asyncio.sleep(7)
+        for replica in replicas:
+            replica.lag_x = 1
+        record.say(f"reads so far: {reads}; STATUS answers of "
+                   f"{primary.name}: {primary.status_counts}")
+        await asyncio.sleep(4)
         record.say(f"primary now: {deployment.group.primary.name}; "
-                   f"attempts by result: {load.counts}")
+                   f"attempts by result: {load.counts}; reads: {reads}")
         return broken
     finally:
         await deployment.stop()
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -52,16 +52,23 @@
         self.file.close()
 
 
+# Ports that were given out and may not be bound yet.
+TAKEN_PORTS = set()
+
+
 def free_ports(*offsets):
     """Returns a port such that this port plus each offset is free."""
     for _ in range(200):
         base = random.randrange(20000, 32000)
+        if TAKEN_PORTS & {base + offset for offset in offsets}:
+            continue
         sockets = []
         try:
             for offset in offsets:
                 s = socket.socket()
                 sockets.append(s)
                 s.bind((HOST, base + offset))
+            TAKEN_PORTS.update(base + offset for offset in offsets)
             return base
         except OSError:
             continue
