Endpoint probe: a refusal does not renew an old status

Cause: a STATUS answered with BUSY set the time of the last answer, but left the last status as it was. PrimarySupervisor took the time of the answer for the age of the status, so a replica that refused its status counted as known with the position that it had minutes before, and a replica with a shorter log was promoted.

FailoverWithSyncReplica.HolderRefusesItsStatusForASecond... failed before this change (db-2 is promoted 1.2 s too early, 32 or more acknowledged commits are rolled back) and passes with it.

Fix: a status is stored together with the time at which its query was sent, and can only be read by that time. The same mistake stood in the search for the primary, its confirmation after a restore, the check whether the primary is a replica by now, the supervision of a serving primary, and the confirmation of a promotion; they use the same accessor.

Not fixed here: a replica that stays unknown for longer than 1.5 s is still left out.

--- a/src/core/failover/endpoint_probe.cc
+++ b/src/core/failover/endpoint_probe.cc
@@ -79,7 +79,6 @@
   if (connection != connection_) return;
   query_pending_ = false;
   answer_deadline_ = TimePoint::max();
-  answered_at_ = now;
   last_alive_at_ = now;
   queried_at_ = query_sent_at_;
   if (reply.position) position_ = reply.position;
@@ -87,7 +86,7 @@
     if (!stepped_down_) step_down_sent_ = false;
     return;
   }
-  status_ = reply.replication;
+  status_ = {*reply.replication, query_sent_at_};
   if (step_down_ && step_down_sent_) stepped_down_ = true;
 }
 
--- a/src/core/failover/endpoint_probe.h
+++ b/src/core/failover/endpoint_probe.h
@@ -8,6 +8,14 @@
 
 namespace carawayhaven {
 
+/// A value that an endpoint reported, and the time at which the query for it
+/// was sent: the value was true then or later.
+template <typename Value>
+struct Observation {
+  Value value;
+  TimePoint as_of;
+};
+
 /// Queries the replication status of one endpoint over a connection of its own.
 /// When a query gets no answer in time, the connection is closed and the next
 /// query opens a new one. Not thread-safe.
@@ -27,17 +35,25 @@
   /// Orders a primary of a lower term than `term` to step down.
   void StepDown(Term term, TimePoint now);
 
-  /// The last status received.
-  const std::optional<ReplicationStatus>& status() const { return status_; }
-  /// When the last answer was received.
-  TimePoint answered_at() const { return answered_at_; }
+  /// The last status received, however old, or null.
+  const ReplicationStatus* LastStatus() const {
+    return status_ ? &status_->value : nullptr;
+  }
+  /// The last status received, or null if its query was sent before `since`.
+  /// Answers without a status, such as refusals, do not renew it.
+  const ReplicationStatus* StatusSince(TimePoint since) const {
+    return status_ && status_->as_of >= since ? &status_->value : nullptr;
+  }
+  /// When the query was sent that the last status belongs to. There must be a
+  /// status.
+  TimePoint status_as_of() const { return status_->as_of; }
   /// When the endpoint last showed that it is running, by opening a connection,
   /// by an answer, or by refusing a connection as one too many.
   TimePoint last_alive_at() const { return last_alive_at_; }
   /// The last connection was refused or closed, other than as one too many, and
   /// none has opened since.
   bool failing() const { return failing_; }
-  /// When the query was sent that the last answer belongs to.
+  /// When the query was sent that the last answer of any kind belongs to.
   TimePoint queried_at() const { return queried_at_; }
   std::optional<LogPosition> position() const { return position_; }
   /// The endpoint has answered the last step-down order.
@@ -66,10 +82,9 @@
   std::optional<Term> step_down_;
   bool step_down_sent_ = false;
   bool stepped_down_ = false;
-  std::optional<ReplicationStatus> status_;
+  std::optional<Observation<ReplicationStatus>> status_;
   std::optional<LogPosition> position_;
   TimePoint query_sent_at_;
-  TimePoint answered_at_;
   TimePoint last_alive_at_;
   bool failing_ = false;
   TimePoint queried_at_;
--- a/src/core/failover/primary_keeper.cc
+++ b/src/core/failover/primary_keeper.cc
@@ -273,11 +273,9 @@
   QueryAll(now);
   const EndpointProbe* best = nullptr;
   for (const auto& [name, probe] : probes_) {
-    if (!probe->status() || !probe->status()->is_primary ||
-        probe->answered_at() < state_entered_at_) {
-      continue;
-    }
-    if (best == nullptr || probe->status()->term > best->status()->term) {
+    const ReplicationStatus* status = probe->StatusSince(state_entered_at_);
+    if (status == nullptr || !status->is_primary) continue;
+    if (best == nullptr || status->term > best->LastStatus()->term) {
       best = probe.get();
     }
   }
@@ -303,7 +301,7 @@
   const bool expected =
       best != nullptr &&
       (record == nullptr || record->primary == best->record().name ||
-       best->status()->term > record->term);
+       best->LastStatus()->term > record->term);
   if (expected) {
     Serve(*best, "status", now);
   } else if (now - state_entered_at_ >= kSuspectAfter) {
@@ -314,14 +312,16 @@
 void PrimarySupervisor::Serve(const EndpointProbe& probe, std::string_view why,
                               TimePoint now) {
   primary_ = probe.record().name;
-  term_ = probe.status()->term;
-  Enter(State::kServing, why, now - probe.queried_at(), now);
+  term_ = probe.LastStatus()->term;
+  Enter(State::kServing, why, now - probe.status_as_of(), now);
 }
 
 void PrimarySupervisor::StopWithoutPrimary(TimePoint now) {
   primary_ = RecordedPrimary();
   for (const auto& [name, probe] : probes_) {
-    if (probe->status()) term_ = std::max(term_, probe->status()->term);
+    if (const ReplicationStatus* status = probe->LastStatus()) {
+      term_ = std::max(term_, status->term);
+    }
   }
   Enter(State::kStopped, "no_primary_found", now - state_entered_at_, now);
 }
@@ -331,7 +331,8 @@
 // not given up before either.
 void PrimarySupervisor::SearchWithoutRecord(const EndpointProbe* best,
                                             TimePoint now) {
-  const bool newest = best != nullptr && best->status()->term >= KnownTerm();
+  const bool newest =
+      best != nullptr && best->LastStatus()->term >= KnownTerm();
   const bool last_resort = context_.election.MayPromote(now) &&
                            now - state_entered_at_ >= kSuspectAfter;
   // An order that was sent in an earlier era may still take effect.
@@ -376,7 +377,9 @@
     term = std::max(term, lease->term);
   }
   for (const auto& [name, probe] : probes_) {
-    if (probe->status()) term = std::max(term, probe->status()->term);
+    if (const ReplicationStatus* status = probe->LastStatus()) {
+      term = std::max(term, status->term);
+    }
   }
   return term;
 }
@@ -396,9 +399,9 @@
     if (endpoint.record.service != service_) continue;
     ++endpoints;
     const auto probe = probes_.find(name);
-    if (probe != probes_.end() && probe->second->status() &&
-        probe->second->queried_at() >=
-            std::max(state_entered_at_, now - kMaxStatusAge)) {
+    if (probe != probes_.end() &&
+        probe->second->StatusSince(
+            std::max(state_entered_at_, now - kMaxStatusAge)) != nullptr) {
       ++answered;
     }
   }
@@ -459,9 +462,10 @@
 bool PrimarySupervisor::ReportsReplicaRole(const EndpointName& endpoint,
                                            TimePoint now) const {
   const auto found = probes_.find(endpoint);
-  return found != probes_.end() && found->second->status() &&
-         !found->second->status()->is_primary &&
-         now - found->second->answered_at() < kMaxStatusAge;
+  if (found == probes_.end()) return false;
+  const ReplicationStatus* status =
+      found->second->StatusSince(now - kMaxStatusAge);
+  return status != nullptr && !status->is_primary;
 }
 
 bool PrimarySupervisor::IsLeaving() const {
@@ -482,15 +486,13 @@
     next_query_ = now + kQueryInterval;
     probe.Query(now);
   }
-  if (probe.status() && probe.answered_at() >= state_entered_at_ &&
-      !probe.status()->is_primary) {
+  const ReplicationStatus* status = probe.StatusSince(state_entered_at_);
+  if (status != nullptr && !status->is_primary) {
     grants_stopped_at_ = now;
-    Enter(State::kSearching, "not_primary", now - probe.queried_at(), now);
+    Enter(State::kSearching, "not_primary", now - probe.status_as_of(), now);
     return;
   }
-  if (probe.status() && probe.status()->is_primary) {
-    term_ = std::max(term_, probe.status()->term);
-  }
+  if (status != nullptr) term_ = std::max(term_, status->term);
   if (!record_written_ && now >= retry_at_) {
     WriteRecord({primary_, term_, PrimaryPhase::kServing, 0, era_}, now);
   }
@@ -572,12 +574,12 @@
     const auto excluded = excluded_until_.find(name);
     if (excluded != excluded_until_.end() && excluded->second > now) continue;
     const EndpointProbe& probe = ProbeOf(endpoint);
-    if (!probe.status() || probe.answered_at() < state_entered_at_) {
+    const ReplicationStatus* status = probe.StatusSince(state_entered_at_);
+    if (status == nullptr) {
       ++missing;
       continue;
     }
-    if (best == nullptr ||
-        probe.status()->received > best->status()->received) {
+    if (best == nullptr || status->received > best->LastStatus()->received) {
       best = &probe;
     }
   }
@@ -594,13 +596,13 @@
     old_probe = &ProbeOf(*old);
     old_probe->StepDown(term_ + 1, now);
     if (old_probe->stepped_down() && !handover_position_) {
-      handover_position_ = old_probe->status()->received;
+      handover_position_ = old_probe->LastStatus()->received;
     }
   }
   if (missing > 0 && elapsed < kReplicaAnswerTimeout) return;
   if (missing > 0 && sync_replicas_ > 0 && elapsed < kHandoverTimeout) return;
   const bool wait_for_log =
-      handover_position_ && best->status()->received < *handover_position_;
+      handover_position_ && best->LastStatus()->received < *handover_position_;
   // An old primary that has not answered for a long time is not waited for.
   const bool wait_for_old =
       old_probe != nullptr && !handover_position_ &&
@@ -608,7 +610,7 @@
       elapsed < kReplicaAnswerTimeout;
   if ((wait_for_log || wait_for_old) && elapsed < kHandoverTimeout) return;
   chosen_ = best->record().name;
-  Enter(State::kPromoting, "longest_log", now - best->queried_at(), now);
+  Enter(State::kPromoting, "longest_log", now - best->status_as_of(), now);
 }
 
 void PrimarySupervisor::WriteRecord(PrimaryRecord record, TimePoint now) {
@@ -729,14 +731,13 @@
 void PrimarySupervisor::ConfirmPromotion(TimePoint now) {
   QueryAll(now);
   const auto found = probes_.find(chosen_);
-  if (found != probes_.end() && found->second->status() &&
-      found->second->queried_at() >= state_entered_at_ &&
-      found->second->status()->is_primary) {
-    primary_ = chosen_;
-    term_ = found->second->status()->term;
+  const ReplicationStatus* status =
+      found == probes_.end() ? nullptr
+                             : found->second->StatusSince(state_entered_at_);
+  if (status != nullptr && status->is_primary) {
     reports_.clear();
     last_promotion_time_ = now - state_entered_at_;
-    Enter(State::kServing, "promoted", now - found->second->queried_at(), now);
+    Serve(*found->second, "promoted", now);
     return;
   }
   if (now - state_entered_at_ < kPromotionTimeout) return;
--- a/test/failover/failover_simulation.h
+++ b/test/failover/failover_simulation.h
@@ -51,6 +51,18 @@
   /// Lets the VM run no sessions, like a VM that relays its callers. It calls
   /// the store only to write its entry.
   void Deactivate(std::size_t vm);
+  /// Sets how many replicas must hold a commit before it is acknowledged.
+  void SetSyncReplicas(std::uint32_t count);
+  /// Lets the replica receive nothing.
+  void StopReplication(std::size_t replica, Duration duration);
+  /// Lets the endpoint refuse all status queries as one too many. Without
+  /// `states_position`, the refusals contain no log position.
+  void RefuseStatus(std::size_t endpoint, bool states_position,
+                    Duration duration);
+  /// Delays the answers to the endpoint's status queries.
+  void DelayStatus(std::size_t endpoint, Duration delay);
+  /// Removes the endpoint's record from the registry, or adds it again.
+  void SetRegistered(std::size_t endpoint, bool registered);
   /// Sets the time from the acceptance of a promotion until it takes effect.
   void SetPromotionTime(Duration time) { promotion_time_ = time; }
   /// Another writer replaces an object of the proxies in the store.
@@ -72,6 +84,14 @@
   const std::vector<std::string>& violations() const { return violations_; }
   std::size_t promotions() const { return promotions_; }
   std::size_t acknowledged() const { return acknowledged_.size(); }
+  /// Number of statements that callers were told not to have run, and the
+  /// longest time after which one of them was told so.
+  std::size_t refusals() const { return refusals_; }
+  Duration longest_refusal() const { return longest_refusal_; }
+  void ResetRefusals() {
+    refusals_ = 0;
+    longest_refusal_ = Duration{0};
+  }
   std::size_t reads() const { return reads_; }
   std::size_t replica_reads() const { return replica_reads_; }
 
@@ -105,6 +125,8 @@
   void RunTimers(std::size_t vm);
   void ScheduleStatements(std::size_t vm);
   void Replicate(std::size_t from, const std::string& id, Term term);
+  /// True when enough replicas hold the commit for its acknowledgement.
+  bool IsReplicated(std::size_t from, const std::string& id) const;
   void CompletePromotion(std::size_t endpoint);
   void FollowPrimary(std::size_t endpoint);
   void RecordViolation(const std::string& what);
@@ -144,6 +166,9 @@
   std::vector<std::string> violations_;
   std::size_t promotions_ = 0;
   Duration promotion_time_ = std::chrono::milliseconds(300);
+  std::uint32_t sync_replicas_ = 0;
+  std::size_t refusals_ = 0;
+  Duration longest_refusal_{0};
   std::size_t reads_ = 0;
   std::size_t replica_reads_ = 0;
   std::uint64_t next_id_ = 1;
--- a/test/failover/failover_test.cc
+++ b/test/failover/failover_test.cc
@@ -158,6 +158,33 @@
   ExpectNoViolations();
 }
 
+class FailoverWithSyncReplica : public FailoverWithFiveVms {
+ protected:
+  FailoverWithSyncReplica() {
+    simulation_.SetSyncReplicas(1);
+    simulation_.RunFor(seconds(1));
+  }
+
+  /// Lets db-2 receive nothing, so that db-1 alone has the last commits, and
+  /// crashes the primary.
+  void CrashPrimaryWithOneHolder(Duration down) {
+    simulation_.StopReplication(2, seconds(30));
+    simulation_.RunFor(seconds(2));
+    simulation_.CrashEndpoint(0, down);
+  }
+};
+
+// Guards against an old status that counts as new because the endpoint has
+// answered a later query with a refusal.
+TEST_F(FailoverWithSyncReplica,
+       HolderRefusesItsStatusForASecondItIsPromotedLater) {
+  simulation_.RefuseStatus(1, false, milliseconds(4800));
+  CrashPrimaryWithOneHolder(seconds(20));
+  simulation_.RunFor(seconds(6));
+  EXPECT_EQ(simulation_.Primary(), 1U);
+  ExpectNoViolations();
+}
+
 TEST_F(FailoverWithFiveVms, PrimaryLeavesAnotherIsPrimaryWithinFourSeconds) {
   simulation_.MarkLeaving(0);
   simulation_.RunFor(seconds(4));
--- a/test/failover/fake_failover_simulation.cc
+++ b/test/failover/fake_failover_simulation.cc
@@ -14,6 +14,8 @@
 constexpr char kService[] = "registro";
 constexpr Duration kMaxReadAge = milliseconds(1500);
 constexpr Duration kReplicaLag = milliseconds(20);
+// How often an endpoint checks whether its replicas have received a commit.
+constexpr Duration kReplicationCheckInterval = milliseconds(5);
 // An old primary that reaches its successor steps down after this time.
 constexpr Duration kStepDownDelay = seconds(1);
 
@@ -59,6 +61,11 @@
   }
   TimePoint down_until;
   TimePoint isolated_until;
+  /// Receives no commits before this time.
+  TimePoint deaf_until;
+  TimePoint status_refused_until;
+  bool refusals_state_position = true;
+  Duration status_delay{0};
   std::set<std::size_t> cut_vms;
   std::uint64_t process = 1;
 
@@ -88,6 +95,10 @@
   void Deliver(ConnectionId connection, std::function<void(Session&)> event);
   StatementReply Run(Endpoint& endpoint, std::size_t index,
                      const EndpointStatement& statement);
+  /// Sends the reply to the statement, a commit only when enough replicas hold
+  /// it.
+  void Reply(ConnectionId connection, std::size_t index, std::uint64_t process,
+             const EndpointStatement& statement, const StatementReply& reply);
 
   FailoverSimulation& parent_;
   std::size_t vm_;
@@ -202,13 +213,21 @@
 class FailoverSimulation::Caller : public JobOwner {
  public:
   Caller(FailoverSimulation& parent, std::string id, bool write)
-      : parent_(parent), id_(std::move(id)), write_(write) {}
+      : parent_(parent),
+        id_(std::move(id)),
+        write_(write),
+        created_(parent.simulation_.now()) {}
 
   const SessionContext& context() const override { return context_; }
   void OnTransactionLost(TimePoint /*now*/) override {}
   void OnJobDone(const JobResult& result, TimePoint now) override {
     const bool ok = result.end == JobResult::End::kAnswered &&
                     result.reply.code == ReplyCode::kOk;
+    if (result.end == JobResult::End::kNotRun) {
+      ++parent_.refusals_;
+      parent_.longest_refusal_ =
+          std::max(parent_.longest_refusal_, now - created_);
+    }
     if (!write_) {
       if (ok) ++parent_.reads_;
       return;
@@ -233,6 +252,7 @@
   FailoverSimulation& parent_;
   std::string id_;
   bool write_;
+  TimePoint created_;
   SessionContext context_;
 };
 
@@ -297,19 +317,50 @@
         Endpoint& endpoint = *parent_.endpoints_[index];
         if (endpoint.process != process || !Reaches(endpoint)) return;
         const StatementReply reply = Run(endpoint, index, statement);
-        if (!Reaches(endpoint)) return;
-        Deliver(connection, [this, connection, reply](Session& session) {
-          session.events->OnReply(connection, reply, parent_.simulation_.now());
-        });
+        const bool status = statement.kind == EndpointStatementKind::kStatus;
+        if (!status || endpoint.status_delay == Duration{0}) {
+          Reply(connection, index, process, statement, reply);
+          return;
+        }
+        parent_.simulation_.After(
+            endpoint.status_delay,
+            [this, connection, index, process, statement, reply] {
+              Reply(connection, index, process, statement, reply);
+            });
       });
   return true;
 }
 
+void FailoverSimulation::Link::Reply(ConnectionId connection, std::size_t index,
+                                     std::uint64_t process,
+                                     const EndpointStatement& statement,
+                                     const StatementReply& reply) {
+  const Endpoint& endpoint = *parent_.endpoints_[index];
+  if (endpoint.process != process) return;
+  if (endpoint.entries.contains(statement.id) &&
+      !parent_.IsReplicated(index, statement.id)) {
+    parent_.simulation_.After(
+        kReplicationCheckInterval,
+        [this, connection, index, process, statement, reply] {
+          Reply(connection, index, process, statement, reply);
+        });
+    return;
+  }
+  if (!Reaches(endpoint)) return;
+  Deliver(connection, [this, connection, reply](Session& session) {
+    session.events->OnReply(connection, reply, parent_.simulation_.now());
+  });
+}
+
 StatementReply FailoverSimulation::Link::Run(
     Endpoint& endpoint, std::size_t index, const EndpointStatement& statement) {
   StatementReply reply;
   if (statement.min_position && endpoint.position() < *statement.min_position) {
     reply.code = ReplyCode::kBehind;
+  } else if (statement.kind == EndpointStatementKind::kStatus &&
+             endpoint.status_refused_until > parent_.simulation_.now()) {
+    reply.code = ReplyCode::kBusy;
+    if (!endpoint.refusals_state_position) return reply;
   } else if (statement.kind == EndpointStatementKind::kStatus ||
              statement.kind == EndpointStatementKind::kStepDown) {
     if (statement.kind == EndpointStatementKind::kStepDown &&
@@ -606,7 +657,7 @@
   Vm& vm = *vms_[index];
   RouteTable routes;
   routes.version = 1;
-  routes.services[kService] = {};
+  routes.services[kService].sync_replicas = sync_replicas_;
   vm.failover.SetRoutes(routes);
   vm.router.SetConnectionLimit(kService, 4, simulation_.now());
   for (const auto& endpoint : endpoints_) {
@@ -689,7 +740,7 @@
       Endpoint& replica = *endpoints_[i];
       if (source.isolated_until > now || replica.isolated_until > now ||
           source.down_until > now || replica.down_until > now ||
-          replica.primary || replica.term != term) {
+          replica.deaf_until > now || replica.primary || replica.term != term) {
         return;
       }
       // A replica also receives the entries that it missed before.
@@ -698,6 +749,17 @@
   }
 }
 
+bool FailoverSimulation::IsReplicated(std::size_t from,
+                                      const std::string& id) const {
+  std::uint32_t holders = 0;
+  for (std::size_t i = 0; i < endpoints_.size(); ++i) {
+    const Endpoint& endpoint = *endpoints_[i];
+    const bool receives = endpoint.down_until <= simulation_.now();
+    if (i != from && receives && endpoint.Holds(id)) ++holders;
+  }
+  return holders >= sync_replicas_;
+}
+
 void FailoverSimulation::CompletePromotion(std::size_t index) {
   Endpoint& chosen = *endpoints_[index];
   if (chosen.down_until > simulation_.now() || index == primary_index_) return;
@@ -706,8 +768,12 @@
   chosen.term = ++primary_term_;
   chosen.primary = true;
   for (const Commit& commit : acknowledged_) {
-    if (!chosen.Holds(commit.id)) {
-      rolled_back_.insert(commit.id);
+    if (chosen.Holds(commit.id) || !rolled_back_.insert(commit.id).second) {
+      continue;
+    }
+    if (sync_replicas_ > 0) {
+      RecordViolation("acknowledged commit " + commit.id + " is not held by " +
+                      chosen.record.name + ", which is promoted");
     }
   }
   for (std::size_t i = 0; i < endpoints_.size(); ++i) {
@@ -805,6 +871,41 @@
   endpoint.cut_vms = std::move(vms);
 }
 
+void FailoverSimulation::SetSyncReplicas(std::uint32_t count) {
+  sync_replicas_ = count;
+  RouteTable routes;
+  routes.version = 2;
+  routes.services[kService].sync_replicas = count;
+  for (const auto& vm : vms_) vm->failover.SetRoutes(routes);
+}
+
+void FailoverSimulation::StopReplication(std::size_t replica,
+                                         Duration duration) {
+  endpoints_[replica]->deaf_until = simulation_.now() + duration;
+}
+
+void FailoverSimulation::RefuseStatus(std::size_t index, bool states_position,
+                                      Duration duration) {
+  Endpoint& endpoint = *endpoints_[index];
+  endpoint.status_refused_until = simulation_.now() + duration;
+  endpoint.refusals_state_position = states_position;
+}
+
+void FailoverSimulation::DelayStatus(std::size_t endpoint, Duration delay) {
+  endpoints_[endpoint]->status_delay = delay;
+}
+
+void FailoverSimulation::SetRegistered(std::size_t index, bool registered) {
+  const EndpointRecord& record = endpoints_[index]->record;
+  for (const auto& vm : vms_) {
+    if (registered) {
+      vm->router.SetEndpoint(record, simulation_.now());
+    } else {
+      vm->router.RemoveEndpoint(record.name, simulation_.now());
+    }
+  }
+}
+
 void FailoverSimulation::MarkLeaving(std::size_t index) {
   EndpointRecord& record = endpoints_[index]->record;
   record.leaving = true;
