Failover: hold a promotion until a replica has all acknowledged commits

Cause: replicas whose status was not known 1.5 s after the replicas began to be compared were left out, also if one of them could be the only holder of acknowledged commits. Each query was given up after 0.5 s with its connection, so the next one waited at the end of the endpoint's queue again. In the same way, a replica that leaves was passed over, and a planned change handed over to a log that was known to be too short.

Fix: SelectReplica says whether a log is known to contain every acknowledged commit: it reaches the end of the old primary's log, or fewer other logs are unknown than replicas hold a commit, and the known ones are not longer. Without such a log, nothing is promoted while SyncReplicas is above 0. The wait ends when the replica answers, when the old primary serves again, when the replica has been missing from the registry for 10 s, or when SyncReplicas is set to 0. A query may then wait for up to 4 s. Callers are told at once that nothing ran and to come back in 1 s; leases of VMs that get no reply of a leader for 3 s do not depend on that announcement.

A replica whose process started again counts as unknown for 10 s: its present log says nothing about what the former process acknowledged. A VM that does not know the configuration yet promotes nothing; it took SyncReplicas for 0 before. A step-down order counts as obeyed only if the answer says so.

With SyncReplicas 0 the choice is as before. State and messages do not grow.

--- a/src/core/failover/endpoint_probe.cc
+++ b/src/core/failover/endpoint_probe.cc
@@ -1,8 +1,14 @@
 #include "core/failover/endpoint_probe.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace carawayhaven {
+namespace {
+
+constexpr unsigned kMaxWaitDoublings = 5;
+
+}  // namespace
 
 EndpointProbe::EndpointProbe(SessionLink& link, EndpointRecord record)
     : link_(link), record_(std::move(record)) {}
@@ -11,10 +17,12 @@
   if (connection_ != 0) link_.Close(connection_);
 }
 
-void EndpointProbe::Query(TimePoint now) {
+void EndpointProbe::Query(TimePoint now, Duration longest_wait) {
   if (query_pending_) return;
   query_pending_ = true;
-  answer_deadline_ = now + kAnswerTimeout;
+  const Duration wait =
+      kAnswerTimeout * (1 << std::min(unanswered_, kMaxWaitDoublings));
+  answer_deadline_ = now + std::min(wait, longest_wait);
   if (connection_ == 0) {
     open_ = false;
     connection_ =
@@ -48,6 +56,7 @@
   if (now < answer_deadline_) return;
   answer_deadline_ = TimePoint::max();
   query_pending_ = false;
+  ++unanswered_;
   if (!stepped_down_) step_down_sent_ = false;
   if (connection_ != 0) link_.Close(std::exchange(connection_, 0));
 }
@@ -79,6 +88,7 @@
   if (connection != connection_) return;
   query_pending_ = false;
   answer_deadline_ = TimePoint::max();
+  unanswered_ = 0;
   last_alive_at_ = now;
   queried_at_ = query_sent_at_;
   if (reply.position) position_ = reply.position;
@@ -87,7 +97,9 @@
     return;
   }
   status_ = {*reply.replication, query_sent_at_};
-  if (step_down_ && step_down_sent_) stepped_down_ = true;
+  if (step_down_ && step_down_sent_) {
+    stepped_down_ = !reply.replication->is_primary;
+  }
 }
 
 }  // namespace carawayhaven
--- a/src/core/failover/endpoint_probe.h
+++ b/src/core/failover/endpoint_probe.h
@@ -30,10 +30,16 @@
   EndpointProbe& operator=(const EndpointProbe&) = delete;
 
   /// Queries the status, unless a query is pending. Opens a connection when
-  /// there is none.
-  void Query(TimePoint now);
+  /// there is none. The answer is waited for during kAnswerTimeout, twice as
+  /// long after each query without an answer, but not for longer than
+  /// `longest_wait`: an endpoint may queue the query behind statements.
+  void Query(TimePoint now, Duration longest_wait = kAnswerTimeout);
   /// Orders a primary of a lower term than `term` to step down.
   void StepDown(Term term, TimePoint now);
+  /// Withdraws the order unless it was sent.
+  void WithdrawStepDown() {
+    if (!step_down_sent_) step_down_.reset();
+  }
 
   /// The last status received, however old, or null.
   const ReplicationStatus* LastStatus() const {
@@ -56,7 +62,7 @@
   /// When the query was sent that the last answer of any kind belongs to.
   TimePoint queried_at() const { return queried_at_; }
   std::optional<LogPosition> position() const { return position_; }
-  /// The endpoint has answered the last step-down order.
+  /// The endpoint has obeyed the last step-down order.
   bool stepped_down() const { return stepped_down_; }
   const EndpointRecord& record() const { return record_; }
 
@@ -89,6 +95,8 @@
   bool failing_ = false;
   TimePoint queried_at_;
   TimePoint answer_deadline_ = TimePoint::max();
+  /// Queries since the last answer that were given up.
+  unsigned unanswered_ = 0;
 };
 
 }  // namespace carawayhaven
--- a/src/core/failover/failover_manager.cc
+++ b/src/core/failover/failover_manager.cc
@@ -399,8 +399,8 @@
   for (const auto& [service, supervisor] : supervisors_) {
     if (const auto lease = supervisor->GrantableLease(now)) {
       ApplyLease(*lease, now, now);
-    } else if (const auto ready_in = supervisor->TimeUntilReady(now)) {
-      deps_.router.ExpectPrimary(service, now + *ready_in, now);
+    } else if (const auto absence = supervisor->FindAbsence(now)) {
+      ApplyAbsence(*absence, now);
     }
   }
 }
@@ -417,6 +417,13 @@
   }
 }
 
+void FailoverManager::ApplyAbsence(const PrimaryAbsence& absence,
+                                   TimePoint now) {
+  std::optional<TimePoint> ready_at;
+  if (absence.ready_in) ready_at = now + *absence.ready_in;
+  deps_.router.ExpectPrimary(absence.service, ready_at, now);
+}
+
 std::vector<PrimaryReport> FailoverManager::BuildReports(TimePoint now) const {
   std::vector<PrimaryReport> reports;
   for (const auto& [service, lease] : deps_.router.leases().all()) {
@@ -500,8 +507,8 @@
     for (const auto& [service, supervisor] : supervisors_) {
       if (auto lease = supervisor->GrantableLease(now)) {
         reply.leases.push_back(std::move(*lease));
-      } else if (const auto ready_in = supervisor->TimeUntilReady(now)) {
-        reply.absences.push_back({service, *ready_in});
+      } else if (auto absence = supervisor->FindAbsence(now)) {
+        reply.absences.push_back(std::move(*absence));
       }
     }
   } else {
@@ -544,12 +551,13 @@
   }
   for (const LeaseGrant& lease : reply.leases) ApplyLease(lease, sent, now);
   for (const PrimaryAbsence& absence : reply.absences) {
+    ApplyAbsence(absence, now);
+    if (!absence.ready_in) continue;
     // Asks again when the primary is due, if that is sooner than the next
     // request.
     next_lease_request_ = std::min(
         next_lease_request_,
-        now + std::max<Duration>(absence.ready_in, kMinLeaseRequestInterval));
-    deps_.router.ExpectPrimary(absence.service, now + absence.ready_in, now);
+        now + std::max<Duration>(*absence.ready_in, kMinLeaseRequestInterval));
   }
 }
 
--- a/src/core/failover/failover_manager.h
+++ b/src/core/failover/failover_manager.h
@@ -118,6 +118,7 @@
   void GrantOwnLeases(TimePoint now);
   /// Applies a lease whose durations count from `from`.
   void ApplyLease(const LeaseGrant& lease, TimePoint from, TimePoint now);
+  void ApplyAbsence(const PrimaryAbsence& absence, TimePoint now);
   std::vector<PrimaryReport> BuildReports(TimePoint now) const;
   void SetLeader(const VmName& leader, TimePoint now);
   PrimarySupervisor& SupervisorOf(const ServiceName& service);
--- a/src/core/failover/primary_keeper.cc
+++ b/src/core/failover/primary_keeper.cc
@@ -30,12 +30,18 @@
 // A report may have been in transit for this long, which makes the answer that
 // it reports look newer than it is.
 constexpr Duration kMaxReportTransit = milliseconds(250);
-// Replicas that have not answered within this time are not considered. With
-// synchronous replicas, kHandoverTimeout applies instead.
+// Replicas that have not answered within this time are not considered, unless
+// commits wait for replicas. The promotion is then held back.
 constexpr Duration kReplicaAnswerTimeout = milliseconds(500);
 // A replica has this long to receive the whole log of a primary that stepped
 // down.
 constexpr Duration kHandoverTimeout = milliseconds(1500);
+// With synchronous replicas, an answer of a busy endpoint is waited for during
+// this time.
+constexpr Duration kLongestAnswerWait = std::chrono::seconds(4);
+// A replica that disappeared from the registry, or has started again, counts as
+// one whose log is not known for this long.
+constexpr Duration kReplicaReturnTime = std::chrono::seconds(10);
 // Expected time for comparing the replicas and for the two writes before an
 // order.
 constexpr Duration kExpectedOrderTime = milliseconds(200);
@@ -146,6 +152,7 @@
   pending_record_.reset();
   retry_delay_ = kRetryInterval;
   record_written_ = false;
+  held_ = false;
   next_query_ = now;
   next_tick_ = now;
   context_.observer.OnPrimaryStateChanged(
@@ -176,26 +183,22 @@
          state_ == State::kPromoting || state_ == State::kConfirming;
 }
 
-std::optional<Duration> PrimarySupervisor::TimeUntilReady(TimePoint now) const {
-  switch (state_) {
-    case State::kPassive:
-    case State::kSearching:
-    case State::kServing:
-      return std::nullopt;
-    case State::kStopped: {
-      const TimePoint withdrawn = record_written_ ? record_written_at_ : now;
-      const TimePoint expired = LeaseEndAfter(withdrawn);
-      return std::max(expired - now, Duration{0}) + kExpectedOrderTime +
-             last_promotion_time_;
-    }
-    case State::kChoosing:
-    case State::kPromoting:
-      return kExpectedOrderTime + last_promotion_time_;
-    case State::kConfirming:
-      return std::max(state_entered_at_ + last_promotion_time_ - now,
-                      Duration{0});
-  }
-  return std::nullopt;
+std::optional<PrimaryAbsence> PrimarySupervisor::FindAbsence(
+    TimePoint now) const {
+  if (!IsReplacing()) return std::nullopt;
+  PrimaryAbsence absence{service_, std::nullopt};
+  if (state_ == State::kStopped) {
+    const TimePoint withdrawn = record_written_ ? record_written_at_ : now;
+    const TimePoint expired = LeaseEndAfter(withdrawn);
+    absence.ready_in = std::max(expired - now, Duration{0}) +
+                       kExpectedOrderTime + last_promotion_time_;
+  } else if (state_ == State::kConfirming) {
+    absence.ready_in =
+        std::max(state_entered_at_ + last_promotion_time_ - now, Duration{0});
+  } else if (!held_) {
+    absence.ready_in = kExpectedOrderTime + last_promotion_time_;
+  }
+  return absence;
 }
 
 void PrimarySupervisor::Tick(TimePoint now) {
@@ -246,8 +249,12 @@
 void PrimarySupervisor::QueryAll(TimePoint now) {
   if (now < next_query_) return;
   next_query_ = now + kFastQueryInterval;
+  const bool compares = state_ == State::kChoosing && sync_replicas_ > 0U;
+  const Duration longest_wait =
+      compares ? kLongestAnswerWait : EndpointProbe::kAnswerTimeout;
   for (const auto& [name, endpoint] : context_.endpoints) {
-    if (endpoint.record.service == service_) ProbeOf(endpoint).Query(now);
+    if (endpoint.record.service != service_) continue;
+    ProbeOf(endpoint).Query(now, longest_wait);
   }
 }
 
@@ -558,59 +565,136 @@
         now - alive, now);
 }
 
-// Chooses the replica with the longest log. Orders the old primary, if it can
-// be reached, to step down, so that its log does not grow beyond what a replica
-// receives.
-void PrimarySupervisor::ChooseReplica(TimePoint now) {
-  QueryAll(now);
-  const EndpointProbe* best = nullptr;
-  std::size_t missing = 0;
+bool PrimarySupervisor::IsCandidate(const EndpointState& endpoint,
+                                    TimePoint now) const {
+  const auto excluded = excluded_until_.find(endpoint.record.name);
+  if (excluded != excluded_until_.end() && excluded->second > now) return false;
+  if (endpoint.leaving_since == TimePoint::max()) {
+    return endpoint.AcceptsWork(now);
+  }
+  // A leaving replica is a last resort: it has to be replaced again soon.
+  return sync_replicas_ > 0U && !endpoint.IsGone(now) &&
+         now - state_entered_at_ >= kHandoverTimeout;
+}
+
+// The log of a replica that left as planned was transferred to its successor.
+bool PrimarySupervisor::MayHoldLog(const EndpointState& endpoint,
+                                   TimePoint now) {
+  if (endpoint.missing_since == TimePoint::max()) return true;
+  if (endpoint.leaving_since != TimePoint::max()) return !endpoint.IsGone(now);
+  return now - endpoint.missing_since < kReplicaReturnTime;
+}
+
+std::vector<ReplicaLog> PrimarySupervisor::CollectReplicaLogs(TimePoint now) {
+  std::vector<ReplicaLog> logs;
   for (const auto& [name, endpoint] : context_.endpoints) {
     if (endpoint.record.service != service_ || name == primary_) continue;
-    if (endpoint.leaving_since != TimePoint::max() ||
-        !endpoint.AcceptsWork(now)) {
-      continue;
-    }
-    const auto excluded = excluded_until_.find(name);
-    if (excluded != excluded_until_.end() && excluded->second > now) continue;
+    ReplicaLog log;
+    log.endpoint = name;
+    log.is_candidate = IsCandidate(endpoint, now);
+    if (!log.is_candidate && !MayHoldLog(endpoint, now)) continue;
     const EndpointProbe& probe = ProbeOf(endpoint);
-    const ReplicationStatus* status = probe.StatusSince(state_entered_at_);
-    if (status == nullptr) {
-      ++missing;
-      continue;
-    }
-    if (best == nullptr || status->received > best->LastStatus()->received) {
-      best = &probe;
+    if (const auto* status = probe.StatusSince(state_entered_at_)) {
+      log.reached = status->received;
+      // A process that has just started does not know what the one before it
+      // acknowledged.
+      const bool has_history =
+          endpoint.restarted_at == TimePoint::min() ||
+          now - endpoint.restarted_at >= kReplicaReturnTime;
+      if (has_history) log.end = status->received;
     }
+    logs.push_back(std::move(log));
   }
-  const Duration elapsed = now - state_entered_at_;
-  if (best == nullptr) {
-    if (elapsed > kHandoverTimeout) {
-      Enter(State::kSearching, "no_candidate", elapsed, now);
-    }
+  return logs;
+}
+
+// A primary that was only silent may go on when it answers again, so it is not
+// ordered to step down before a replica can replace it.
+bool PrimarySupervisor::MustStepDown(TimePoint now) const {
+  const EndpointState* endpoint = Find(primary_);
+  const bool leaves =
+      endpoint != nullptr && endpoint->leaving_since != TimePoint::max();
+  return leaves || MostVmsReportFailure(now) ||
+         ReportsReplicaRole(primary_, now);
+}
+
+// Chooses a replica that holds all acknowledged commits, or else, if commits
+// are acknowledged without replicas, the one with the longest log. Orders the
+// old primary, if it can be reached, to step down, so that its log does not
+// grow beyond what a replica receives.
+void PrimarySupervisor::ChooseReplica(TimePoint now) {
+  QueryAll(now);
+  if (!sync_replicas_) {
+    HoldPromotion(nullptr, now);
     return;
   }
+  const Duration elapsed = now - state_entered_at_;
+  const std::vector<ReplicaLog> logs = CollectReplicaLogs(now);
+  const ReplicaSelection selection =
+      SelectReplica(logs, *sync_replicas_, handover_position_);
   const EndpointState* old = Find(primary_);
-  EndpointProbe* old_probe = nullptr;
-  if (old != nullptr) {
-    old_probe = &ProbeOf(*old);
-    old_probe->StepDown(term_ + 1, now);
+  EndpointProbe* old_probe = old == nullptr ? nullptr : &ProbeOf(*old);
+  if (old_probe != nullptr && selection.best != nullptr) {
+    if (selection.is_complete || MustStepDown(now)) {
+      old_probe->StepDown(term_ + 1, now);
+    } else {
+      old_probe->WithdrawStepDown();
+    }
     if (old_probe->stepped_down() && !handover_position_) {
       handover_position_ = old_probe->LastStatus()->received;
     }
   }
-  if (missing > 0 && elapsed < kReplicaAnswerTimeout) return;
-  if (missing > 0 && sync_replicas_ > 0 && elapsed < kHandoverTimeout) return;
-  const bool wait_for_log =
-      handover_position_ && best->LastStatus()->received < *handover_position_;
+  if (!selection.is_complete) {
+    if (*sync_replicas_ > 0) {
+      if (elapsed >= kReplicaAnswerTimeout) {
+        HoldPromotion(selection.unmatched, now);
+      }
+    } else if (elapsed > kHandoverTimeout) {
+      Enter(State::kSearching, "no_candidate", elapsed, now);
+    }
+    return;
+  }
+  const bool waits_for_replica =
+      *sync_replicas_ == 0 && elapsed < kReplicaAnswerTimeout &&
+      std::any_of(logs.begin(), logs.end(), [](const ReplicaLog& log) {
+        return log.is_candidate && !log.reached;
+      });
+  const bool waits_for_log =
+      handover_position_ && *selection.best->reached < *handover_position_;
   // An old primary that has not answered for a long time is not waited for.
-  const bool wait_for_old =
+  const bool waits_for_old =
       old_probe != nullptr && !handover_position_ &&
       now - LastAliveAt() < kDeadAfter + kReplicaAnswerTimeout &&
       elapsed < kReplicaAnswerTimeout;
-  if ((wait_for_log || wait_for_old) && elapsed < kHandoverTimeout) return;
-  chosen_ = best->record().name;
-  Enter(State::kPromoting, "longest_log", now - best->status_as_of(), now);
+  if (waits_for_replica ||
+      ((waits_for_log || waits_for_old) && elapsed < kHandoverTimeout)) {
+    return;
+  }
+  chosen_ = selection.best->endpoint;
+  Enter(State::kPromoting, "longest_log",
+        now - probes_.at(chosen_)->status_as_of(), now);
+}
+
+void PrimarySupervisor::HoldPromotion(const ReplicaLog* unmatched,
+                                      TimePoint now) {
+  for (const auto& [name, probe] : probes_) {
+    const ReplicationStatus* status = probe->StatusSince(state_entered_at_);
+    if (status == nullptr || !status->is_primary) continue;
+    const bool serves = name == primary_
+                            ? status->term >= term_ && !IsLeaving() &&
+                                  !MostVmsReportFailure(now)
+                            : status->term > term_;
+    if (serves) {
+      Enter(State::kSearching, "answers_again", now - probe->status_as_of(),
+            now);
+      return;
+    }
+  }
+  if (std::exchange(held_, true)) return;
+  context_.observer.OnPrimaryStateChanged(
+      service_, "held", unmatched == nullptr ? primary_ : unmatched->endpoint,
+      term_, unmatched == nullptr ? "nothing_known" : "may_hold_commits",
+      now - state_entered_at_);
 }
 
 void PrimarySupervisor::WriteRecord(PrimaryRecord record, TimePoint now) {
--- a/src/core/failover/primary_keeper.h
+++ b/src/core/failover/primary_keeper.h
@@ -6,12 +6,14 @@
 #include <memory>
 #include <optional>
 #include <string_view>
+#include <vector>
 
 #include "carawayhaven/time.h"
 #include "core/failover/duty_election.h"
 #include "core/failover/endpoint_probe.h"
 #include "core/failover/failover_observer.h"
 #include "core/failover/promotion_service.h"
+#include "core/failover/replica_selection.h"
 #include "core/peer_message.h"
 #include "core/session/endpoint_state.h"
 #include "core/session/primary_rights.h"
@@ -35,7 +37,9 @@
 /// Supervises the primary of one service while this VM is the leader. Decides
 /// whether leases for the primary may be granted, and replaces the primary when
 /// it fails or leaves: stops granting, waits until every lease has expired,
-/// then promotes the replica with the longest log.
+/// then promotes the replica with the longest log. If commits wait for
+/// replicas, a replica is promoted only when it is known to hold all that were
+/// acknowledged; until then, the promotion is held back.
 ///
 /// The record is the memory of earlier leaders. After the store was restored
 /// from a copy, a promotion may be missing from it, so until the leader has
@@ -62,7 +66,10 @@
   /// Records another VM's view of the primary.
   void OnReport(const VmName& vm, const PrimaryReport& report, TimePoint now);
   /// Sets how many replicas hold each acknowledged commit.
-  void SetSyncReplicas(std::uint32_t count) { sync_replicas_ = count; }
+  void SetSyncReplicas(std::uint32_t count) {
+    sync_replicas_ = count;
+    next_tick_ = {};
+  }
 
   void Tick(TimePoint now);
   TimePoint NextTick() const { return next_tick_; }
@@ -73,9 +80,9 @@
   /// The lease for the primary that may be granted now, or nothing.
   std::optional<LeaseGrant> GrantableLease(TimePoint now) const;
 
-  /// Expected time until leases are granted again; nothing while they are being
-  /// granted, or when the time is not known.
-  std::optional<Duration> TimeUntilReady(TimePoint now) const;
+  /// The absence of the primary while it is being replaced, with the expected
+  /// time until leases are granted again; nothing in all other states.
+  std::optional<PrimaryAbsence> FindAbsence(TimePoint now) const;
 
  private:
   // Used until a promotion was observed: the longest promotion time that the
@@ -130,6 +137,19 @@
   TimePoint LeaseEndAfter(TimePoint withdrawn) const;
   void AwaitLeaseExpiry(TimePoint now);
   void ChooseReplica(TimePoint now);
+  /// What is known of the logs of all replicas that may hold commits of the old
+  /// primary.
+  std::vector<ReplicaLog> CollectReplicaLogs(TimePoint now);
+  /// True if the endpoint may be promoted now.
+  bool IsCandidate(const EndpointState& endpoint, TimePoint now) const;
+  /// True if the endpoint runs, or may come back with its log.
+  static bool MayHoldLog(const EndpointState& endpoint, TimePoint now);
+  /// True if the old primary must step down even if no replica can be promoted
+  /// yet.
+  bool MustStepDown(TimePoint now) const;
+  /// Holds the promotion back because `unmatched`, if there is one, may hold
+  /// commits that no candidate has. Goes on with a primary that can serve.
+  void HoldPromotion(const ReplicaLog* unmatched, TimePoint now);
   /// Writes the record, unless it is a serving record that the store holds
   /// already. Sets record_written_ once the store holds it.
   void WriteRecord(PrimaryRecord record, TimePoint now);
@@ -186,7 +206,10 @@
   TimePoint retry_at_;
   /// Time from the next write of the record until it is repeated.
   Duration retry_delay_{0};
-  std::uint32_t sync_replicas_ = 0;
+  /// Nothing until the configuration is known.
+  std::optional<std::uint32_t> sync_replicas_;
+  /// The promotion is held back, for an unknown time.
+  bool held_ = false;
   /// Time from the order of the last promotion until it took effect.
   Duration last_promotion_time_ = kAssumedPromotionTime;
   std::shared_ptr<PrimarySupervisor*> alive_;
--- a/src/core/peer_message.h
+++ b/src/core/peer_message.h
@@ -2,6 +2,7 @@
 #define CARAWAYHAVEN_CORE_PEER_MESSAGE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -155,8 +156,9 @@
 /// A service whose primary is being replaced.
 struct PrimaryAbsence {
   ServiceName service;
-  /// Time until primary leases are expected to be granted again.
-  Duration ready_in{0};
+  /// Time until primary leases are expected to be granted again, or nothing if
+  /// that is not known.
+  std::optional<Duration> ready_in;
 };
 
 /// The reply to a LeaseRequestMessage. A new leader also sends one with
--- a/src/core/session/session_router.cc
+++ b/src/core/session/session_router.cc
@@ -14,6 +14,9 @@
 // Dispatch stops after this many queued statements that need no primary could
 // not be started.
 constexpr int kMaxBlockedAttempts = 8;
+// The announcement that it is not known when there will be a primary counts for
+// this long. The leader renews it with each reply to a lease request.
+constexpr Duration kAnnouncementLifetime = std::chrono::seconds(3);
 
 }  // namespace
 
@@ -58,6 +61,7 @@
   } else if (endpoint.leaving_since == TimePoint::max()) {
     endpoint.leaving_since = now;
   }
+  if (restarted) endpoint.restarted_at = now;
   if (restarted || moved) {
     endpoint.next_open = now;
     endpoint.position = {};
@@ -139,10 +143,12 @@
   if (changed || !was_valid) Dispatch(service, now);
 }
 
-void SessionRouter::ExpectPrimary(const ServiceName& name, TimePoint ready_at,
+void SessionRouter::ExpectPrimary(const ServiceName& name,
+                                  std::optional<TimePoint> ready_at,
                                   TimePoint now) {
   Service& service = services_[name];
-  service.primary_ready_at = ready_at;
+  service.primary_ready_at = ready_at.value_or(TimePoint::max());
+  service.primary_announced_at = now;
   std::vector<JobPtr> unservable;
   for (const JobPtr& job : service.queue) {
     if (!job->done && job->running == 0 &&
@@ -159,10 +165,11 @@
 bool SessionRouter::NoPrimaryBeforeDeadline(const StatementJob& job,
                                             const Service& service,
                                             TimePoint now) const {
-  if (service.primary_ready_at <= job.deadline ||
-      leases_.FindValid(job.service, now) != nullptr) {
-    return false;
-  }
+  const bool is_time_known = service.primary_ready_at != TimePoint::max();
+  const bool may_come = is_time_known ? service.primary_ready_at <= job.deadline
+                                      : now - service.primary_announced_at >
+                                            kAnnouncementLifetime;
+  if (may_come || leases_.FindValid(job.service, now) != nullptr) return false;
   return job.needs_primary || !RequiredPosition(job, service);
 }
 
--- a/src/core/session/session_router.h
+++ b/src/core/session/session_router.h
@@ -63,10 +63,11 @@
   /// Stores a primary lease and dispatches statements that wait for a primary.
   void GrantLease(const ServiceName& service, const PrimaryLease& lease,
                   TimePoint now);
-  /// Announces that the service is expected to have a primary at `ready_at`;
-  /// queued statements that need a primary earlier are refused at once.
-  void ExpectPrimary(const ServiceName& service, TimePoint ready_at,
-                     TimePoint now);
+  /// Announces that the service is expected to have a primary at `ready_at`, or
+  /// at an unknown time; queued statements that need a primary earlier are
+  /// refused at once.
+  void ExpectPrimary(const ServiceName& service,
+                     std::optional<TimePoint> ready_at, TimePoint now);
   /// Records a log position that the primary had at `at` or later.
   void AddPosition(const ServiceName& service, TimePoint at,
                    LogPosition position);
@@ -141,8 +142,10 @@
     std::uint32_t connection_limit = 1;
     PositionHistory positions;
     RetryBudget retries;
-    /// When a primary lease is expected; ignored while there is a valid lease.
+    /// When a primary lease is expected, or max() if that is not known; ignored
+    /// while there is a valid lease.
     TimePoint primary_ready_at;
+    TimePoint primary_announced_at;
     /// Dispatch traverses the queue.
     bool dispatching = false;
     /// Dispatch was called meanwhile.
--- a/src/core/session/session_router_outcome.cc
+++ b/src/core/session/session_router_outcome.cc
@@ -86,7 +86,8 @@
     result.retry_after = std::max<Duration>(
         kMinRetryAfter,
         kAssumedRunTime * static_cast<int>(service.queue.size()) / slots);
-  } else if (service.primary_ready_at > now) {
+  } else if (service.primary_ready_at > now &&
+             service.primary_ready_at != TimePoint::max()) {
     result.retry_after = service.primary_ready_at - now;
   } else {
     result.retry_after = kFailoverRetryAfter;
--- a/src/wire/peer_codec.cc
+++ b/src/wire/peer_codec.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::int64_t kNoMaxAge = -1;
+constexpr Duration kUnknownTime{-1};
 // Upper bound of a duration in a message (about 36,000 years). Larger values
 // could overflow Duration.
 constexpr std::int64_t kMaxMicroseconds = 1LL << 60;
@@ -181,8 +182,9 @@
     std::vector<Offset<wire::PrimaryAbsence>> absences;
     for (const PrimaryAbsence& absence : reply.absences) {
       const auto service = AddString(absence.service);
-      absences.push_back(wire::CreatePrimaryAbsence(builder_, service,
-                                                    absence.ready_in.count()));
+      const Duration ready_in = absence.ready_in.value_or(kUnknownTime);
+      absences.push_back(
+          wire::CreatePrimaryAbsence(builder_, service, ready_in.count()));
     }
     const auto leader = AddString(reply.leader);
     const auto lease_vector = builder_.CreateVector(lease_offsets);
@@ -335,8 +337,10 @@
   }
   if (reply.absences() == nullptr) return message;
   for (const wire::PrimaryAbsence* absence : *reply.absences()) {
+    const Duration ready_in = DecodeDuration(absence->ready_in_us());
     message.absences.push_back(
-        {ToString(absence->service()), DecodeDuration(absence->ready_in_us())});
+        {ToString(absence->service()),
+         ready_in < Duration{0} ? std::nullopt : std::optional(ready_in)});
   }
   return message;
 }
--- a/test/failover/failover_simulation.h
+++ b/test/failover/failover_simulation.h
@@ -61,6 +61,8 @@
                     Duration duration);
   /// Delays the answers to the endpoint's status queries.
   void DelayStatus(std::size_t endpoint, Duration delay);
+  /// Starts the endpoint's process again, with an empty log.
+  void RestartWithoutLog(std::size_t endpoint);
   /// Removes the endpoint's record from the registry, or adds it again.
   void SetRegistered(std::size_t endpoint, bool registered);
   /// Sets the time from the acceptance of a promotion until it takes effect.
--- a/test/failover/failover_test.cc
+++ b/test/failover/failover_test.cc
@@ -185,6 +185,83 @@
   ExpectNoViolations();
 }
 
+// Guards against a promotion that leaves out the replica which alone has the
+// last acknowledged commits, because its status comes late.
+TEST_F(FailoverWithSyncReplica, HolderAnswersSlowlyItIsPromoted) {
+  simulation_.DelayStatus(1, milliseconds(2500));
+  CrashPrimaryWithOneHolder(seconds(20));
+  simulation_.RunFor(seconds(10));
+  EXPECT_EQ(simulation_.Primary(), 1U);
+  ExpectNoViolations();
+}
+
+// As before, for a replica that no VM reaches. Guards also against callers that
+// wait while it is not known when there will be a primary.
+TEST_F(FailoverWithSyncReplica, HolderIsCutOffWritesAreRefusedAtOnce) {
+  CrashPrimaryWithOneHolder(seconds(60));
+  simulation_.IsolateEndpoint(1, {0, 1, 2, 3, 4}, seconds(12));
+  simulation_.RunFor(seconds(5));
+  simulation_.ResetRefusals();
+  simulation_.RunFor(seconds(4));
+  EXPECT_EQ(simulation_.promotions(), 0U);
+  EXPECT_GT(simulation_.refusals(), 50U);
+  EXPECT_EQ(simulation_.longest_refusal(), Duration{0});
+  simulation_.RunFor(seconds(8));
+  EXPECT_EQ(simulation_.Primary(), 1U);
+  ExpectNoViolations();
+}
+
+// Guards against a promotion that is held back for ever by a replica that is
+// lost for good. The other replica has all commits here.
+TEST_F(FailoverWithSyncReplica, ReplicaIsLostForGoodTheOtherIsPromoted) {
+  simulation_.CrashEndpoint(0, seconds(90));
+  simulation_.CrashEndpoint(1, seconds(90));
+  simulation_.RunFor(milliseconds(3600));
+  simulation_.SetRegistered(0, false);
+  simulation_.SetRegistered(1, false);
+  simulation_.RunFor(seconds(9));
+  EXPECT_EQ(simulation_.promotions(), 0U);
+  simulation_.RunFor(seconds(3));
+  EXPECT_EQ(simulation_.Primary(), 2U);
+  ExpectNoViolations();
+}
+
+// Guards against a replica that has started again without its log and whose
+// present log counts as all that it has acknowledged.
+TEST_F(FailoverWithSyncReplica, HolderLosesItsLogThePrimaryServesAgain) {
+  CrashPrimaryWithOneHolder(seconds(7));
+  simulation_.RestartWithoutLog(1);
+  simulation_.RunFor(seconds(10));
+  EXPECT_EQ(simulation_.Primary(), 0U);
+  EXPECT_EQ(simulation_.promotions(), 0U);
+  ExpectNoViolations();
+}
+
+// Guards against a promotion that passes over a replica which is about to stop
+// and alone has the last acknowledged commits.
+TEST_F(FailoverWithSyncReplica, HolderLeavesItIsPromotedAndReplaced) {
+  CrashPrimaryWithOneHolder(seconds(60));
+  simulation_.MarkLeaving(1);
+  simulation_.RunFor(seconds(5));
+  EXPECT_EQ(simulation_.Primary(), 1U);
+  simulation_.StopReplication(2, Duration{0});
+  simulation_.RunFor(seconds(5));
+  EXPECT_EQ(simulation_.Primary(), 2U);
+  ExpectNoViolations();
+}
+
+// Guards against a planned change that hands over to a log which is known to be
+// too short.
+TEST_F(FailoverWithSyncReplica, PrimaryLeavesReplicaIsBehindItIsWaitedFor) {
+  simulation_.StopReplication(1, seconds(6));
+  simulation_.StopReplication(2, seconds(6));
+  simulation_.RunFor(seconds(1));
+  simulation_.MarkLeaving(0);
+  simulation_.RunFor(seconds(10));
+  EXPECT_NE(simulation_.Primary(), 0U);
+  ExpectNoViolations();
+}
+
 TEST_F(FailoverWithFiveVms, PrimaryLeavesAnotherIsPrimaryWithinFourSeconds) {
   simulation_.MarkLeaving(0);
   simulation_.RunFor(seconds(4));
--- a/test/failover/fake_failover_simulation.cc
+++ b/test/failover/fake_failover_simulation.cc
@@ -629,6 +629,7 @@
     endpoint->record.address = "10.1.0." + std::to_string(i + 1) + ":5000";
     endpoint->record.data_centre = "dc-" + std::to_string(i);
     endpoint->record.slots = 3;
+    endpoint->record.started_ms = 1;
     endpoint->record.claims_primary = i == 0;
     endpoint->primary = i == 0;
     endpoints_.push_back(std::move(endpoint));
@@ -895,6 +896,15 @@
   endpoints_[endpoint]->status_delay = delay;
 }
 
+void FailoverSimulation::RestartWithoutLog(std::size_t index) {
+  Endpoint& endpoint = *endpoints_[index];
+  ++endpoint.process;
+  endpoint.log.clear();
+  endpoint.entries.clear();
+  ++endpoint.record.started_ms;
+  SetRegistered(index, true);
+}
+
 void FailoverSimulation::SetRegistered(std::size_t index, bool registered) {
   const EndpointRecord& record = endpoints_[index]->record;
   for (const auto& vm : vms_) {
--- a/test/session/session_router_test.cc
+++ b/test/session/session_router_test.cc
@@ -220,6 +220,19 @@
   EXPECT_EQ(owner_->results[0].retry_after, milliseconds(1800));
 }
 
+// Guards against statements that wait for a primary while its replacement is
+// held back, and against refusals that go on when the leader is silent.
+TEST_F(SessionRouterWithoutLease, TimeOfPrimaryIsUnknownWritesAreRefused) {
+  router_.ExpectPrimary("registro", std::nullopt, now_);
+  router_.Submit(Job(true, true), now_);
+  ASSERT_EQ(owner_->results.size(), 1U);
+  EXPECT_EQ(owner_->results[0].end, JobResult::End::kNotRun);
+  EXPECT_EQ(owner_->results[0].retry_after, seconds(1));
+  Pass(seconds(4));
+  router_.Submit(Job(true, true), now_);
+  EXPECT_EQ(owner_->results.size(), 1U);
+}
+
 TEST_F(SessionRouterWithoutLease, PrimaryIsExpectedInTimeWriteIsQueued) {
   router_.ExpectPrimary("registro", now_ + milliseconds(800), now_);
   router_.Submit(Job(true, true), now_);
--- a/test/wire/peer_codec_test.cc
+++ b/test/wire/peer_codec_test.cc
@@ -83,6 +83,9 @@
       Add(r.service, r.endpoint, r.term, r.time_left.count(), r.position.term,
           r.position.index, r.position_age.count());
     }
+    for (const PrimaryAbsence& a : m.absences) {
+      Add(a.service, a.ready_in ? a.ready_in->count() : -1);
+    }
   }
   std::string text() const { return text_.str(); }
 
@@ -145,17 +148,18 @@
           40,
           {{"registro-1", "registro-1-par", milliseconds(30), true}},
           milliseconds(250)},
-      LeaseReplyMessage{9,
-                        "vm-1",
-                        milliseconds(40),
-                        {{"registro-1",
-                          "registro-1-par",
-                          5,
-                          milliseconds(900),
-                          {5, 80},
-                          milliseconds(20)}},
-                        {{"registro-2", milliseconds(1800)}},
-                        41}};
+      LeaseReplyMessage{
+          9,
+          "vm-1",
+          milliseconds(40),
+          {{"registro-1",
+            "registro-1-par",
+            5,
+            milliseconds(900),
+            {5, 80},
+            milliseconds(20)}},
+          {{"registro-2", milliseconds(1800)}, {"registro-3", std::nullopt}},
+          41}};
   return messages;
 }
 
