Endpoint probe: a refusal does not renew an old position

Cause: a STATUS answered with BUSY may contain no position. The time of the last query was renewed then, and the old position was stated in each primary lease as the position at that time. PositionHistory took it for a tighter bound than the true samples of the VM's own statements and erased these.

Evidence: FailoverWithFiveVms.StatusIsRefusedWithoutAPositionNoReadIsTooOld failed before this change (reads on logs that lack commits acknowledged more than 1.5 s earlier, on both replicas) and passes with it.

Fix: a position is stored with the time at which its query was sent. It is stated in a lease only if the endpoint was the primary at that time; a position from before its promotion was only left out when the first answer after it had a position of its own (found by reading, no test shows it).

--- a/src/core/failover/endpoint_probe.cc
+++ b/src/core/failover/endpoint_probe.cc
@@ -90,8 +90,7 @@
   answer_deadline_ = TimePoint::max();
   unanswered_ = 0;
   last_alive_at_ = now;
-  queried_at_ = query_sent_at_;
-  if (reply.position) position_ = reply.position;
+  if (reply.position) position_ = {*reply.position, query_sent_at_};
   if (reply.code != ReplyCode::kOk || !reply.replication) {
     if (!stepped_down_) step_down_sent_ = false;
     return;
--- a/src/core/failover/endpoint_probe.h
+++ b/src/core/failover/endpoint_probe.h
@@ -59,9 +59,11 @@
   /// The last connection was refused or closed, other than as one too many, and
   /// none has opened since.
   bool failing() const { return failing_; }
-  /// When the query was sent that the last answer of any kind belongs to.
-  TimePoint queried_at() const { return queried_at_; }
-  std::optional<LogPosition> position() const { return position_; }
+  /// The last log position received, which the log had reached when the query
+  /// for it was answered. Answers without a position do not renew it.
+  const std::optional<Observation<LogPosition>>& position() const {
+    return position_;
+  }
   /// The endpoint has obeyed the last step-down order.
   bool stepped_down() const { return stepped_down_; }
   const EndpointRecord& record() const { return record_; }
@@ -89,11 +91,10 @@
   bool step_down_sent_ = false;
   bool stepped_down_ = false;
   std::optional<Observation<ReplicationStatus>> status_;
-  std::optional<LogPosition> position_;
+  std::optional<Observation<LogPosition>> position_;
   TimePoint query_sent_at_;
   TimePoint last_alive_at_;
   bool failing_ = false;
-  TimePoint queried_at_;
   TimePoint answer_deadline_ = TimePoint::max();
   /// Queries since the last answer that were given up.
   unsigned unanswered_ = 0;
--- a/src/core/failover/primary_keeper.cc
+++ b/src/core/failover/primary_keeper.cc
@@ -171,13 +171,25 @@
   lease.term = term_;
   lease.time_left = LeaderElection::kPrimaryLeaseDuration;
   const auto probe = probes_.find(primary_);
-  if (probe != probes_.end() && probe->second->position()) {
-    lease.position = *probe->second->position();
-    lease.position_age = now - probe->second->queried_at();
+  if (probe == probes_.end()) return lease;
+  const auto& position = probe->second->position();
+  if (position && IsPositionOfPrimary(*probe->second)) {
+    lease.position = position->value;
+    lease.position_age = now - position->as_of;
   }
   return lease;
 }
 
+// A position that the endpoint reported as a replica says nothing about what it
+// has acknowledged as the primary.
+bool PrimarySupervisor::IsPositionOfPrimary(const EndpointProbe& probe) const {
+  const TimePoint as_of = probe.position()->as_of;
+  const ReplicationStatus* status = probe.LastStatus();
+  return as_of >= state_entered_at_ ||
+         (status != nullptr && status->is_primary &&
+          as_of >= probe.status_as_of());
+}
+
 bool PrimarySupervisor::IsReplacing() const {
   return state_ == State::kStopped || state_ == State::kChoosing ||
          state_ == State::kPromoting || state_ == State::kConfirming;
--- a/src/core/failover/primary_keeper.h
+++ b/src/core/failover/primary_keeper.h
@@ -116,6 +116,9 @@
   /// As SearchPrimary, without a record of the present era. `best` is the
   /// endpoint that says that it is primary in the highest term, or null.
   void SearchWithoutRecord(const EndpointProbe* best, TimePoint now);
+  /// True if the endpoint was the primary when it reported its position. There
+  /// must be one.
+  bool IsPositionOfPrimary(const EndpointProbe& probe) const;
   /// True when this VM has a valid lease for `best`.
   bool HasLease(const EndpointProbe& best, TimePoint now) const;
   /// True when the other endpoints and the reports of VMs show that `best` is
--- a/test/failover/failover_test.cc
+++ b/test/failover/failover_test.cc
@@ -331,6 +331,17 @@
   ExpectNoViolations();
 }
 
+// Guards against a position of the primary that is stated as that of its last
+// answer although that answer contained no position: reads with a maximum age
+// then run on replicas that are further behind.
+TEST_F(FailoverWithFiveVms, StatusIsRefusedWithoutAPositionNoReadIsTooOld) {
+  simulation_.RefuseStatus(0, false, seconds(5));
+  simulation_.StopReplication(1, seconds(5));
+  simulation_.StopReplication(2, seconds(5));
+  simulation_.RunFor(seconds(8));
+  ExpectNoViolations();
+}
+
 TEST_F(FailoverWithFiveVms, AllVmsRestartTheRecordedPrimaryIsUsed) {
   simulation_.CrashEndpoint(0, seconds(6));
   simulation_.RunFor(seconds(5));
