Failover: a report of an old failure does not count against the primary

What callers saw: with SyncReplicas 1, no primary for as long as a replica that may hold commits is cut off, although the old primary is back with all of them.

Cause: a VM reports a primary as failing from its first failure to reach it until the next answer. Without a primary lease it sends no statements there, so the failure is never disproved, and most VMs go on to report it. The leader therefore did not go on with a primary that it reached itself.

Evidence: HolderIsCutOffPrimaryReturnsItServesAgain failed before this change (no acknowledgement within 5 s of the return) and passes with it.

Fix: a failure is reported for 2.5 s after the last attempt, which is longer than the pause between two attempts and the time until one fails. No message changes.

--- a/src/core/failover/failover_manager.cc
+++ b/src/core/failover/failover_manager.cc
@@ -57,6 +57,10 @@
 // As kRegistrationSpread, for VMs that cannot become the leader.
 constexpr Duration kIdleRegistrationSpread = std::chrono::seconds(4);
 constexpr Duration kRegistrationRetry = milliseconds(200);
+// An older failure to reach an endpoint is not reported: a VM without a primary
+// lease does not try again. Longer than the pause between two attempts to open
+// a connection and the time until an attempt fails.
+constexpr Duration kMaxFailureAge = milliseconds(2500);
 // Replies to older lease requests are ignored.
 constexpr Duration kRequestLifetime = std::chrono::seconds(2);
 
@@ -435,7 +439,8 @@
     report.endpoint = lease.endpoint;
     report.answer_age =
         std::min<Duration>(now - endpoint.last_answer, std::chrono::hours(1));
-    report.failing = endpoint.failing_since != TimePoint::max();
+    report.failing = endpoint.failing_since != TimePoint::max() &&
+                     now - endpoint.last_failure <= kMaxFailureAge;
     reports.push_back(std::move(report));
   }
   return reports;
--- a/src/core/peer_message.h
+++ b/src/core/peer_message.h
@@ -122,7 +122,8 @@
   EndpointName endpoint;
   /// Time since the last answer of the endpoint to the sender.
   Duration answer_age{0};
-  /// A request of the sender to the endpoint has failed since then.
+  /// A request of the sender to the endpoint has failed since then, and not
+  /// long ago.
   bool failing = false;
 };
 
--- a/src/core/session/endpoint_state.h
+++ b/src/core/session/endpoint_state.h
@@ -40,6 +40,9 @@
   /// Time of the first failure since the endpoint's last reply; max() if there
   /// was none.
   TimePoint failing_since = TimePoint::max();
+  /// Time of the last failure. Without further attempts, it says nothing about
+  /// the present.
+  TimePoint last_failure = TimePoint::min();
   LogPosition position;
   /// The endpoint refused reads that require `behind_position`; such reads are
   /// not sent to it again before this time.
@@ -88,6 +91,7 @@
   }
   void RecordFailure(TimePoint now) {
     if (failing_since == TimePoint::max()) failing_since = now;
+    last_failure = now;
   }
 
  private:
--- a/test/failover/failover_test.cc
+++ b/test/failover/failover_test.cc
@@ -211,6 +211,19 @@
   ExpectNoViolations();
 }
 
+// Guards against a promotion that is held back although the old primary, which
+// has all commits, is back.
+TEST_F(FailoverWithSyncReplica, HolderIsCutOffPrimaryReturnsItServesAgain) {
+  CrashPrimaryWithOneHolder(seconds(7));
+  simulation_.IsolateEndpoint(1, {0, 1, 2, 3, 4}, seconds(60));
+  simulation_.RunFor(seconds(7));
+  simulation_.StopReplication(2, Duration{0});
+  simulation_.RunFor(seconds(1));
+  EXPECT_LT(TimeToNextAcknowledgement(seconds(5)), seconds(1));
+  EXPECT_EQ(simulation_.promotions(), 0U);
+  ExpectNoViolations();
+}
+
 // Guards against a promotion that is held back for ever by a replica that is
 // lost for good. The other replica has all commits here.
 TEST_F(FailoverWithSyncReplica, ReplicaIsLostForGoodTheOtherIsPromoted) {
