Failover: an endpoint that answers slowly does not prevent a promotion

What callers saw: no primary for as long as the replicas need over 0.5 s for the answer to a STATUS, for example because statements queue there. With SyncReplicas 1, the replica that has all commits was promoted only after it had answered one.

Cause: a query is given up after 0.5 s with its connection, so a later answer never counts. The position in the reply to the connect was not read. After the order, a slow new primary was never seen to be the primary, and the order was repeated every 3 s.

Evidence: FailoverWithFiveVms.ReplicasAnswerSlowlyOneIsPromoted and FailoverWithSyncReplica.HolderAnswersSlowlyItsPositionIsEnough failed before this change (no acknowledgement within 15 s; a status takes 2.5 s there). They pass with it, within the sum of the steps (8.23 s).

Fix: a position that a replica reports on connecting is a lower bound of its log and is enough for its promotion if the known logs of the others do not reach beyond it. Without synchronous replicas, a status is still waited for during 0.5 s. The answer that confirms a promotion is waited for during up to 4 s, and counts also when the order was repeated meanwhile.

--- a/src/core/failover/endpoint_probe.cc
+++ b/src/core/failover/endpoint_probe.cc
@@ -25,6 +25,7 @@
   answer_deadline_ = now + std::min(wait, longest_wait);
   if (connection_ == 0) {
     open_ = false;
+    open_sent_at_ = now;
     connection_ =
         link_.Open(record_.address, record_.service, record_.name, *this);
   } else if (open_) {
@@ -62,9 +63,10 @@
 }
 
 void EndpointProbe::OnSessionOpened(ConnectionId connection,
-                                    const StatementReply& /*reply*/,
+                                    const StatementReply& reply,
                                     TimePoint now) {
   if (connection != connection_) return;
+  if (reply.position) position_ = {*reply.position, open_sent_at_};
   open_ = true;
   failing_ = false;
   last_alive_at_ = now;
--- a/src/core/failover/endpoint_probe.h
+++ b/src/core/failover/endpoint_probe.h
@@ -59,8 +59,9 @@
   /// The last connection was refused or closed, other than as one too many, and
   /// none has opened since.
   bool failing() const { return failing_; }
-  /// The last log position received, which the log had reached when the query
-  /// for it was answered. Answers without a position do not renew it.
+  /// The last log position received in a reply to a query or to the opening of
+  /// a connection: the log has reached it. Replies without a position do not
+  /// renew it.
   const std::optional<Observation<LogPosition>>& position() const {
     return position_;
   }
@@ -92,6 +93,7 @@
   bool stepped_down_ = false;
   std::optional<Observation<ReplicationStatus>> status_;
   std::optional<Observation<LogPosition>> position_;
+  TimePoint open_sent_at_;
   TimePoint query_sent_at_;
   TimePoint last_alive_at_;
   bool failing_ = false;
--- a/src/core/failover/primary_keeper.cc
+++ b/src/core/failover/primary_keeper.cc
@@ -36,8 +36,7 @@
 // A replica has this long to receive the whole log of a primary that stepped
 // down.
 constexpr Duration kHandoverTimeout = milliseconds(1500);
-// With synchronous replicas, an answer of a busy endpoint is waited for during
-// this time.
+// An answer that a promotion depends on is waited for during this time.
 constexpr Duration kLongestAnswerWait = std::chrono::seconds(4);
 // A replica that disappeared from the registry, or has started again, counts as
 // one whose log is not known for this long.
@@ -261,9 +260,11 @@
 void PrimarySupervisor::QueryAll(TimePoint now) {
   if (now < next_query_) return;
   next_query_ = now + kFastQueryInterval;
-  const bool compares = state_ == State::kChoosing && sync_replicas_ > 0U;
+  const bool needs_answers =
+      state_ == State::kConfirming ||
+      (state_ == State::kChoosing && sync_replicas_ > 0U);
   const Duration longest_wait =
-      compares ? kLongestAnswerWait : EndpointProbe::kAnswerTimeout;
+      needs_answers ? kLongestAnswerWait : EndpointProbe::kAnswerTimeout;
   for (const auto& [name, endpoint] : context_.endpoints) {
     if (endpoint.record.service != service_) continue;
     ProbeOf(endpoint).Query(now, longest_wait);
@@ -285,6 +286,7 @@
   const PrimaryRecord* record = current_record();
   if (record != nullptr && record->phase == PrimaryPhase::kPromoting) {
     chosen_ = record->primary;
+    chosen_at_ = now;
     term_ = record->term;
     Enter(State::kPromoting, "recorded_order", Duration{0}, now);
     return;
@@ -606,12 +608,17 @@
     log.is_candidate = IsCandidate(endpoint, now);
     if (!log.is_candidate && !MayHoldLog(endpoint, now)) continue;
     const EndpointProbe& probe = ProbeOf(endpoint);
+    if (const auto& position = probe.position();
+        position && position->as_of >= state_entered_at_) {
+      log.reached = position->value;
+    }
     if (const auto* status = probe.StatusSince(state_entered_at_)) {
-      log.reached = status->received;
+      log.reached =
+          std::max(log.reached.value_or(status->received), status->received);
       // A process that has just started does not know what the one before it
       // acknowledged.
       const bool has_history =
-          endpoint.restarted_at == TimePoint::min() ||
+          sync_replicas_ == 0U || endpoint.restarted_at == TimePoint::min() ||
           now - endpoint.restarted_at >= kReplicaReturnTime;
       if (has_history) log.end = status->received;
     }
@@ -669,7 +676,7 @@
   const bool waits_for_replica =
       *sync_replicas_ == 0 && elapsed < kReplicaAnswerTimeout &&
       std::any_of(logs.begin(), logs.end(), [](const ReplicaLog& log) {
-        return log.is_candidate && !log.reached;
+        return log.is_candidate && !log.end;
       });
   const bool waits_for_log =
       handover_position_ && *selection.best->reached < *handover_position_;
@@ -683,8 +690,8 @@
     return;
   }
   chosen_ = selection.best->endpoint;
-  Enter(State::kPromoting, "longest_log",
-        now - probes_.at(chosen_)->status_as_of(), now);
+  chosen_at_ = now;
+  Enter(State::kPromoting, "longest_log", elapsed, now);
 }
 
 void PrimarySupervisor::HoldPromotion(const ReplicaLog* unmatched,
@@ -828,9 +835,12 @@
   QueryAll(now);
   const auto found = probes_.find(chosen_);
   const ReplicationStatus* status =
-      found == probes_.end() ? nullptr
-                             : found->second->StatusSince(state_entered_at_);
-  if (status != nullptr && status->is_primary) {
+      found == probes_.end() ? nullptr : found->second->StatusSince(chosen_at_);
+  // An answer to a query from before the order was repeated shows its effect by
+  // the term.
+  if (status != nullptr && status->is_primary &&
+      (status->term > term_ ||
+       found->second->status_as_of() >= state_entered_at_)) {
     reports_.clear();
     last_promotion_time_ = now - state_entered_at_;
     Serve(*found->second, "promoted", now);
--- a/src/core/failover/primary_keeper.h
+++ b/src/core/failover/primary_keeper.h
@@ -199,6 +199,7 @@
   /// End of the old primary's log after it stepped down.
   std::optional<LogPosition> handover_position_;
   EndpointName chosen_;
+  TimePoint chosen_at_;
   std::map<EndpointName, TimePoint> excluded_until_;
   /// The write in flight, whose answer may be lost.
   std::optional<PrimaryRecord> pending_record_;
