Caller session: own commits at unknown positions are read on the primary

What callers would see: on read_your_writes routes, a read that misses a commit of its own session.

Cause: the position of a commit was kept only if the reply contained one, and only for the last service that the session wrote to. A reply without a position, which the protocol allows, or a route that leads to another service for a while, left an older position or none, so a replica without the commit could run the read.

Fix: the position is kept for each service that the session has written to, and may be unknown; reads then need the primary until a later commit reports its position. State: one entry for each service that a session wrote to.

--- a/src/core/session/caller_session.cc
+++ b/src/core/session/caller_session.cc
@@ -248,9 +248,12 @@
   job->needs_primary =
       route_.consistency == Consistency::kPrimary || !reads_only;
   job->max_age = route_.max_age;
+  const auto own_commit = own_commits_.find(route_.service);
   if (route_.consistency == Consistency::kReadYourWrites &&
-      position_service_ == route_.service) {
-    job->session_position = position_;
+      own_commit != own_commits_.end()) {
+    // No replica is known to have a commit at an unknown position.
+    if (!own_commit->second) job->needs_primary = true;
+    job->session_position = own_commit->second.value_or(LogPosition{});
   }
   job->received = received_;
   job->deadline = received_ + route_.statement_timeout;
@@ -298,11 +301,11 @@
     connection_ = 0;
     state_ = TransactionState::kFailed;
   }
-  if (succeeded && result.reply.position && job != nullptr && job->has_effect &&
+  if (succeeded && job != nullptr && job->has_effect &&
       (commits || !in_transaction)) {
-    if (position_service_ != job->service) position_ = {};
-    position_service_ = job->service;
-    position_ = std::max(position_, *result.reply.position);
+    std::optional<LogPosition>& own_commit = own_commits_[job->service];
+    const std::optional<LogPosition>& position = result.reply.position;
+    own_commit = position ? std::max(own_commit, position) : std::nullopt;
   }
   Answer(std::move(reply), cause, now);
 }
--- a/src/core/session/caller_session.h
+++ b/src/core/session/caller_session.h
@@ -3,7 +3,9 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "core/session/caller_channel.h"
@@ -96,8 +98,9 @@
   CallerChannel* channel_;
   std::string database_;
   SessionContext context_;
-  LogPosition position_;
-  ServiceName position_service_;
+  /// Position of the session's last commit in each service that it has written
+  /// to, or nothing if the endpoint did not report it.
+  std::map<ServiceName, std::optional<LogPosition>> own_commits_;
 
   TransactionState state_ = TransactionState::kIdle;
   bool read_only_ = false;
--- a/test/session/caller_session_test.cc
+++ b/test/session/caller_session_test.cc
@@ -104,6 +104,74 @@
             std::vector<ReplyCode>{ReplyCode::kUnknownDatabase});
 }
 
+class CallerSessionThatReadsItsWrites : public CallerSessionOfAService {
+ protected:
+  CallerSessionThatReadsItsWrites() {
+    EndpointRecord replica;
+    replica.name = "replica";
+    replica.service = "registro";
+    replica.address = "10.0.0.2:5000";
+    replica.slots = 30;
+    router_.SetEndpoint(replica, now_);
+    DatabaseRoute& route = routes_.databases["packs"];
+    route.consistency = Consistency::kReadYourWrites;
+    route.max_age = seconds(1);
+    router_.AddPosition("registro", now_, {1, 90});
+    session_->OnConnect("packs");
+    // Opens the connection to the replica.
+    PositionRequiredByRead();
+  }
+
+  void WriteAnswered(std::optional<LogPosition> position) {
+    Run(StatementKind::kWrite);
+    StatementReply reply = OkReply({1, 100});
+    reply.position = position;
+    ASSERT_TRUE(link_.Answer("db", reply, now_));
+  }
+  /// Runs a read and returns the position that it requires of the replica, or
+  /// nothing if it runs on the primary.
+  std::optional<LogPosition> PositionRequiredByRead() {
+    Run(StatementKind::kRead);
+    const auto read = link_.Answer("replica", OkReply({1, 100}), now_);
+    if (read) return read->min_position;
+    EXPECT_TRUE(link_.Answer("db", OkReply({1, 100}), now_));
+    return std::nullopt;
+  }
+};
+
+TEST_F(CallerSessionThatReadsItsWrites, PositionIsKnownReplicaMustHaveIt) {
+  EXPECT_EQ(PositionRequiredByRead(), (LogPosition{1, 90}));
+  WriteAnswered(LogPosition{1, 95});
+  EXPECT_EQ(PositionRequiredByRead(), (LogPosition{1, 95}));
+}
+
+// Guards against a commit whose reply contains no position and that a later
+// read of its session therefore does not wait for.
+TEST_F(CallerSessionThatReadsItsWrites, PositionIsMissingReadRunsOnThePrimary) {
+  WriteAnswered(std::nullopt);
+  EXPECT_EQ(PositionRequiredByRead(), std::nullopt);
+  WriteAnswered(LogPosition{1, 95});
+  EXPECT_EQ(PositionRequiredByRead(), (LogPosition{1, 95}));
+}
+
+// Guards against own commits that are forgotten when the route leads to another
+// service for a while.
+TEST_F(CallerSessionThatReadsItsWrites, RouteChangesAndReturnsWriteIsKnown) {
+  WriteAnswered(LogPosition{1, 95});
+  EndpointRecord other;
+  other.name = "other";
+  other.service = "archive";
+  other.address = "10.0.0.3:5000";
+  router_.SetEndpoint(other, now_);
+  router_.SetConnectionLimit("archive", 4, now_);
+  router_.GrantLease("archive", {"other", 1, now_ + seconds(60)}, now_);
+  routes_.databases["packs"].service = "archive";
+  Run(StatementKind::kWrite);
+  ASSERT_TRUE(link_.Answer("other", OkReply({1, 7}), now_));
+  routes_.databases["packs"].service = "registro";
+  EXPECT_EQ(PositionRequiredByRead(), (LogPosition{1, 95}));
+}
+
 TEST_F(CallerSessionOfAService,
        RoutesAreNotLoadedYetNoDatabaseIsReportedUnknown) {
   routes_ = {};
