--- a/test/failover/failover_simulation.h
+++ b/test/failover/failover_simulation.h
@@ -28,6 +28,8 @@
   void RunFor(Duration duration) { simulation_.RunFor(duration); }
   /// Starts one fault of a random kind and duration; it ends by itself.
   void InjectFault();
+  /// As InjectFault, for the replication and the status of any endpoint.
+  void InjectReplicaFault();
   /// Ends all faults except crashes of VMs, whose restart is scheduled.
   void EndAllFaults();
 
--- a/test/failover/failover_test.cc
+++ b/test/failover/failover_test.cc
@@ -614,6 +614,36 @@
   ExpectNoViolations();
 }
 
+// Guards against acknowledged commits that are lost when replicas crash,
+// receive nothing, or do not say what they hold while the primary is replaced.
+// CARAWAYHAVEN_SYNC_FIRST_SEED and CARAWAYHAVEN_SYNC_SEEDS set the first seed
+// and the number of seeds.
+TEST(FailoverWithSyncReplicas, FaultsComeInAnyOrderNoCommitIsLost) {
+  const int first = EnvironmentNumber("CARAWAYHAVEN_SYNC_FIRST_SEED", 1);
+  const int count = EnvironmentNumber("CARAWAYHAVEN_SYNC_SEEDS", 100);
+  for (int seed = first; seed < first + count && !HasFailure(); ++seed) {
+    FailoverSimulation simulation(5, static_cast<std::uint64_t>(seed));
+    simulation.SetSyncReplicas(seed % 4 == 0 ? 2 : 1);
+    simulation.RunFor(seconds(2));
+    for (int fault = 0; fault < 12; ++fault) {
+      if (fault % 3 == 0) {
+        simulation.InjectFault();
+      } else {
+        simulation.InjectReplicaFault();
+      }
+      simulation.RunFor(milliseconds(700));
+    }
+    simulation.EndAllFaults();
+    simulation.RunFor(seconds(18));
+    const std::size_t before = simulation.acknowledged();
+    simulation.RunFor(seconds(2));
+    EXPECT_GT(simulation.acknowledged(), before)
+        << "no recovery, seed " << seed;
+    EXPECT_EQ(simulation.violations(), std::vector<std::string>())
+        << "seed " << seed;
+  }
+}
+
 struct RegressionSeed {
   std::uint64_t seed;
   const char* cause;
--- a/test/failover/fake_failover_simulation.cc
+++ b/test/failover/fake_failover_simulation.cc
@@ -961,10 +961,41 @@
   }
 }
 
+void FailoverSimulation::InjectReplicaFault() {
+  const std::size_t endpoint = random_() % endpoints_.size();
+  const Duration time = milliseconds(500 + random_() % 6000);
+  std::set<std::size_t> vms;
+  switch (random_() % 6) {
+    case 0:
+      CrashEndpoint(endpoint, time);
+      break;
+    case 1:
+      RefuseStatus(endpoint, Chance() < 0.5, time);
+      break;
+    case 2:
+      DelayStatus(endpoint, milliseconds(random_() % 3000));
+      simulation_.After(
+          time, [this, endpoint] { DelayStatus(endpoint, Duration{0}); });
+      break;
+    case 3:
+      for (std::size_t i = 0; i < vms_.size(); ++i) {
+        if (Chance() < 0.7) vms.insert(i);
+      }
+      IsolateEndpoint(endpoint, vms, time);
+      break;
+    default:
+      StopReplication(endpoint, time);
+  }
+}
+
 void FailoverSimulation::EndAllFaults() {
   const TimePoint now = simulation_.now();
   store_down_until_ = now;
   for (const auto& endpoint : endpoints_) {
+    endpoint->deaf_until = std::min(endpoint->deaf_until, now);
+    endpoint->status_refused_until =
+        std::min(endpoint->status_refused_until, now);
+    endpoint->status_delay = Duration{0};
     endpoint->down_until = std::min(endpoint->down_until, now);
     endpoint->isolated_until = std::min(endpoint->isolated_until, now);
   }
