Failover: the order in the record names the endpoint that is replaced

What callers would see: no primary for good.

Cause: the record of an ordered promotion held the new primary only. When the leader changed and the order was refused, the next leader did not know which endpoint was to be replaced, and chose the old primary, which had stepped down. Its promotion has no effect, since the platform still takes it for the primary, and was repeated for ever. The log of the old primary counted as that of a replica as well.

Evidence: the trace of seed 1113 shows "promoting ... recorded_order", "choosing ... order_refused" with no endpoint, then "no_effect" every 3 s. Both seeds failed before this change and are regression seeds now.

Fix: the record names the endpoint that is replaced, which is no candidate then. The field is optional: records of earlier versions are read as before, and they ignore it. The record grows by one name while a promotion is ordered.

--- a/src/core/failover/failover_records.cc
+++ b/src/core/failover/failover_records.cc
@@ -64,6 +64,7 @@
               {"writes", record.writes},
               {"phase", kPhaseNames[static_cast<std::size_t>(record.phase)]}};
   if (record.era) object["era"] = *record.era;
+  if (!record.replaced.empty()) object["replaced"] = record.replaced;
   return object.dump();
 }
 
@@ -103,7 +104,9 @@
     return PrimaryRecord{object.at("primary").get<std::string>(),
                          Number(object, "term"),
                          static_cast<PrimaryPhase>(found - kPhaseNames.begin()),
-                         Number(object, "writes"), ParseEra(object)};
+                         Number(object, "writes"),
+                         ParseEra(object),
+                         object.value("replaced", EndpointName())};
   });
 }
 
--- a/src/core/failover/failover_records.h
+++ b/src/core/failover/failover_records.h
@@ -66,6 +66,9 @@
   std::uint64_t writes = 0;
   /// As LeaderRecord::era.
   std::optional<std::uint64_t> era;
+  /// While `primary` is being promoted, the endpoint that it replaces; empty if
+  /// that is not known.
+  EndpointName replaced;
 };
 
 /// A VM's entry in the store, by which peers find each other.
--- a/src/core/failover/primary_keeper.cc
+++ b/src/core/failover/primary_keeper.cc
@@ -67,7 +67,7 @@
 // Records that differ only in their number have the same effect.
 bool HaveSameContent(const PrimaryRecord& a, const PrimaryRecord& b) {
   return a.primary == b.primary && a.term == b.term && a.phase == b.phase &&
-         a.era == b.era;
+         a.era == b.era && a.replaced == b.replaced;
 }
 
 }  // namespace
@@ -287,6 +287,7 @@
   if (record != nullptr && record->phase == PrimaryPhase::kPromoting) {
     chosen_ = record->primary;
     chosen_at_ = now;
+    primary_ = record->replaced;
     term_ = record->term;
     Enter(State::kPromoting, "recorded_order", Duration{0}, now);
     return;
@@ -515,7 +516,7 @@
   }
   if (status != nullptr) term_ = std::max(term_, status->term);
   if (!record_written_ && now >= retry_at_) {
-    WriteRecord({primary_, term_, PrimaryPhase::kServing, 0, era_}, now);
+    WriteRecord({primary_, term_, PrimaryPhase::kServing, 0, era_, {}}, now);
   }
   const TimePoint alive = std::max(LastAliveAt(), state_entered_at_);
   if (!MostVmsReportFailure(now)) {
@@ -562,7 +563,7 @@
   // be withdrawn as well.
   if (!record_written_) {
     if (now >= retry_at_) {
-      WriteRecord({primary_, term_, PrimaryPhase::kStopping, 0, era_}, now);
+      WriteRecord({primary_, term_, PrimaryPhase::kStopping, 0, era_, {}}, now);
     }
     return;
   }
@@ -783,7 +784,8 @@
 void PrimarySupervisor::Promote(TimePoint now) {
   if (now < retry_at_ || !context_.election.MayPromote(now)) return;
   if (!record_written_) {
-    WriteRecord({chosen_, term_, PrimaryPhase::kPromoting, 0, era_}, now);
+    WriteRecord({chosen_, term_, PrimaryPhase::kPromoting, 0, era_, primary_},
+                now);
     return;
   }
   retry_at_ = now + retry_delay_;
--- a/src/core/failover/primary_keeper.h
+++ b/src/core/failover/primary_keeper.h
@@ -67,8 +67,8 @@
   void OnReport(const VmName& vm, const PrimaryReport& report, TimePoint now);
   /// Sets how many replicas hold each acknowledged commit.
   void SetSyncReplicas(std::uint32_t count) {
+    if (sync_replicas_ != count) next_tick_ = {};
     sync_replicas_ = count;
-    next_tick_ = {};
   }
 
   void Tick(TimePoint now);
--- a/test/failover/failover_records_test.cc
+++ b/test/failover/failover_records_test.cc
@@ -36,8 +36,10 @@
   EXPECT_EQ(ParseLeaderRecord(FormatRecord(leader)).era, 2U);
   EXPECT_EQ(ParseLeaderRecord(FormatRecord(leader)).active_predecessors,
             leader.active_predecessors);
-  const PrimaryRecord primary{"db-0", 1, PrimaryPhase::kStopping, 1, 2};
+  const PrimaryRecord primary{"db-0", 1, PrimaryPhase::kPromoting,
+                              1,      2, "db-1"};
   EXPECT_EQ(ParsePrimaryRecord(FormatRecord(primary)).era, 2U);
+  EXPECT_EQ(ParsePrimaryRecord(FormatRecord(primary)).replaced, "db-1");
   EXPECT_THROW(ParsePrimaryRecord(R"({"primary":"db-0","term":1,)"
                                   R"("phase":"serving","writes":1,)"
                                   R"("era":"x"})"),
--- a/test/failover/failover_test.cc
+++ b/test/failover/failover_test.cc
@@ -287,14 +287,14 @@
 }
 
 // Guards against a planned change that hands over to a log which is known to be
-// too short.
-TEST_F(FailoverWithSyncReplica, PrimaryLeavesReplicaIsBehindItIsWaitedFor) {
-  simulation_.StopReplication(1, seconds(6));
+// too short, while the replica that has all commits is down.
+TEST_F(FailoverWithSyncReplica, PrimaryLeavesHolderIsDownItIsWaitedFor) {
   simulation_.StopReplication(2, seconds(6));
   simulation_.RunFor(seconds(1));
+  simulation_.CrashEndpoint(1, seconds(6));
   simulation_.MarkLeaving(0);
   simulation_.RunFor(seconds(10));
-  EXPECT_NE(simulation_.Primary(), 0U);
+  EXPECT_EQ(simulation_.Primary(), 1U);
   ExpectNoViolations();
 }
 
@@ -614,6 +614,27 @@
   ExpectNoViolations();
 }
 
+void RunSyncSeed(std::uint64_t seed) {
+  FailoverSimulation simulation(5, seed);
+  simulation.SetSyncReplicas(seed % 4 == 0 ? 2 : 1);
+  simulation.RunFor(seconds(2));
+  for (int fault = 0; fault < 12; ++fault) {
+    if (fault % 3 == 0) {
+      simulation.InjectFault();
+    } else {
+      simulation.InjectReplicaFault();
+    }
+    simulation.RunFor(milliseconds(700));
+  }
+  simulation.EndAllFaults();
+  simulation.RunFor(seconds(18));
+  const std::size_t before = simulation.acknowledged();
+  simulation.RunFor(seconds(2));
+  EXPECT_GT(simulation.acknowledged(), before) << "no recovery, seed " << seed;
+  EXPECT_EQ(simulation.violations(), std::vector<std::string>())
+      << "seed " << seed;
+}
+
 // Guards against acknowledged commits that are lost when replicas crash,
 // receive nothing, or do not say what they hold while the primary is replaced.
 // CARAWAYHAVEN_SYNC_FIRST_SEED and CARAWAYHAVEN_SYNC_SEEDS set the first seed
@@ -622,25 +643,7 @@
   const int first = EnvironmentNumber("CARAWAYHAVEN_SYNC_FIRST_SEED", 1);
   const int count = EnvironmentNumber("CARAWAYHAVEN_SYNC_SEEDS", 100);
   for (int seed = first; seed < first + count && !HasFailure(); ++seed) {
-    FailoverSimulation simulation(5, static_cast<std::uint64_t>(seed));
-    simulation.SetSyncReplicas(seed % 4 == 0 ? 2 : 1);
-    simulation.RunFor(seconds(2));
-    for (int fault = 0; fault < 12; ++fault) {
-      if (fault % 3 == 0) {
-        simulation.InjectFault();
-      } else {
-        simulation.InjectReplicaFault();
-      }
-      simulation.RunFor(milliseconds(700));
-    }
-    simulation.EndAllFaults();
-    simulation.RunFor(seconds(18));
-    const std::size_t before = simulation.acknowledged();
-    simulation.RunFor(seconds(2));
-    EXPECT_GT(simulation.acknowledged(), before)
-        << "no recovery, seed " << seed;
-    EXPECT_EQ(simulation.violations(), std::vector<std::string>())
-        << "seed " << seed;
+    RunSyncSeed(static_cast<std::uint64_t>(seed));
   }
 }
 
@@ -748,6 +751,21 @@
         RegressionSeed{152, "a record that the copy lacks was never written"},
         RegressionSeed{220, "as 152"}, RegressionSeed{435, "as 152"}));
 
+class FailoverWithSyncReplicasRegressionSeed
+    : public ::testing::TestWithParam<RegressionSeed> {};
+
+TEST_P(FailoverWithSyncReplicasRegressionSeed, FaultsHappenInvariantsHold) {
+  RunSyncSeed(GetParam().seed);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Seeds, FailoverWithSyncReplicasRegressionSeed,
+    ::testing::Values(
+        RegressionSeed{1113,
+                       "a new leader ordered the promotion of the old "
+                       "primary, which has no effect"},
+        RegressionSeed{4432, "as 1113"}));
+
 // CARAWAYHAVEN_RESTORE_FIRST_SEED and CARAWAYHAVEN_RESTORE_SEEDS set the first
 // seed and the number of seeds.
 TEST(FailoverWithRestoredStore, FaultsComeInAnyOrderInvariantsHold) {
