Failover: a replica that started again does not hold back a promotion needlessly

What callers would see: with SyncReplicas 1, up to 10 s without a primary when it crashes soon after one replica has started again and the other one has the longer log.

Cause: a replica counted as unknown for 10 s after its start, since its log does not show what its former process acknowledged.

Fix: what the former process acknowledged was in the primary's log at the time of the restart, so a position that the primary reports after it is an upper bound. The leader keeps one position for each replica that it has seen start again.

--- a/src/core/failover/primary_keeper.cc
+++ b/src/core/failover/primary_keeper.cc
@@ -515,6 +515,7 @@
     return;
   }
   if (status != nullptr) term_ = std::max(term_, status->term);
+  if (sync_replicas_ > 0U) RecordRestarts(probe);
   if (!record_written_ && now >= retry_at_) {
     WriteRecord({primary_, term_, PrimaryPhase::kServing, 0, era_, {}}, now);
   }
@@ -600,6 +601,36 @@
   return now - endpoint.missing_since < kReplicaReturnTime;
 }
 
+void PrimarySupervisor::RecordRestarts(const EndpointProbe& primary) {
+  if (!primary.position() || !IsPositionOfPrimary(primary)) return;
+  for (const auto& [name, endpoint] : context_.endpoints) {
+    if (endpoint.record.service != service_ ||
+        endpoint.restarted_at == TimePoint::min() ||
+        primary.position()->as_of < endpoint.restarted_at) {
+      continue;
+    }
+    RestartedReplica& replica = restarted_replicas_[name];
+    if (replica.restarted_at == endpoint.restarted_at) continue;
+    replica = {endpoint.restarted_at, primary.position()->value};
+  }
+}
+
+// The log of a process that has just started does not show what the one before
+// it has acknowledged, but that was in the primary's log by then.
+std::optional<LogPosition> PrimarySupervisor::LastAcknowledged(
+    const EndpointState& replica, LogPosition received, TimePoint now) const {
+  if (sync_replicas_ == 0U || replica.restarted_at == TimePoint::min() ||
+      now - replica.restarted_at >= kReplicaReturnTime) {
+    return received;
+  }
+  const auto found = restarted_replicas_.find(replica.record.name);
+  if (found == restarted_replicas_.end() ||
+      found->second.restarted_at != replica.restarted_at) {
+    return std::nullopt;
+  }
+  return std::max(received, found->second.primary_position);
+}
+
 std::vector<ReplicaLog> PrimarySupervisor::CollectReplicaLogs(TimePoint now) {
   std::vector<ReplicaLog> logs;
   for (const auto& [name, endpoint] : context_.endpoints) {
@@ -616,12 +647,7 @@
     if (const auto* status = probe.StatusSince(state_entered_at_)) {
       log.reached =
           std::max(log.reached.value_or(status->received), status->received);
-      // A process that has just started does not know what the one before it
-      // acknowledged.
-      const bool has_history =
-          sync_replicas_ == 0U || endpoint.restarted_at == TimePoint::min() ||
-          now - endpoint.restarted_at >= kReplicaReturnTime;
-      if (has_history) log.end = status->received;
+      log.end = LastAcknowledged(endpoint, status->received, now);
     }
     logs.push_back(std::move(log));
   }
--- a/src/core/failover/primary_keeper.h
+++ b/src/core/failover/primary_keeper.h
@@ -109,6 +109,11 @@
     PrimaryReport report;
     TimePoint received;
   };
+  struct RestartedReplica {
+    TimePoint restarted_at;
+    /// A position that the primary reported after the restart.
+    LogPosition primary_position;
+  };
 
   void Enter(State state, std::string_view why, Duration age, TimePoint now);
   EndpointProbe& ProbeOf(const EndpointState& endpoint);
@@ -140,6 +145,13 @@
   TimePoint LeaseEndAfter(TimePoint withdrawn) const;
   void AwaitLeaseExpiry(TimePoint now);
   void ChooseReplica(TimePoint now);
+  /// Stores the primary's position for each replica that has started again.
+  void RecordRestarts(const EndpointProbe& primary);
+  /// An upper bound of the positions that the replica, also in former
+  /// processes, has acknowledged, or nothing if none is known.
+  std::optional<LogPosition> LastAcknowledged(const EndpointState& replica,
+                                              LogPosition received,
+                                              TimePoint now) const;
   /// What is known of the logs of all replicas that may hold commits of the old
   /// primary.
   std::vector<ReplicaLog> CollectReplicaLogs(TimePoint now);
@@ -191,6 +203,7 @@
   std::uint64_t era_ = 0;
   std::uint64_t record_writes_ = 0;
   std::map<EndpointName, std::unique_ptr<EndpointProbe>> probes_;
+  std::map<EndpointName, RestartedReplica> restarted_replicas_;
   TimePoint next_query_;
   std::map<VmName, Report> reports_;
   TimePoint most_fail_since_ = TimePoint::max();
--- a/test/failover/failover_test.cc
+++ b/test/failover/failover_test.cc
@@ -274,6 +274,20 @@
   ExpectNoViolations();
 }
 
+// Guards against a promotion that is held back by a replica which started again
+// before the primary crashed: what its former process has acknowledged is no
+// more than the primary had by then, and the other replica holds that.
+TEST_F(FailoverWithSyncReplica, ReplicaHadRestartedTheOtherIsPromotedAtOnce) {
+  simulation_.RestartWithoutLog(1);
+  simulation_.RunFor(seconds(1));
+  simulation_.StopReplication(1, seconds(2));
+  simulation_.RunFor(seconds(1));
+  simulation_.CrashEndpoint(0, seconds(60));
+  EXPECT_LT(TimeToNextAcknowledgement(seconds(15)), kPlainCrashBound);
+  EXPECT_EQ(simulation_.Primary(), 2U);
+  ExpectNoViolations();
+}
+
 // Guards against a promotion that passes over a replica which is about to stop
 // and alone has the last acknowledged commits.
 TEST_F(FailoverWithSyncReplica, HolderLeavesItIsPromotedAndReplaced) {
