--- a/test/soak/database.py
+++ b/test/soak/database.py
@@ -13,10 +13,13 @@
 class Group:
     """The endpoints of one service."""
 
-    def __init__(self, name, checker, rng, promotion_delay_s=0.4, lag_s=0.02):
+    def __init__(self, name, checker, rng, sync_replicas=0,
+                 promotion_delay_s=0.4, lag_s=0.02):
         self.name = name
         self.checker = checker
         self.rng = rng
+        # Number of replicas that hold a commit before it is acknowledged.
+        self.sync_replicas = sync_replicas
         self.promotion_delay_s = promotion_delay_s
         self.lag_s = lag_s
         self.term = 1
@@ -49,6 +52,9 @@
         self.current_primary = candidate
         for commit in old_primary.log[len(candidate.log):]:
             commit.lost = True
+        if self.sync_replicas:
+            self.checker.on_rolled_back(
+                candidate, old_primary.log[len(candidate.log):])
         candidate.become_primary(self.term)
         for endpoint in self.endpoints:
             if endpoint is not candidate and endpoint is not old_primary:
@@ -106,6 +112,10 @@
         self.lag_factor = 1.0
         # Receives no commits from other endpoints and is not demoted.
         self.isolated = False
+        # Receives no commits from other endpoints.
+        self.deaf = False
+        # Answers STATUS with BUSY, and states no position in it.
+        self.refuses_status = False
         # Share of the statements with a query id after which the connection
         # is closed without a reply. The statement itself has run.
         self.reply_loss_ratio = 0.0
@@ -154,8 +164,8 @@
             self.receive(primary, primary.log[common_length:])
 
     def receive(self, primary, commits):
-        if self.isolated or not self.running or self.is_primary or \
-                self.term != primary.term:
+        if self.isolated or self.deaf or not self.running or \
+                self.is_primary or self.term != primary.term:
             return
         missing = primary.log[len(self.log):]
         if len(missing) < len(commits):
@@ -181,7 +191,8 @@
     def received_position(self):
         return f"{self.log[-1].term}.{len(self.log)}" if self.log else "1.0"
 
-    def _commit(self, query_ids):
+    async def _commit(self, query_ids):
+        """Returns when the commit may be acknowledged."""
         commit = Commit(self.group, self.term, len(self.log) + 1,
                         tuple(query_ids), time.monotonic(),
                         self.group.current_primary is not self)
@@ -193,6 +204,15 @@
             if other is not self:
                 asyncio.get_running_loop().call_later(
                     0.002, other.receive, self, [commit])
+        while self.running and self._count_holders(commit) < \
+                self.group.sync_replicas:
+            await asyncio.sleep(0.002)
+
+    def _count_holders(self, commit):
+        index = commit.log_index - 1
+        return sum(1 for other in self.group.endpoints
+                   if other is not self and other.running and
+                   len(other.log) > index and other.log[index] is commit)
 
     async def _serve(self, reader, writer):
         connection = Connection()
@@ -225,7 +245,9 @@
                     else f"COMPLETE {signature}\r\n"
                 state = "I" if connection.open_writes is None else \
                     "E" if connection.transaction_failed else "T"
-                text += f"READY {state} {self.position()}\r\n"
+                position = "-" if code == "BUSY" and self.refuses_status \
+                    else self.position()
+                text += f"READY {state} {position}\r\n"
                 writer.write(text.encode())
                 await writer.drain()
         except (ConnectionError, OSError, asyncio.IncompleteReadError):
@@ -280,6 +302,8 @@
         return [], None, "-"
 
     async def _run_admin_statement(self, keyword, text):
+        if keyword == "STATUS" and self.refuses_status:
+            return [], "BUSY", "-"
         async with self.semaphore:
             await asyncio.sleep(0.001)
         if keyword == "STEPDOWN" and self.is_primary and \
@@ -320,11 +344,11 @@
             query_ids = connection.open_writes
             connection.end_transaction()
             if query_ids:
-                self._commit(query_ids)
+                await self._commit(query_ids)
         elif is_write and connection.open_writes is not None:
             connection.open_writes.append(query_id)
         elif is_write:
-            self._commit([query_id])
+            await self._commit([query_id])
         return rows, None, signature
 
     def _not_primary_error(self, connection, is_write, keyword):
--- a/test/soak/deployment.py
+++ b/test/soak/deployment.py
@@ -120,13 +120,15 @@
     """Processes, links and stored data of one run."""
 
     def __init__(self, rng, checker, directory, program, vm_count,
-                 services):
+                 services, sync_replicas=0):
         self.rng = rng
         self.checker = checker
         self.table = StoreTable()
         self.directory = directory
         self.groups = {
-            name: Group(name, checker, rng) for name in services}
+            name: Group(name, checker, rng, sync_replicas)
+            for name in services}
+        self.sync_replicas = sync_replicas
         data_centres = ["mendoza", "cordoba", "parana"]
         self.vms = [Vm(f"vm-{i}", data_centres[i % 3], directory, program)
                     for i in range(vm_count)]
@@ -180,7 +182,8 @@
         self.config = {
             "Version": self.config_version,
             "Routes": list(self.routes.values()),
-            "Services": [{"Name": s, "MaxConnections": 24, "SyncReplicas": 0}
+            "Services": [{"Name": s, "MaxConnections": 24,
+                          "SyncReplicas": self.sync_replicas}
                          for s in self.groups],
             "Limits": {"TxIdleMs": 3000}}
         self.rewrite_config()
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -290,6 +290,61 @@
         await restored(deployment, rng)
 
 
+async def replica_deaf(deployment, rng):
+    group = rng.choice(list(deployment.groups.values()))
+    endpoint = rng.choice(group.endpoints)
+    endpoint.deaf = True
+
+    def undo():
+        endpoint.deaf = False
+        primary = group.current_primary
+        if endpoint is not primary and primary.running:
+            endpoint.become_replica_of(primary)
+
+    await _hold_fault(deployment, rng.uniform(1, 6), undo)
+
+
+async def status_refused(deployment, rng):
+    group = rng.choice(list(deployment.groups.values()))
+    endpoint = rng.choice(group.endpoints)
+    endpoint.refuses_status = True
+
+    def undo():
+        endpoint.refuses_status = False
+
+    await _hold_fault(deployment, rng.uniform(1, 6), undo)
+
+
+async def replica_crashes(deployment, rng):
+    group = rng.choice(list(deployment.groups.values()))
+    endpoint = rng.choice(
+        [e for e in group.endpoints if e is not group.current_primary])
+    if endpoint.running:
+        await endpoint.crash()
+    await _hold_fault(deployment, rng.uniform(0.3, 5), lambda: None)
+    if not endpoint.running:
+        await endpoint.start()
+
+
+async def run_replica_faults(deployment, rng, seconds, on_fault_started):
+    """Starts faults of replicas, beside those of a schedule.
+
+    They are not among FAULTS, so that the schedules of all seeds stay the same.
+    """
+    tasks = []
+    elapsed = 0.0
+    while elapsed < seconds:
+        pause = rng.uniform(0.5, 2)
+        await asyncio.sleep(pause)
+        elapsed += pause
+        function = rng.choice([replica_deaf, replica_deaf, status_refused,
+                               replica_crashes, primary_crashes])
+        on_fault_started(function.__name__)
+        tasks.append(asyncio.create_task(
+            function(deployment, random.Random(rng.random()))))
+    await asyncio.gather(*tasks)
+
+
 async def run_schedule(deployment, rng, seconds, on_fault_started):
     """Starts faults for the given time; returns when all are undone."""
     tasks = []
--- a/test/soak/promises.py
+++ b/test/soak/promises.py
@@ -202,6 +202,15 @@
                 self.report("UNASKED", f"{query_id} committed without COMMIT")
             self.commits[query_id] = commit
 
+    def on_rolled_back(self, endpoint, commits):
+        """Commits that waited for replicas are missing in the log of the
+        endpoint that is promoted."""
+        for commit in commits:
+            if commit.acknowledged is not None:
+                self.report("LOST", f"{endpoint.name} is promoted without "
+                            f"{commit.term}.{commit.log_index}, which was "
+                            f"acknowledged")
+
     def on_promotion(self, service, holder, token):
         first_holder = self.holder_of_token.setdefault(token, holder)
         if first_holder != holder:
--- a/test/soak/promises_test.py
+++ b/test/soak/promises_test.py
@@ -58,6 +58,16 @@
         self.assertEqual([line.split()[1] for line in self.checker.findings],
                          [rule + ":"])
 
+    def test_lost_commit(self):
+        statement = self.send("WRITE 1 a")
+        self.run_at_endpoint(statement)
+        commit = self.commit(statement)
+        self.checker.on_rolled_back(self.endpoint, [commit])
+        self.assertEqual(self.checker.findings, [])
+        self.checker.on_reply(statement, None, "s", [])
+        self.checker.on_rolled_back(self.endpoint, [commit])
+        self.assert_only_finding("LOST")
+
     def test_valid_run_has_no_finding(self):
         write = self.send("WRITE 1 a")
         self.run_at_endpoint(write)
--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -14,7 +14,7 @@
 
 from callers import Balancer, Caller
 from deployment import Deployment
-from faults import run_restores, run_schedule
+from faults import run_replica_faults, run_restores, run_schedule
 from promises import GuaranteeChecker
 
 # Faults start during this time; then the deployment must recover.
@@ -50,13 +50,15 @@
                            f"{CONFIG_LIMIT_S} s before")
 
 
-async def run_seed(seed, program, directory, with_restores=False):
+async def run_seed(seed, program, directory, with_restores=False,
+                   sync_replicas=0):
     """Runs one seed; returns the checker with its findings, and a schedule."""
     rng = random.Random(seed)
     checker = GuaranteeChecker()
     deployment = Deployment(rng, checker, directory, program,
                             rng.choice([3, 4, 6, 12]),
-                            ["registro", "hire-core"][:rng.choice([1, 2])])
+                            ["registro", "hire-core"][:rng.choice([1, 2])],
+                            sync_replicas)
     schedule = []
 
     def on_fault_started(name):
@@ -81,6 +83,10 @@
                 schedules.append(run_restores(
                     deployment, random.Random(f"restores of {seed}"),
                     FAULT_DURATION_S, on_fault_started))
+            if sync_replicas:
+                schedules.append(run_replica_faults(
+                    deployment, random.Random(f"replicas of {seed}"),
+                    FAULT_DURATION_S, on_fault_started))
             await asyncio.gather(*schedules)
         await asyncio.sleep(RECOVERY_DURATION_S)
         measured_from = time.monotonic()
@@ -122,6 +128,9 @@
     parser.add_argument("--keep", help="folder for the logs of failed seeds")
     parser.add_argument("--restores", action="store_true",
                         help="also restore the store from older copies")
+    parser.add_argument("--sync-replicas", type=int, default=0,
+                        help="replicas that hold each acknowledged commit; "
+                        "above 0 also faults of replicas")
     options = parser.parse_args()
     if options.regressions:
         seeds = regression_seeds()
@@ -137,7 +146,8 @@
                 directory = pathlib.Path(options.keep) / f"seed-{seed}"
                 directory.mkdir(parents=True, exist_ok=True)
             checker, schedule = asyncio.run(
-                run_seed(seed, options.program, directory, options.restores))
+                run_seed(seed, options.program, directory, options.restores,
+                         options.sync_replicas))
         print(f"seed {seed}: {len(checker.served)} served, "
               f"{len(checker.refused)} not, {len(checker.commits)} writes, "
               f"{len(checker.holder_of_token)} promotions, "
