HTTP client: discard a request that timed out

What callers would see: an order of promotion, or another call of the platform, that arrives after a later one.

Cause: the connection of a call that timed out was closed in the usual way, so the kernel kept sending what was not delivered yet, for example after a partition of the network ended.

Evidence: HttpServerAndClient.RequestTimesOutTheConnectionIsReset failed before this change (the server sees an orderly end) and passes with it (a reset). What the network itself holds up can still arrive.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -1,5 +1,7 @@
 #include "net/http_client.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <cstring>
 #include <memory>
@@ -129,6 +131,14 @@
   if (vhost_ == nullptr) throw NetworkError(error_messages::kEventLoopFailed);
 }
 
+// Discards what the kernel has not delivered: a request that was given up must
+// not arrive behind a later one.
+void HttpClient::DiscardOnClose(lws* wsi) {
+  const linger discard{1, 0};
+  setsockopt(lws_get_socket_fd(wsi), SOL_SOCKET, SO_LINGER, &discard,
+             sizeof(discard));
+}
+
 void HttpClient::Send(const std::string& address_text, HttpRequest request,
                       Duration timeout, HttpResponseCallback done) {
   auto exchange = std::make_shared<Exchange>();
@@ -175,6 +185,7 @@
     const std::shared_ptr<Exchange> alive = weak.lock();
     if (alive == nullptr || alive->done == nullptr) return;
     if (alive->wsi != nullptr) {
+      DiscardOnClose(alive->wsi);
       lws_set_timeout(alive->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
     }
     alive->InvokeCallback();
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -35,6 +35,7 @@
  private:
   struct Exchange;
 
+  static void DiscardOnClose(lws* wsi);
   static int HandleEvent(lws* wsi, lws_callback_reasons reason, void* user,
                          void* in, size_t length);
 
--- a/test/net/http_test.cc
+++ b/test/net/http_test.cc
@@ -1,3 +1,5 @@
+#include <array>
+#include <cerrno>
 #include <vector>
 
 #include "loop_fixture.h"
@@ -107,6 +109,40 @@
   EXPECT_EQ(Call({"GET", "/x", "", "", "", ""}).status, 200);
 }
 
+// Guards against a request that the client has given up and that the network
+// delivers later, behind a newer one: closing the connection in the usual way
+// leaves the rest of the request to be sent.
+TEST_F(HttpServerAndClient, RequestTimesOutTheConnectionIsReset) {
+  const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t length = sizeof(address);
+  auto* const any = reinterpret_cast<sockaddr*>(&address);
+  ASSERT_EQ(bind(listener, any, length), 0);
+  ASSERT_EQ(listen(listener, 1), 0);
+  ASSERT_EQ(getsockname(listener, any, &length), 0);
+  bool ended = false;
+  client_.Send("127.0.0.1:" + std::to_string(ntohs(address.sin_port)),
+               {"POST", "/x", "", "", "", "order"},
+               std::chrono::milliseconds(50),
+               [&ended](const HttpResponse& /*response*/) { ended = true; });
+  ASSERT_TRUE(RunUntil([&ended] { return ended; }));
+  RunTicks(2);
+  const int connection = accept(listener, nullptr, nullptr);
+  std::array<char, 4096> buffer{};
+  const timeval limit{5, 0};
+  setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+  ssize_t received = 0;
+  do {
+    received = recv(connection, buffer.data(), buffer.size(), 0);
+  } while (received > 0);
+  EXPECT_EQ(received, -1);
+  EXPECT_TRUE(errno == ECONNRESET || errno == EPIPE) << errno;
+  close(connection);
+  close(listener);
+}
+
 TEST_F(HttpServerAndClient, LateResponseArrivesWhenTheClientWaits) {
   std::string body;
   client_.Send(kAddress, {"GET", "/late", "", "", "", ""}, kTimeout,
