--- a/test/failover/failover_test.cc
+++ b/test/failover/failover_test.cc
@@ -628,6 +628,17 @@
   ExpectNoViolations();
 }
 
+// Ends all faults. Callers must be served again some time later.
+void ExpectRecovery(FailoverSimulation& simulation, std::uint64_t seed) {
+  simulation.EndAllFaults();
+  simulation.RunFor(seconds(18));
+  const std::size_t before = simulation.acknowledged();
+  simulation.RunFor(seconds(2));
+  EXPECT_GT(simulation.acknowledged(), before) << "no recovery, seed " << seed;
+  EXPECT_EQ(simulation.violations(), std::vector<std::string>())
+      << "seed " << seed;
+}
+
 void RunSyncSeed(std::uint64_t seed) {
   FailoverSimulation simulation(5, seed);
   simulation.SetSyncReplicas(seed % 4 == 0 ? 2 : 1);
@@ -640,13 +651,7 @@
     }
     simulation.RunFor(milliseconds(700));
   }
-  simulation.EndAllFaults();
-  simulation.RunFor(seconds(18));
-  const std::size_t before = simulation.acknowledged();
-  simulation.RunFor(seconds(2));
-  EXPECT_GT(simulation.acknowledged(), before) << "no recovery, seed " << seed;
-  EXPECT_EQ(simulation.violations(), std::vector<std::string>())
-      << "seed " << seed;
+  ExpectRecovery(simulation, seed);
 }
 
 // Guards against acknowledged commits that are lost when replicas crash,
@@ -681,13 +686,7 @@
     simulation.OverwriteObject(odd[(seed + fault / 3) % odd.size()],
                                "{\"holder\":1e999}");
   }
-  simulation.EndAllFaults();
-  simulation.RunFor(seconds(18));
-  const std::size_t before = simulation.acknowledged();
-  simulation.RunFor(seconds(2));
-  EXPECT_GT(simulation.acknowledged(), before) << "no recovery, seed " << seed;
-  EXPECT_EQ(simulation.violations(), std::vector<std::string>())
-      << "seed " << seed;
+  ExpectRecovery(simulation, seed);
 }
 
 TEST_P(FailoverWithRegressionSeed, FaultsHappenInvariantsHold) {
