Session router: report endpoint answers that do not fit their statement

AnswerHistory compares each answer with what the statement can get and with earlier answers of the connection. Faults are logged as endpoint_answer_faulty, with the connection, what it was doing, the waiting statement's id and the ids answered before it, and counted by fault in carawayhaven_faulty_answers_total. statement_routed names the connection. No answer is treated differently.

--- a/src/core/failover/endpoint_probe.cc
+++ b/src/core/failover/endpoint_probe.cc
@@ -85,6 +85,11 @@
   if (!stepped_down_) step_down_sent_ = false;
 }
 
+void EndpointProbe::OnSessionFault(ConnectionId connection,
+                                   AnswerFault /*fault*/, TimePoint now) {
+  OnSessionClosed(connection, ReplyCode::kOther, now);
+}
+
 void EndpointProbe::OnReply(ConnectionId connection,
                             const StatementReply& reply, TimePoint now) {
   if (connection != connection_) return;
--- a/src/core/failover/endpoint_probe.h
+++ b/src/core/failover/endpoint_probe.h
@@ -76,6 +76,8 @@
                        TimePoint now) override;
   void OnSessionClosed(ConnectionId connection, ReplyCode code,
                        TimePoint now) override;
+  void OnSessionFault(ConnectionId connection, AnswerFault fault,
+                      TimePoint now) override;
   void OnReply(ConnectionId connection, const StatementReply& reply,
                TimePoint now) override;
 
--- a/src/core/failover/failover_observer.h
+++ b/src/core/failover/failover_observer.h
@@ -5,14 +5,13 @@
 
 #include "carawayhaven/names.h"
 #include "carawayhaven/time.h"
+#include "core/session/answer_observer.h"
 
 namespace carawayhaven {
 
 /// Receives the events and state changes of the failover logic of this VM.
-class FailoverObserver {
+class FailoverObserver : public virtual AnswerObserver {
  public:
-  virtual ~FailoverObserver() = default;
-
   /// The known leader changed. `leader` is empty when there is none; `self`
   /// tells whether it is this VM.
   virtual void OnLeaderChanged(const VmName& leader, bool self) = 0;
--- /dev/null
+++ b/src/core/session/answer_check.cc
@@ -0,0 +1,188 @@
+#include "core/session/answer_check.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace carawayhaven {
+namespace {
+
+// Shorter rows are likely to be equal for different statements.
+constexpr std::size_t kMinComparedRowBytes = 16;
+
+std::uint64_t Hash(std::string_view text) {
+  return XXH3_64bits(text.data(), text.size());
+}
+
+bool IsBegin(EndpointStatementKind kind) {
+  return kind == EndpointStatementKind::kBegin ||
+         kind == EndpointStatementKind::kBeginReadOnly;
+}
+
+bool IsAboutReplication(EndpointStatementKind kind) {
+  return kind == EndpointStatementKind::kStatus ||
+         kind == EndpointStatementKind::kStepDown;
+}
+
+bool IsRead(const EndpointStatement& statement) {
+  return IsSigned(statement.kind) && statement.access == AccessMode::kRead &&
+         !statement.commits;
+}
+
+// What the statement is about, without the name of the prepared statement.
+std::string_view Subject(const EndpointStatement& statement) {
+  if (statement.kind == EndpointStatementKind::kExecute) return statement.value;
+  const std::string_view text = statement.text;
+  const std::size_t blank = text.find(' ');
+  return blank == std::string_view::npos ? text : text.substr(blank + 1);
+}
+
+bool IsPossibleError(const EndpointStatement& statement,
+                     TransactionState before, ReplyCode code) {
+  switch (code) {
+    case ReplyCode::kBusy:
+    case ReplyCode::kFailed:
+    case ReplyCode::kTimeout:
+    case ReplyCode::kMalformed:
+    case ReplyCode::kTooLarge:
+      return true;
+    case ReplyCode::kBehind:
+      return statement.min_position.has_value();
+    case ReplyCode::kNotPrimary:
+      return before != TransactionState::kIdle ||
+             statement.kind == EndpointStatementKind::kBegin ||
+             (IsSigned(statement.kind) &&
+              statement.access == AccessMode::kWrite);
+    case ReplyCode::kUnknownStatement:
+      return statement.kind == EndpointStatementKind::kExecute;
+    default:
+      return false;
+  }
+}
+
+bool IsPossibleState(const EndpointStatement& statement,
+                     TransactionState before, const StatementReply& reply) {
+  if (reply.code != ReplyCode::kOk) {
+    return before != TransactionState::kIdle ||
+           reply.state == TransactionState::kIdle;
+  }
+  if (IsBegin(statement.kind)) return reply.state == TransactionState::kOpen;
+  if (statement.commits || statement.kind == EndpointStatementKind::kRollback) {
+    return reply.state == TransactionState::kIdle;
+  }
+  return reply.state == before;
+}
+
+}  // namespace
+
+bool IsSigned(EndpointStatementKind kind) {
+  return kind == EndpointStatementKind::kCaller ||
+         kind == EndpointStatementKind::kExecute;
+}
+
+AnswerFault CheckAnswer(const EndpointStatement& statement,
+                        TransactionState before, const StatementReply& reply) {
+  if (reply.code != ReplyCode::kOk) {
+    if (!IsPossibleError(statement, before, reply.code)) {
+      return AnswerFault::kUnexpectedCode;
+    }
+    if (!reply.rows.empty() && !IsRead(statement)) {
+      return AnswerFault::kUnexpectedRows;
+    }
+  } else {
+    if (IsSigned(statement.kind) && reply.signature.empty()) {
+      return AnswerFault::kUnsigned;
+    }
+    if (!IsSigned(statement.kind) && !reply.signature.empty()) {
+      return AnswerFault::kUnexpectedSignature;
+    }
+    if (IsAboutReplication(statement.kind)
+            ? !reply.replication.has_value()
+            : !reply.rows.empty() && !IsRead(statement)) {
+      return AnswerFault::kUnexpectedRows;
+    }
+    if (reply.has_joined_rows) return AnswerFault::kJoinedRows;
+  }
+  if (!IsPossibleState(statement, before, reply)) {
+    return AnswerFault::kUnexpectedState;
+  }
+  return AnswerFault::kNone;
+}
+
+AnswerFault AnswerHistory::Check(const EndpointStatement& statement,
+                                 TransactionState before,
+                                 const StatementReply& reply,
+                                 bool compare_rows) const {
+  const AnswerFault fault = CheckAnswer(statement, before, reply);
+  if (fault != AnswerFault::kNone && fault != AnswerFault::kJoinedRows) {
+    return fault;
+  }
+  if (!reply.signature.empty() &&
+      std::find(signatures_.begin(), signatures_.end(),
+                Hash(reply.signature)) != signatures_.end()) {
+    return AnswerFault::kRepeatedSignature;
+  }
+  if (fault != AnswerFault::kNone) return fault;
+  if (!compare_rows || reply.rows.empty() ||
+      reply.rows.front().size() < kMinComparedRowBytes) {
+    return AnswerFault::kNone;
+  }
+  const std::uint64_t row = Hash(reply.rows.front());
+  const std::uint64_t subject = Hash(Subject(statement));
+  // The answer to the same statement starts with the same row, but does not
+  // contain it twice.
+  const bool twice = std::find(reply.rows.begin() + 1, reply.rows.end(),
+                               reply.rows.front()) != reply.rows.end();
+  const bool repeated = std::any_of(
+      first_rows_.begin(), first_rows_.end(), [&](const FirstRow& earlier) {
+        return earlier.row == row && (earlier.subject != subject || twice);
+      });
+  return repeated ? AnswerFault::kRepeatedRow : AnswerFault::kNone;
+}
+
+void AnswerHistory::Record(const EndpointStatement& statement,
+                           const StatementReply& reply, TimePoint now) {
+  ++answers_;
+  last_answer_ = now;
+  if (!IsSigned(statement.kind)) return;
+  recent_ids_[next_recent_id_] = statement.id;
+  next_recent_id_ = (next_recent_id_ + 1) % kRecentStatements;
+  if (!reply.signature.empty()) {
+    if (signatures_.size() < kSignatures) {
+      signatures_.push_back(Hash(reply.signature));
+    } else {
+      signatures_[next_signature_] = Hash(reply.signature);
+      next_signature_ = (next_signature_ + 1) % kSignatures;
+    }
+  }
+  if (reply.rows.empty() || reply.rows.front().size() < kMinComparedRowBytes) {
+    return;
+  }
+  const FirstRow first{Hash(reply.rows.front()), Hash(Subject(statement))};
+  if (first_rows_.size() < kFirstRows) {
+    first_rows_.push_back(first);
+  } else {
+    first_rows_[next_first_row_] = first;
+    next_first_row_ = (next_first_row_ + 1) % kFirstRows;
+  }
+}
+
+std::vector<std::string_view> AnswerHistory::RecentIds() const {
+  std::vector<std::string_view> ids;
+  for (std::size_t i = 0; i < kRecentStatements; ++i) {
+    const std::string& id =
+        recent_ids_[(next_recent_id_ + i) % kRecentStatements];
+    if (!id.empty()) ids.push_back(id);
+  }
+  return ids;
+}
+
+std::uint64_t HashRows(const std::vector<std::string>& rows) {
+  std::uint64_t hash = rows.size();
+  for (const std::string& row : rows) {
+    hash = XXH3_64bits_withSeed(row.data(), row.size(), hash);
+  }
+  return hash;
+}
+
+}  // namespace carawayhaven
--- a/src/core/session/router_observer.h
+++ b/src/core/session/router_observer.h
@@ -1,10 +1,13 @@
 #ifndef CARAWAYHAVEN_CORE_SESSION_ROUTER_OBSERVER_H_
 #define CARAWAYHAVEN_CORE_SESSION_ROUTER_OBSERVER_H_
 
+#include <cstdint>
 #include <string_view>
 
 #include "carawayhaven/log_position.h"
 #include "carawayhaven/time.h"
+#include "core/endpoint_link.h"
+#include "core/session/answer_observer.h"
 #include "core/session/reply_code.h"
 #include "core/session/statement_job.h"
 
@@ -31,6 +34,8 @@
   /// End of the endpoint's log in its latest reply; zero if unknown.
   LogPosition endpoint_position;
   ReplyCode code = ReplyCode::kOk;
+  /// Connection that the statement was sent on or answered on; zero if none.
+  ConnectionId connection = 0;
   /// Time since the statement was received.
   Duration elapsed{0};
   /// kSent, kHeldForLease: remaining time of the primary lease; negative if the
@@ -39,10 +44,8 @@
 };
 
 /// Receives the router's decisions for logs and metrics.
-class RouterObserver {
+class RouterObserver : public virtual AnswerObserver {
  public:
-  virtual ~RouterObserver() = default;
-
   virtual void OnRouting(const RoutingDecision& decision) = 0;
 
   /// Connections to the endpoint can be opened again, or have started to fail;
--- a/src/core/session/session_link.h
+++ b/src/core/session/session_link.h
@@ -23,6 +23,12 @@
   virtual void OnSessionClosed(ConnectionId connection, ReplyCode code,
                                TimePoint now) = 0;
 
+  /// The endpoint sent what is no part of an awaited reply, and the session was
+  /// closed. A statement without a reply may have run. This is the last event
+  /// of a session.
+  virtual void OnSessionFault(ConnectionId connection, AnswerFault fault,
+                              TimePoint now) = 0;
+
   /// The reply to the oldest statement that has not been replied to.
   virtual void OnReply(ConnectionId connection, const StatementReply& reply,
                        TimePoint now) = 0;
--- a/src/core/session/session_router.h
+++ b/src/core/session/session_router.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "core/limits/retry_budget.h"
+#include "core/session/answer_check.h"
 #include "core/session/endpoint_state.h"
 #include "core/session/position_history.h"
 #include "core/session/primary_rights.h"
@@ -105,6 +106,8 @@
                        TimePoint now) override;
   void OnSessionClosed(ConnectionId connection, ReplyCode code,
                        TimePoint now) override;
+  void OnSessionFault(ConnectionId connection, AnswerFault fault,
+                      TimePoint now) override;
   void OnReply(ConnectionId connection, const StatementReply& reply,
                TimePoint now) override;
 
@@ -119,7 +122,10 @@
     /// closed when its statement or transaction ends.
     bool outdated = false;
     bool in_transaction = false;
+    /// The transaction state in the latest reply.
+    TransactionState state = TransactionState::kIdle;
     ConnectionContext context;
+    AnswerHistory answers;
     JobPtr job;
     /// Session whose transaction uses the connection.
     std::shared_ptr<JobOwner> transaction_owner;
@@ -213,9 +219,11 @@
   void TickQueues(TimePoint now);
   void RecordPosition(const Connection& connection,
                       const StatementReply& reply);
+  ConnectionPhase PhaseOf(const Connection& connection) const;
+  void ReportFault(ConnectionId id, AnswerFault fault, TimePoint now);
   void ReportDecision(RoutingDecision::Kind kind, const StatementJob& job,
                       std::string_view endpoint, ReplyCode code, TimePoint now,
-                      LogPosition required = {});
+                      LogPosition required = {}, ConnectionId connection = 0);
   Duration RemainingLease(const StatementJob& job, TimePoint now) const;
   void ScheduleTick(TimePoint time) { next_tick_ = std::min(next_tick_, time); }
 
--- a/src/core/session/session_router_outcome.cc
+++ b/src/core/session/session_router_outcome.cc
@@ -232,12 +232,14 @@
 void SessionRouter::ReportDecision(RoutingDecision::Kind kind,
                                    const StatementJob& job,
                                    std::string_view endpoint, ReplyCode code,
-                                   TimePoint now, LogPosition required) {
+                                   TimePoint now, LogPosition required,
+                                   ConnectionId connection) {
   RoutingDecision decision;
   decision.kind = kind;
   decision.job = &job;
   decision.endpoint = endpoint;
   decision.required = required;
+  decision.connection = connection;
   decision.code = code;
   const auto it = endpoints_.find(EndpointName(endpoint));
   if (it != endpoints_.end()) decision.endpoint_position = it->second.position;
--- a/src/core/session/session_router_reply.cc
+++ b/src/core/session/session_router_reply.cc
@@ -90,6 +90,13 @@
   Dispatch(service, now);
 }
 
+void SessionRouter::OnSessionFault(ConnectionId id, AnswerFault fault,
+                                   TimePoint now) {
+  if (!connections_.contains(id)) return;
+  ReportFault(id, fault, now);
+  OnSessionClosed(id, ReplyCode::kOther, now);
+}
+
 void SessionRouter::OnReply(ConnectionId id, const StatementReply& reply,
                             TimePoint now) {
   const auto found = connections_.find(id);
@@ -97,6 +104,19 @@
   Connection& connection = found->second;
   EndpointState& endpoint = endpoints_.at(connection.endpoint);
   const ServiceName service = connection.service;
+  if (connection.step >= connection.steps.size()) {
+    ReportFault(id, AnswerFault::kUnrequested, now);
+  } else {
+    const EndpointStatement& statement = connection.steps[connection.step];
+    const AnswerFault fault =
+        reply.fault != AnswerFault::kNone
+            ? reply.fault
+            : connection.answers.Check(statement, connection.state, reply,
+                                       false);
+    if (fault != AnswerFault::kNone) ReportFault(id, fault, now);
+    connection.answers.Record(statement, reply, now);
+    connection.state = reply.state;
+  }
   endpoint.RecordAnswer(now);
   RecordPosition(connection, reply);
   if (connection.step >= connection.steps.size()) {
@@ -111,6 +131,39 @@
   Dispatch(service, now);
 }
 
+ConnectionPhase SessionRouter::PhaseOf(const Connection& connection) const {
+  if (!connection.open) return ConnectionPhase::kOpening;
+  if (connection.step >= connection.steps.size()) return ConnectionPhase::kIdle;
+  if (connection.job == nullptr) return ConnectionPhase::kRollback;
+  if (connection.job->done) return ConnectionPhase::kAbandoned;
+  if (connection.step + 1 < connection.steps.size()) {
+    return ConnectionPhase::kSetup;
+  }
+  return connection.in_transaction ? ConnectionPhase::kTransaction
+                                   : ConnectionPhase::kStatement;
+}
+
+void SessionRouter::ReportFault(ConnectionId id, AnswerFault fault,
+                                TimePoint now) {
+  const Connection& connection = connections_.at(id);
+  FaultyAnswer answer;
+  answer.endpoint = connection.endpoint;
+  answer.connection = id;
+  answer.fault = fault;
+  answer.phase = PhaseOf(connection);
+  if (connection.job != nullptr) answer.id = connection.job->statement.id;
+  answer.earlier_ids = connection.answers.RecentIds();
+  answer.earlier_answers = connection.answers.answers();
+  if (answer.earlier_answers > 0) {
+    answer.since_answer = now - connection.answers.last_answer();
+  }
+  if (answer.phase != ConnectionPhase::kIdle &&
+      answer.phase != ConnectionPhase::kOpening) {
+    answer.since_sent = now - connection.sent_at;
+  }
+  observer_.OnFaultyAnswer(answer);
+}
+
 void SessionRouter::RecordPosition(const Connection& connection,
                                    const StatementReply& reply) {
   if (!reply.position || connection.outdated) return;
--- a/src/core/session/session_router_send.cc
+++ b/src/core/session/session_router_send.cc
@@ -172,6 +172,9 @@
   EndpointStatement& last = connection.steps.emplace_back();
   last.id = job->statement.id;
   last.text = job->statement.text;
+  last.commits = job->commits;
+  last.access =
+      job->has_effect && !job->commits ? AccessMode::kWrite : AccessMode::kRead;
   last.min_position = required;
   if (prepared != nullptr) {
     last.kind = EndpointStatementKind::kExecute;
@@ -186,7 +189,7 @@
       job->begin ? connection.steps[connection.steps.size() - 2] : last;
   ReportDecision(RoutingDecision::Kind::kSent, *job, connection.endpoint,
                  ReplyCode::kOk, now,
-                 first_with_position.min_position.value_or(LogPosition{}));
+                 first_with_position.min_position.value_or(LogPosition{}), id);
   ScheduleTick(job->deadline);
   SendStep(id, now);
 }
--- a/src/core/session/statement.h
+++ b/src/core/session/statement.h
@@ -9,6 +9,7 @@
 #include "carawayhaven/log_position.h"
 #include "carawayhaven/names.h"
 #include "carawayhaven/request.h"
+#include "core/session/answer_fault.h"
 #include "core/session/reply_code.h"
 
 namespace carawayhaven {
@@ -71,6 +72,8 @@
   std::string name;
   std::string value;
   AccessMode access = AccessMode::kRead;
+  /// The statement is a caller's COMMIT.
+  bool commits = false;
   /// For reads and the begin of a transaction: the endpoint refuses the
   /// statement unless its log has reached this position.
   std::optional<LogPosition> min_position;
@@ -103,6 +106,10 @@
   std::optional<LogPosition> position;
   /// Set in replies to kStatus and kStepDown.
   std::optional<ReplicationStatus> replication;
+  /// A row contains what starts a row on the wire.
+  bool has_joined_rows = false;
+  /// First fault in the form of the reply.
+  AnswerFault fault = AnswerFault::kNone;
 };
 
 }  // namespace carawayhaven
--- a/src/proxy/session_log.cc
+++ b/src/proxy/session_log.cc
@@ -73,6 +73,7 @@
        {"decision", kDecisionNames[kind]},
        {"service", decision.job->service},
        {"endpoint", decision.endpoint},
+       {"connection", decision.connection},
        {"code", ReplyCodeName(decision.code)},
        {"primary", decision.job->needs_primary},
        {"required", PositionText(decision.required)},
@@ -89,6 +90,32 @@
       {{"endpoint", endpoint}, {"code", ReplyCodeName(code)}});
 }
 
+void SessionLog::OnFaultyAnswer(const FaultyAnswer& answer) {
+  Counter*& counter = faulty_answers_[answer.fault];
+  if (counter == nullptr) {
+    counter = &metrics_.GetCounter(
+        "carawayhaven_faulty_answers_total",
+        "Answers of endpoints that do not fit the statement, by fault",
+        {{"fault", std::string(AnswerFaultName(answer.fault))}});
+  }
+  counter->Increment();
+  std::string earlier_ids;
+  for (const std::string_view id : answer.earlier_ids) {
+    if (!earlier_ids.empty()) earlier_ids += ' ';
+    earlier_ids += id;
+  }
+  Log(LogLevel::kWarning, "endpoint_answer_faulty",
+      {{"endpoint", answer.endpoint},
+       {"connection", answer.connection},
+       {"fault", AnswerFaultName(answer.fault)},
+       {"phase", ConnectionPhaseName(answer.phase)},
+       {"id", answer.id},
+       {"earlier_ids", earlier_ids},
+       {"earlier_answers", answer.earlier_answers},
+       {"since_answer_ms", Milliseconds(answer.since_answer)},
+       {"since_sent_ms", Milliseconds(answer.since_sent)}});
+}
+
 void SessionLog::OnStatementEnded(const CallerStatement& statement,
                                   const StatementReply& reply,
                                   std::string_view cause, Duration elapsed) {
--- a/src/proxy/session_log.h
+++ b/src/proxy/session_log.h
@@ -34,6 +34,7 @@
   void OnRouting(const RoutingDecision& decision) override;
   void OnEndpointReachable(std::string_view endpoint, bool reachable,
                            ReplyCode code) override;
+  void OnFaultyAnswer(const FaultyAnswer& answer) override;
   void OnStatementEnded(const CallerStatement& statement,
                         const StatementReply& reply, std::string_view cause,
                         Duration elapsed) override;
@@ -52,6 +53,7 @@
   Clock clock_;
   Histogram& statement_seconds_;
   std::map<ReplyCode, Counter*> replies_;
+  std::map<AnswerFault, Counter*> faulty_answers_;
   std::array<Counter*, 8> decisions_{};
   Counter& suppressed_;
   TimePoint window_start_;
--- a/test/failover/fake_failover_simulation.cc
+++ b/test/failover/fake_failover_simulation.cc
@@ -24,6 +24,7 @@
   void OnRouting(const RoutingDecision& /*decision*/) override {}
   void OnEndpointReachable(std::string_view /*endpoint*/, bool /*reachable*/,
                            ReplyCode /*code*/) override {}
+  void OnFaultyAnswer(const FaultyAnswer& /*answer*/) override {}
   void OnLeaderChanged(const VmName& /*leader*/, bool /*self*/) override {}
   void OnPrimaryStateChanged(const ServiceName& /*service*/,
                              std::string_view /*state*/,
@@ -103,6 +104,7 @@
   FailoverSimulation& parent_;
   std::size_t vm_;
   ConnectionId next_ = 1;
+  std::uint64_t signatures_ = 0;
   std::map<ConnectionId, Session> sessions_;
 };
 
@@ -398,6 +400,9 @@
     }
   }
   reply.position = endpoint.position();
+  if (reply.code == ReplyCode::kOk && IsSigned(statement.kind)) {
+    reply.signature = "proof-" + std::to_string(++signatures_);
+  }
   return reply;
 }
 
--- a/test/platform/line_caller_server_test.cc
+++ b/test/platform/line_caller_server_test.cc
@@ -24,6 +24,7 @@
   void OnRouting(const RoutingDecision& /*decision*/) override {}
   void OnEndpointReachable(std::string_view /*endpoint*/, bool /*reachable*/,
                            ReplyCode /*code*/) override {}
+  void OnFaultyAnswer(const FaultyAnswer& /*answer*/) override {}
   void OnStatementEnded(const CallerStatement& /*statement*/,
                         const StatementReply& /*reply*/,
                         std::string_view /*cause*/,
--- a/test/session/fake_session_link.h
+++ b/test/session/fake_session_link.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/session/answer_check.h"
 #include "core/session/router_observer.h"
 #include "core/session/session_link.h"
 
@@ -71,12 +72,24 @@
       }
       const EndpointStatement statement = found->second.unanswered.front();
       found->second.unanswered.pop_front();
-      found->second.events->OnReply(id, reply, now);
+      found->second.events->OnReply(id, Signed(statement, reply), now);
       return statement;
     }
     return std::nullopt;
   }
 
+  /// Returns the reply with a signature of its own if an endpoint signs the
+  /// reply to the statement, and without one otherwise.
+  StatementReply Signed(const EndpointStatement& statement,
+                        const StatementReply& reply) {
+    StatementReply answer = reply;
+    answer.signature.clear();
+    if (reply.code == ReplyCode::kOk && IsSigned(statement.kind)) {
+      answer.signature = "proof-" + std::to_string(++signatures_);
+    }
+    return answer;
+  }
+
   /// Closes the first session to the endpoint that has an unanswered statement.
   /// Returns false if there is none.
   bool Break(const std::string& endpoint, TimePoint now) {
@@ -124,6 +137,7 @@
   }
 
   ConnectionId next_ = 1;
+  std::uint64_t signatures_ = 0;
 };
 
 /// Records the kinds of the router's decisions.
@@ -134,6 +148,10 @@
   }
   void OnEndpointReachable(std::string_view /*endpoint*/, bool /*reachable*/,
                            ReplyCode /*code*/) override {}
+  void OnFaultyAnswer(const FaultyAnswer& answer) override {
+    faults.push_back(answer.fault);
+    phases.push_back(answer.phase);
+  }
 
   std::size_t Count(RoutingDecision::Kind kind) const {
     return static_cast<std::size_t>(
@@ -141,12 +159,13 @@
   }
 
   std::vector<RoutingDecision::Kind> kinds;
+  std::vector<AnswerFault> faults;
+  std::vector<ConnectionPhase> phases;
 };
 
 inline StatementReply OkReply(
     LogPosition position, TransactionState state = TransactionState::kIdle) {
   StatementReply reply;
-  reply.signature = "proof";
   reply.position = position;
   reply.state = state;
   return reply;
--- a/test/session/session_router_random_test.cc
+++ b/test/session/session_router_random_test.cc
@@ -237,7 +237,6 @@
                               EndpointSession& session) {
     Group& group = groups_.at(session.service);
     StatementReply reply;
-    reply.signature = "proof";
     const bool primary = RunsWrites(endpoint, group);
     const std::uint64_t lag = primary ? 0 : Pick(4);
     reply.position = LogPosition{group.term, group.index - lag};
@@ -333,8 +332,9 @@
         continue;
       }
       if (!session.unanswered.empty() && state.replies.empty() && Chance(0.7)) {
-        const StatementReply reply =
-            RunStatement(session.unanswered.front(), session.endpoint, state);
+        const StatementReply reply = link_.Signed(
+            session.unanswered.front(),
+            RunStatement(session.unanswered.front(), session.endpoint, state));
         const bool slow = disturbed_ && Chance(0.03);
         state.replies.emplace_back(
             now_ + (slow ? milliseconds(100 * Pick(30)) : Duration{0}), reply);
