Session router: an answer must be whole and shown to be the statement's own

Cause: answers carry no statement id. The reader collected rows, results and line ends in any order until READY, and the router gave each answer to the statement that waited. A second answer, or a part of one, moved all later answers of the connection by one.

Now the line reader accepts only whole lines in the order of an answer. Bytes without a waiting statement end the connection. The router compares each answer with its statement: signature, rows, error code, transaction state, and that neither the signature nor the end of the log is that of an earlier answer. Anything else is no answer: reads are repeated elsewhere, effects are in doubt. Errors carry no proof, so - after an error, a statement of the proxy goes first, which no answer to a caller's statement fits; - a refused write or commit is followed by a status query, and its promise given only if the status is the next answer; - rows that may contain those of an earlier answer are read again. The position of the primary is taken from signed answers only.

Tests: ReplyReader::Add reports the kind of fault instead of a flag. The fake endpoints state positions that do not go back on a connection.

--- a/src/core/session/answer_check.cc
+++ b/src/core/session/answer_check.cc
@@ -29,6 +29,11 @@
          !statement.commits;
 }
 
+bool HasComparableRows(const StatementReply& reply) {
+  return !reply.rows.empty() &&
+         reply.rows.front().size() >= kMinComparedRowBytes;
+}
+
 // What the statement is about, without the name of the prepared statement.
 std::string_view Subject(const EndpointStatement& statement) {
   if (statement.kind == EndpointStatementKind::kExecute) return statement.value;
@@ -82,6 +87,11 @@
 
 AnswerFault CheckAnswer(const EndpointStatement& statement,
                         TransactionState before, const StatementReply& reply) {
+  // The last of several replies may be the right one, unless the first is
+  // signed.
+  if (reply.is_followed && reply.signature.empty()) {
+    return AnswerFault::kUnrequested;
+  }
   if (reply.code != ReplyCode::kOk) {
     if (!IsPossibleError(statement, before, reply.code)) {
       return AnswerFault::kUnexpectedCode;
@@ -112,7 +122,7 @@
 AnswerFault AnswerHistory::Check(const EndpointStatement& statement,
                                  TransactionState before,
                                  const StatementReply& reply,
-                                 bool compare_rows) const {
+                                 bool rows_are_distinct) const {
   const AnswerFault fault = CheckAnswer(statement, before, reply);
   if (fault != AnswerFault::kNone && fault != AnswerFault::kJoinedRows) {
     return fault;
@@ -122,48 +132,59 @@
                 Hash(reply.signature)) != signatures_.end()) {
     return AnswerFault::kRepeatedSignature;
   }
-  if (fault != AnswerFault::kNone) return fault;
-  if (!compare_rows || reply.rows.empty() ||
-      reply.rows.front().size() < kMinComparedRowBytes) {
-    return AnswerFault::kNone;
+  if (reply.position && *reply.position < position_) {
+    return AnswerFault::kStalePosition;
   }
-  const std::uint64_t row = Hash(reply.rows.front());
+  if (fault != AnswerFault::kNone) return fault;
+  return MayContainEarlierRows(statement, reply, rows_are_distinct)
+             ? AnswerFault::kRepeatedRow
+             : AnswerFault::kNone;
+}
+
+bool AnswerHistory::MayContainEarlierRows(const EndpointStatement& statement,
+                                          const StatementReply& reply,
+                                          bool rows_are_distinct) const {
+  if (!HasComparableRows(reply)) return false;
+  const std::uint64_t first = Hash(reply.rows.front());
+  const std::uint64_t all = HashRows(reply.rows);
   const std::uint64_t subject = Hash(Subject(statement));
-  // The answer to the same statement starts with the same row, but does not
-  // contain it twice.
-  const bool twice = std::find(reply.rows.begin() + 1, reply.rows.end(),
-                               reply.rows.front()) != reply.rows.end();
-  const bool repeated = std::any_of(
-      first_rows_.begin(), first_rows_.end(), [&](const FirstRow& earlier) {
-        return earlier.row == row && (earlier.subject != subject || twice);
-      });
-  return repeated ? AnswerFault::kRepeatedRow : AnswerFault::kNone;
+  return std::any_of(rows_.begin(), rows_.end(), [&](const Rows& earlier) {
+    if (earlier.first != first) return false;
+    return earlier.subject == subject ? earlier.all != all : rows_are_distinct;
+  });
 }
 
 void AnswerHistory::Record(const EndpointStatement& statement,
                            const StatementReply& reply, TimePoint now) {
   ++answers_;
   last_answer_ = now;
+  RecordPosition(reply);
   if (!IsSigned(statement.kind)) return;
   recent_ids_[next_recent_id_] = statement.id;
   next_recent_id_ = (next_recent_id_ + 1) % kRecentStatements;
-  if (!reply.signature.empty()) {
-    if (signatures_.size() < kSignatures) {
-      signatures_.push_back(Hash(reply.signature));
-    } else {
-      signatures_[next_signature_] = Hash(reply.signature);
-      next_signature_ = (next_signature_ + 1) % kSignatures;
-    }
-  }
-  if (reply.rows.empty() || reply.rows.front().size() < kMinComparedRowBytes) {
-    return;
+  RecordSignature(reply);
+  if (!HasComparableRows(reply)) return;
+  const Rows rows{Hash(reply.rows.front()), HashRows(reply.rows),
+                  Hash(Subject(statement))};
+  if (rows_.size() < kComparedRows) {
+    rows_.push_back(rows);
+  } else {
+    rows_[next_rows_] = rows;
+    next_rows_ = (next_rows_ + 1) % kComparedRows;
   }
-  const FirstRow first{Hash(reply.rows.front()), Hash(Subject(statement))};
-  if (first_rows_.size() < kFirstRows) {
-    first_rows_.push_back(first);
+}
+
+void AnswerHistory::RecordPosition(const StatementReply& reply) {
+  if (reply.position) position_ = *reply.position;
+}
+
+void AnswerHistory::RecordSignature(const StatementReply& reply) {
+  if (reply.signature.empty()) return;
+  if (signatures_.size() < kSignatures) {
+    signatures_.push_back(Hash(reply.signature));
   } else {
-    first_rows_[next_first_row_] = first;
-    next_first_row_ = (next_first_row_ + 1) % kFirstRows;
+    signatures_[next_signature_] = Hash(reply.signature);
+    next_signature_ = (next_signature_ + 1) % kSignatures;
   }
 }
 
--- a/src/core/session/answer_check.h
+++ b/src/core/session/answer_check.h
@@ -31,36 +31,52 @@
   static constexpr std::size_t kRecentStatements = 8;
   /// The latest signatures that are compared.
   static constexpr std::size_t kSignatures = 256;
-  /// The latest answers whose first row is compared.
-  static constexpr std::size_t kFirstRows = 16;
+  /// The latest answers whose rows are compared.
+  static constexpr std::size_t kComparedRows = 16;
 
-  /// As CheckAnswer; also compares the reply with earlier ones. With
-  /// `compare_rows`, a reply that starts with the first row of the answer to
-  /// a statement about something else is a fault.
+  /// As CheckAnswer; also compares the reply with earlier ones. A reply that
+  /// starts with the first row of an earlier one may contain rows of that one:
+  /// a fault unless both replies to the same subject have the same rows. With
+  /// `rows_are_distinct` false, replies about other subjects may have that row.
   AnswerFault Check(const EndpointStatement& statement, TransactionState before,
-                    const StatementReply& reply, bool compare_rows) const;
+                    const StatementReply& reply, bool rows_are_distinct) const;
 
   /// Adds a reply that was accepted.
   void Record(const EndpointStatement& statement, const StatementReply& reply,
               TimePoint now);
 
+  /// Adds the position of a reply, for example of the one that opened the
+  /// connection.
+  void RecordPosition(const StatementReply& reply);
+
+  /// Adds the signature of a reply that was not accepted.
+  void RecordSignature(const StatementReply& reply);
+
   /// Ids of the latest answered statements of callers, oldest first.
   std::vector<std::string_view> RecentIds() const;
   std::uint64_t answers() const { return answers_; }
   TimePoint last_answer() const { return last_answer_; }
 
  private:
-  struct FirstRow {
-    std::uint64_t row = 0;
+  /// Hashes of the rows of an answer and of what its statement was about.
+  struct Rows {
+    std::uint64_t first = 0;
+    std::uint64_t all = 0;
     std::uint64_t subject = 0;
   };
 
+  bool MayContainEarlierRows(const EndpointStatement& statement,
+                             const StatementReply& reply,
+                             bool rows_are_distinct) const;
+
   std::vector<std::uint64_t> signatures_;
   std::size_t next_signature_ = 0;
-  std::vector<FirstRow> first_rows_;
-  std::size_t next_first_row_ = 0;
+  std::vector<Rows> rows_;
+  std::size_t next_rows_ = 0;
   std::array<std::string, kRecentStatements> recent_ids_;
   std::size_t next_recent_id_ = 0;
+  /// End of the endpoint's log in the latest reply that states it.
+  LogPosition position_;
   std::uint64_t answers_ = 0;
   TimePoint last_answer_;
 };
--- a/src/core/session/answer_fault.cc
+++ b/src/core/session/answer_fault.cc
@@ -24,6 +24,8 @@
       return "unexpected_state";
     case AnswerFault::kUnexpectedCode:
       return "unexpected_code";
+    case AnswerFault::kStalePosition:
+      return "stale_position";
     case AnswerFault::kRepeatedSignature:
       return "repeated_signature";
     case AnswerFault::kRepeatedRow:
--- a/src/core/session/answer_fault.h
+++ b/src/core/session/answer_fault.h
@@ -25,6 +25,9 @@
   kUnexpectedState,
   /// An error code that the statement cannot have.
   kUnexpectedCode,
+  /// The end of the log as of an earlier answer. Also the first answer after an
+  /// endpoint discarded commits at a change of the primary.
+  kStalePosition,
   /// The signature of an earlier answer.
   kRepeatedSignature,
   /// The first row of an earlier answer to another statement.
--- a/src/core/session/session_context.cc
+++ b/src/core/session/session_context.cc
@@ -63,6 +63,21 @@
   return plan;
 }
 
+std::vector<EndpointStatement> PlanResynchronization(
+    const SessionContext& session, const PreparedStatement* needed) {
+  if (session.values.empty()) {
+    std::vector<EndpointStatement> plan = PlanSetup(session, {}, needed);
+    plan.insert(plan.begin(), EndpointStatement())->kind =
+        EndpointStatementKind::kReset;
+    return plan;
+  }
+  EndpointStatement set;
+  set.kind = EndpointStatementKind::kSet;
+  set.name = session.values.begin()->first;
+  set.value = session.values.begin()->second;
+  return {set};
+}
+
 void ApplySetup(const EndpointStatement& statement,
                 ConnectionContext& connection) {
   switch (statement.kind) {
--- a/src/core/session/session_context.h
+++ b/src/core/session/session_context.h
@@ -42,6 +42,11 @@
                                          const ConnectionContext& connection,
                                          const PreparedStatement* needed);
 
+/// Returns at least one statement that leaves the connection in the session's
+/// state, for a connection that is in this state. `needed` as in PlanSetup.
+std::vector<EndpointStatement> PlanResynchronization(
+    const SessionContext& session, const PreparedStatement* needed);
+
 /// Updates the connection's state after the endpoint ran a statement that
 /// PlanSetup returned.
 void ApplySetup(const EndpointStatement& statement,
--- a/src/core/session/session_link.h
+++ b/src/core/session/session_link.h
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "core/endpoint_link.h"
+#include "core/session/answer_fault.h"
 #include "core/session/statement.h"
 
 namespace carawayhaven {
@@ -52,6 +53,10 @@
   virtual bool Send(ConnectionId connection,
                     const EndpointStatement& statement) = 0;
 
+  /// True if bytes arrived that belong to no statement sent so far. To be asked
+  /// while no statement waits for a reply.
+  virtual bool HasUnrequestedBytes(ConnectionId connection) const = 0;
+
   /// Closes the session; the endpoint rolls back an open transaction. No events
   /// of the session follow. An unknown id is ignored.
   virtual void Close(ConnectionId connection) = 0;
--- a/src/core/session/session_router.h
+++ b/src/core/session/session_router.h
@@ -118,8 +118,9 @@
     EndpointName endpoint;
     ServiceName service;
     bool open = false;
-    /// Opened with an earlier address, service or process of the endpoint;
-    /// closed when its statement or transaction ends.
+    /// Opened with an earlier address, service or process of the endpoint, or
+    /// received more than the awaited reply; closed when its statement or
+    /// transaction ends.
     bool outdated = false;
     bool in_transaction = false;
     /// The transaction state in the latest reply.
@@ -132,6 +133,18 @@
     std::vector<EndpointStatement> steps;
     std::size_t step = 0;
     TimePoint sent_at;
+    /// The latest reply was an error, which carries no proof of its statement:
+    /// the true reply may still come. Before a caller's statement is sent, a
+    /// reply must arrive that only a statement of the proxy can have.
+    bool needs_synchronization = false;
+    /// The endpoint refused the caller's statement, which has an effect unless
+    /// the refusal is true; the last step shows whether it is.
+    std::optional<StatementReply> refusal;
+    /// Hash of the rows of a reply whose rows alone were faulty; the read was
+    /// sent again.
+    std::optional<std::uint64_t> doubted_rows;
+    /// Number of times that the read was sent since its rows last differed.
+    unsigned reads = 1;
     /// When the running read is hedged on another endpoint; max() for never.
     TimePoint hedge_at = TimePoint::max();
     /// When the connection is closed for lack of a reply.
@@ -148,6 +161,9 @@
     std::uint32_t connection_limit = 1;
     PositionHistory positions;
     RetryBudget retries;
+    /// No two statements about different subjects are known to have the same
+    /// first row in their replies.
+    bool rows_are_distinct = true;
     /// When a primary lease is expected, or max() if that is not known; ignored
     /// while there is a valid lease.
     TimePoint primary_ready_at;
@@ -195,6 +211,19 @@
                     TimePoint now);
   void OnFinalReply(ConnectionId id, const StatementReply& reply,
                     TimePoint now);
+  /// Sends a statement whose reply shows that no reply to the refused one
+  /// follows. Returns false if the refusal needs no confirmation.
+  bool ConfirmRefusal(ConnectionId id, const StatementReply& reply,
+                      TimePoint now);
+  AnswerFault CheckReply(Connection& connection, const StatementReply& reply);
+  void ReadAgain(ConnectionId id, AnswerFault fault,
+                 const StatementReply& reply, TimePoint now);
+  /// Closes the connection; a statement that was sent is treated as one without
+  /// a reply.
+  void RejectAnswer(ConnectionId id, AnswerFault fault, TimePoint now);
+  /// The connection has ended. `failed` when that counts against the endpoint.
+  void EndConnection(ConnectionId id, ReplyCode code, bool failed,
+                     TimePoint now);
   /// Detaches the job from its connection and keeps or closes the connection.
   /// Returns the job, or null if the connection had none.
   JobPtr DetachJob(ConnectionId id, bool keep, TimePoint now);
--- a/src/core/session/session_router_reply.cc
+++ b/src/core/session/session_router_reply.cc
@@ -23,6 +23,17 @@
 // the outcome of the write is reported as unknown.
 constexpr Duration kLeaseConfirmTimeout = milliseconds(3000);
 
+// Number of times that the same rows must arrive to be the true ones. The same
+// line end may be lost twice.
+unsigned ReadsToConfirm(AnswerFault fault) {
+  return fault == AnswerFault::kJoinedRows ? 3 : 2;
+}
+
+bool IsAboutRows(AnswerFault fault) {
+  return fault == AnswerFault::kJoinedRows ||
+         fault == AnswerFault::kRepeatedRow;
+}
+
 }  // namespace
 
 void SessionRouter::OnSessionOpened(ConnectionId id,
@@ -40,6 +51,7 @@
   }
   endpoint.RecordAnswer(now);
   if (reply.position) endpoint.position = *reply.position;
+  connection.answers.RecordPosition(reply);
   endpoint.idle.insert(id);
   const ServiceName service = connection.service;
   TrimConnections(endpoint, now);
@@ -48,8 +60,12 @@
 
 void SessionRouter::OnSessionClosed(ConnectionId id, ReplyCode code,
                                     TimePoint now) {
+  if (connections_.contains(id)) EndConnection(id, code, true, now);
+}
+
+void SessionRouter::EndConnection(ConnectionId id, ReplyCode code, bool failed,
+                                  TimePoint now) {
   const auto found = connections_.find(id);
-  if (found == connections_.end()) return;
   const bool was_open = found->second.open;
   const bool at_last_step =
       found->second.step + 1 == found->second.steps.size();
@@ -75,7 +91,7 @@
       endpoint.RecordFailure(now);
     }
     ScheduleTick(endpoint.next_open);
-  } else if (job != nullptr) {
+  } else if (job != nullptr && failed) {
     endpoint.RecordFailure(now);
   }
   if (job != nullptr && !job->done) {
@@ -92,9 +108,13 @@
 
 void SessionRouter::OnSessionFault(ConnectionId id, AnswerFault fault,
                                    TimePoint now) {
-  if (!connections_.contains(id)) return;
+  if (connections_.contains(id)) RejectAnswer(id, fault, now);
+}
+
+void SessionRouter::RejectAnswer(ConnectionId id, AnswerFault fault,
+                                 TimePoint now) {
   ReportFault(id, fault, now);
-  OnSessionClosed(id, ReplyCode::kOther, now);
+  EndConnection(id, ReplyCode::kOther, false, now);
 }
 
 void SessionRouter::OnReply(ConnectionId id, const StatementReply& reply,
@@ -102,28 +122,33 @@
   const auto found = connections_.find(id);
   if (found == connections_.end()) return;
   Connection& connection = found->second;
+  const AnswerFault fault = CheckReply(connection, reply);
+  if (IsAboutRows(fault) && connection.reads < ReadsToConfirm(fault)) {
+    ReadAgain(id, fault, reply, now);
+    return;
+  }
+  if (fault != AnswerFault::kNone) {
+    RejectAnswer(id, fault, now);
+    return;
+  }
+  connection.reads = 1;
   EndpointState& endpoint = endpoints_.at(connection.endpoint);
   const ServiceName service = connection.service;
-  if (connection.step >= connection.steps.size()) {
-    ReportFault(id, AnswerFault::kUnrequested, now);
-  } else {
-    const EndpointStatement& statement = connection.steps[connection.step];
-    const AnswerFault fault =
-        reply.fault != AnswerFault::kNone
-            ? reply.fault
-            : connection.answers.Check(statement, connection.state, reply,
-                                       false);
-    if (fault != AnswerFault::kNone) ReportFault(id, fault, now);
-    connection.answers.Record(statement, reply, now);
-    connection.state = reply.state;
+  const EndpointStatement& statement = connection.steps[connection.step];
+  connection.answers.Record(statement, reply, now);
+  connection.state = reply.state;
+  if (reply.code != ReplyCode::kOk) {
+    connection.needs_synchronization = true;
+  } else if (!IsSigned(statement.kind)) {
+    connection.needs_synchronization = false;
   }
   endpoint.RecordAnswer(now);
   RecordPosition(connection, reply);
-  if (connection.step >= connection.steps.size()) {
-    // A reply without a statement: proxy and endpoint disagree about the state
-    // of the connection.
-    CloseConnection(id, now);
-  } else if (connection.step + 1 < connection.steps.size()) {
+  if (reply.is_followed) {
+    ReportFault(id, AnswerFault::kUnrequested, now);
+    connection.outdated = true;
+  }
+  if (connection.step + 1 < connection.steps.size()) {
     OnSetupReply(id, reply, now);
   } else {
     OnFinalReply(id, reply, now);
@@ -131,10 +156,41 @@
   Dispatch(service, now);
 }
 
+AnswerFault SessionRouter::CheckReply(Connection& connection,
+                                      const StatementReply& reply) {
+  if (connection.step >= connection.steps.size()) {
+    return AnswerFault::kUnrequested;
+  }
+  Service& service = services_[connection.service];
+  const AnswerFault fault = connection.answers.Check(
+      connection.steps[connection.step], connection.state, reply,
+      service.rows_are_distinct);
+  if (!IsAboutRows(fault) || connection.doubted_rows != HashRows(reply.rows) ||
+      connection.reads < ReadsToConfirm(fault)) {
+    return fault;
+  }
+  if (fault == AnswerFault::kRepeatedRow) service.rows_are_distinct = false;
+  return AnswerFault::kNone;
+}
+
+// Repeats the read on its connection: rows that arrive again are the true ones.
+void SessionRouter::ReadAgain(ConnectionId id, AnswerFault fault,
+                              const StatementReply& reply, TimePoint now) {
+  ReportFault(id, fault, now);
+  Connection& connection = connections_.at(id);
+  const std::uint64_t rows = HashRows(reply.rows);
+  connection.reads = connection.doubted_rows == rows ? connection.reads + 1 : 2;
+  connection.doubted_rows = rows;
+  connection.answers.RecordSignature(reply);
+  connection.outdated = true;
+  SendStep(id, now);
+}
+
 ConnectionPhase SessionRouter::PhaseOf(const Connection& connection) const {
   if (!connection.open) return ConnectionPhase::kOpening;
   if (connection.step >= connection.steps.size()) return ConnectionPhase::kIdle;
   if (connection.job == nullptr) return ConnectionPhase::kRollback;
+  if (connection.refusal) return ConnectionPhase::kConfirmation;
   if (connection.job->done) return ConnectionPhase::kAbandoned;
   if (connection.step + 1 < connection.steps.size()) {
     return ConnectionPhase::kSetup;
@@ -166,10 +222,11 @@
 
 void SessionRouter::RecordPosition(const Connection& connection,
                                    const StatementReply& reply) {
-  if (!reply.position || connection.outdated) return;
+  if (!reply.position || connection.outdated || reply.is_followed) return;
   EndpointState& endpoint = endpoints_.at(connection.endpoint);
   endpoint.position = *reply.position;
-  if (connection.sent_with_lease) {
+  // Only a signature shows that the position is as recent as the statement.
+  if (connection.sent_with_lease && !reply.signature.empty()) {
     services_[endpoint.record.service].positions.Add(connection.sent_at,
                                                      *reply.position);
   }
@@ -199,6 +256,7 @@
     return;
   }
   const EndpointName name = connection.endpoint;
+  if (reply.code == ReplyCode::kBusy) endpoints_.at(name).RecordRefusal(true);
   if (reply.code == ReplyCode::kBehind) {
     endpoints_.at(name).RecordBehind(step.min_position.value_or(LogPosition{}),
                                      now);
@@ -216,11 +274,43 @@
   }
 }
 
-void SessionRouter::OnFinalReply(ConnectionId id, const StatementReply& reply,
+bool SessionRouter::ConfirmRefusal(ConnectionId id, const StatementReply& reply,
+                                   TimePoint now) {
+  Connection& connection = connections_.at(id);
+  const JobPtr& job = connection.job;
+  const bool may_persist =
+      job->has_effect && (job->commits || !connection.in_transaction);
+  if (job->done || !may_persist || !GuaranteesNotRun(reply.code)) return false;
+  connection.refusal = reply;
+  // The next use of the connection may not expect a status again.
+  connection.outdated = true;
+  if (reply.state != TransactionState::kIdle) {
+    connection.steps.emplace_back().kind = EndpointStatementKind::kRollback;
+  }
+  connection.steps.emplace_back().kind = EndpointStatementKind::kStatus;
+  ++connection.step;
+  SendStep(id, now);
+  return true;
+}
+
+void SessionRouter::OnFinalReply(ConnectionId id,
+                                 const StatementReply& last_reply,
                                  TimePoint now) {
   Connection& connection = connections_.at(id);
   const EndpointName name = connection.endpoint;
   EndpointState& endpoint = endpoints_.at(name);
+  StatementReply reply = last_reply;
+  if (connection.refusal) {
+    if (reply.code != ReplyCode::kOk) {
+      const JobPtr job = DetachJob(id, false, now);
+      if (!job->done) OnNoAnswer(job, name, JobResult::End::kLost, now);
+      return;
+    }
+    reply = *std::exchange(connection.refusal, std::nullopt);
+    reply.state = last_reply.state;
+  } else if (connection.job != nullptr && ConfirmRefusal(id, reply, now)) {
+    return;
+  }
   if (connection.job == nullptr) {
     const bool ended =
         reply.code == ReplyCode::kOk && reply.state == TransactionState::kIdle;
@@ -291,6 +381,9 @@
   EndpointState& endpoint = endpoints_.at(connection.endpoint);
   JobPtr job = std::move(connection.job);
   connection.job = nullptr;
+  connection.refusal.reset();
+  connection.doubted_rows.reset();
+  connection.reads = 1;
   connection.steps.clear();
   connection.step = 0;
   connection.hedge_at = TimePoint::max();
--- a/src/core/session/session_router_send.cc
+++ b/src/core/session/session_router_send.cc
@@ -164,6 +164,9 @@
   connection.job = job;
   connection.steps = PlanSetup(context, connection.context, prepared);
   connection.step = 0;
+  if (connection.needs_synchronization && connection.steps.empty()) {
+    connection.steps = PlanResynchronization(context, prepared);
+  }
   if (job->begin) {
     EndpointStatement& begin = connection.steps.emplace_back();
     begin.kind = *job->begin;
@@ -203,7 +206,12 @@
   connection.sent_at = now;
   connection.sent_with_lease = is_primary && now < lease->expires;
   connection.sent_term = is_primary ? lease->term : 0;
-  if (!link_.Send(id, connection.steps[connection.step])) {
+  const EndpointStatement& statement = connection.steps[connection.step];
+  // An answer that arrived before its statement was sent is not its answer.
+  const bool unrequested =
+      IsSigned(statement.kind) && link_.HasUnrequestedBytes(id);
+  if (unrequested) ReportFault(id, AnswerFault::kUnrequested, now);
+  if (unrequested || !link_.Send(id, statement)) {
     const EndpointName name = connection.endpoint;
     const JobPtr job = DetachJob(id, false, now);
     if (job != nullptr && !job->done) {
--- a/src/core/session/statement.h
+++ b/src/core/session/statement.h
@@ -9,7 +9,6 @@
 #include "carawayhaven/log_position.h"
 #include "carawayhaven/names.h"
 #include "carawayhaven/request.h"
-#include "core/session/answer_fault.h"
 #include "core/session/reply_code.h"
 
 namespace carawayhaven {
@@ -108,8 +107,8 @@
   std::optional<ReplicationStatus> replication;
   /// A row contains what starts a row on the wire.
   bool has_joined_rows = false;
-  /// First fault in the form of the reply.
-  AnswerFault fault = AnswerFault::kNone;
+  /// More bytes arrived with the reply although no other statement waited.
+  bool is_followed = false;
 };
 
 }  // namespace carawayhaven
--- a/test/failover/fake_failover_simulation.cc
+++ b/test/failover/fake_failover_simulation.cc
@@ -82,6 +82,9 @@
                     SessionLinkEvents& events) override;
   bool Send(ConnectionId connection,
             const EndpointStatement& statement) override;
+  bool HasUnrequestedBytes(ConnectionId /*connection*/) const override {
+    return false;
+  }
   void Close(ConnectionId connection) override { sessions_.erase(connection); }
 
  private:
@@ -90,6 +93,8 @@
     std::uint64_t process = 0;
     SessionLinkEvents* events = nullptr;
     bool open = false;
+    /// Resets that follow a status query; answered together with it.
+    unsigned resets = 0;
   };
 
   bool Reaches(const Endpoint& endpoint) const;
@@ -287,7 +292,8 @@
   const ConnectionId id = next_++;
   std::size_t index = 0;
   while (parent_.endpoints_[index]->record.address != address) ++index;
-  sessions_[id] = {index, parent_.endpoints_[index]->process, &events, false};
+  sessions_[id] = {index, parent_.endpoints_[index]->process, &events, false,
+                   0};
   Endpoint& endpoint = *parent_.endpoints_[index];
   if (endpoint.down_until > parent_.simulation_.now()) {
     Deliver(id, [this, id](Session& session) {
@@ -312,6 +318,10 @@
                                     const EndpointStatement& statement) {
   const auto found = sessions_.find(connection);
   if (found == sessions_.end() || !found->second.open) return false;
+  if (statement.kind == EndpointStatementKind::kReset) {
+    ++found->second.resets;
+    return true;
+  }
   const std::size_t index = found->second.endpoint;
   const std::uint64_t process = found->second.process;
   parent_.simulation_.After(
@@ -351,6 +361,12 @@
   if (!Reaches(endpoint)) return;
   Deliver(connection, [this, connection, reply](Session& session) {
     session.events->OnReply(connection, reply, parent_.simulation_.now());
+    const auto found = sessions_.find(connection);
+    if (found == sessions_.end() || found->second.resets == 0) return;
+    --found->second.resets;
+    StatementReply reset;
+    reset.position = reply.position;
+    session.events->OnReply(connection, reset, parent_.simulation_.now());
   });
 }
 
--- a/test/platform/fake_text_endpoint.cc
+++ b/test/platform/fake_text_endpoint.cc
@@ -33,12 +33,15 @@
   Session(TextLink& link, ConnectionId id, bool primary,
           SessionLinkEvents& events)
       : link_(link), id_(id), primary_(primary), events_(events) {
-    Emit(link_.now_ + link_.PickDelay(milliseconds(10)),
-         "READY I " + Position() + "\r\n");
+    const std::string ready = "READY I " + Position() + "\r\n";
+    last_answer_ = link_.now_ + link_.PickDelay(milliseconds(10));
+    Emit(last_answer_, ready);
+    if (!link_.Chance(link_.faults_.second)) return;
+    Emit(last_answer_ + link_.PickDelay(link_.faults_.max_delay), ready);
   }
 
   bool Send(const EndpointStatement& statement) {
-    if (!answers_.IsOpen()) return false;
+    if (!answers_.CanSend()) return false;
     answers_.OnSent(statement.kind);
     const TimePoint at = std::max(busy_until_, link_.now_) +
                          link_.PickDelay(milliseconds(8)) + milliseconds(1);
@@ -49,6 +52,8 @@
 
   void Stop() { answers_.Stop(); }
 
+  bool HasUnrequestedBytes() const { return !answers_.CanSend(); }
+
   void Advance() {
     const std::shared_ptr<Session> self = shared_from_this();
     while (!statements_.empty() && statements_.front().first <= link_.now_) {
@@ -241,7 +246,7 @@
     } else if (writes) {
       Commit({id});
     } else {
-      const std::size_t count = 1 + link_.Pick(3);
+      const std::size_t count = 1 + (std::stoull(line) + applied) % 3;
       for (std::size_t i = 0; i < count; ++i) {
         execution.rows.push_back("row-of-item-" + line + "-" +
                                  std::to_string(i) + "-" +
@@ -330,6 +335,11 @@
   return found != sessions_.end() && found->second->Send(statement);
 }
 
+bool TextLink::HasUnrequestedBytes(ConnectionId connection) const {
+  const auto found = sessions_.find(connection);
+  return found != sessions_.end() && found->second->HasUnrequestedBytes();
+}
+
 void TextLink::Close(ConnectionId connection) {
   const auto found = sessions_.find(connection);
   if (found == sessions_.end()) return;
--- a/test/platform/fake_text_endpoint.h
+++ b/test/platform/fake_text_endpoint.h
@@ -72,6 +72,7 @@
                     SessionLinkEvents& events) override;
   bool Send(ConnectionId connection,
             const EndpointStatement& statement) override;
+  bool HasUnrequestedBytes(ConnectionId connection) const override;
   void Close(ConnectionId connection) override;
 
   /// Runs what is due.
--- a/test/platform/faulty_answers_test.cc
+++ b/test/platform/faulty_answers_test.cc
@@ -304,7 +304,11 @@
            reply.signature + "'");
       return;
     }
-    if (found->rows != reply.rows) Fail(sent.id + " got other rows");
+    if (found->rows != reply.rows) {
+      Fail(sent.id + " " + sent.text + " got the rows " +
+           ::testing::PrintToString(reply.rows) + ", not " +
+           ::testing::PrintToString(found->rows));
+    }
     const bool reads = !found->rows.empty();
     if (reads && found->applied < sent.required) {
       Fail(sent.id + " read without commit " + std::to_string(sent.required));
--- a/test/platform/line_codec_test.cc
+++ b/test/platform/line_codec_test.cc
@@ -107,19 +107,75 @@
 
 class LineCodecOfEndpoints : public ::testing::Test {
  protected:
+  LineCodecOfEndpoints() { Read({"READY I -"}); }
+
   std::optional<StatementReply> Read(std::initializer_list<const char*> lines) {
     std::optional<StatementReply> reply;
     for (const char* line : lines) {
-      bool malformed = false;
-      reply = reader_.Add(line, &malformed);
-      EXPECT_FALSE(malformed) << line;
+      AnswerFault fault = AnswerFault::kNone;
+      reply = reader_.Add(line, &fault);
+      EXPECT_EQ(fault, AnswerFault::kNone) << line;
     }
     return reply;
   }
 
+  /// Returns the fault that a reader of its own finds in the lines, which
+  /// follow the acceptance of the session.
+  static AnswerFault FaultIn(std::initializer_list<const char*> lines) {
+    ReplyReader reader;
+    AnswerFault fault = AnswerFault::kNone;
+    reader.Add("READY I 1.0", &fault);
+    for (const char* line : lines) {
+      reader.Add(line, &fault);
+      if (fault != AnswerFault::kNone) break;
+    }
+    return fault;
+  }
+
   ReplyReader reader_;
 };
 
+// Guards against a reply that is put together from parts of two, or accepted
+// without one of its lines.
+TEST_F(LineCodecOfEndpoints, LinesAreMissingOrRepeatedReplyIsIncomplete) {
+  EXPECT_EQ(FaultIn({"READY I 1.0"}), AnswerFault::kIncomplete);
+  EXPECT_EQ(FaultIn({"DATAROW a", "READY I 1.0"}), AnswerFault::kIncomplete);
+  EXPECT_EQ(FaultIn({"COMPLETE s", "COMPLETE t"}), AnswerFault::kIncomplete);
+  EXPECT_EQ(FaultIn({"COMPLETE s", "DATAROW a"}), AnswerFault::kIncomplete);
+  EXPECT_EQ(FaultIn({"ERROR BUSY -", "COMPLETE s"}), AnswerFault::kIncomplete);
+  EXPECT_EQ(FaultIn({"COMPLETE s", "READY I 1.0", "READY I 1.0"}),
+            AnswerFault::kIncomplete);
+}
+
+// Guards against a line that was cut, or that contains two.
+TEST_F(LineCodecOfEndpoints, LineIsNotWholeItIsMalformed) {
+  for (const char* line :
+       {"COMPLETE s\n", "COMPLETE s\rREADY I 1.0", "COMPLETE sREADY I 1.0",
+        "COMPLETE ", "COMPLETE", "ERROR", "ERROR ", "DATAROW a\n", "DATA a",
+        "CLOSE", "", "ERROR BUSY -COMPLETE s", "ERROR BUSY READY I 1.0"}) {
+    EXPECT_EQ(FaultIn({line}), AnswerFault::kMalformed) << line;
+  }
+  for (const char* line :
+       {"READY", "READY ", "READY I", "READY I ", "READY I 1", "READY I 1.",
+        "READY I 1.0 ", "READY X 1.0", "READY I 1.0DATAROW a"}) {
+    EXPECT_EQ(FaultIn({"COMPLETE s", line}), AnswerFault::kMalformed) << line;
+  }
+}
+
+TEST_F(LineCodecOfEndpoints, RowContainsTheStartOfARowItIsMarked) {
+  const auto reply = Read({"DATAROW aDATAROW b", "COMPLETE s", "READY I 1.0"});
+  ASSERT_TRUE(reply.has_value());
+  EXPECT_TRUE(reply->has_joined_rows);
+}
+
+TEST_F(LineCodecOfEndpoints, SessionIsRefusedTheCodeIsPending) {
+  ReplyReader reader;
+  AnswerFault fault = AnswerFault::kNone;
+  EXPECT_EQ(reader.Add("ERROR OVERLOAD -", &fault), std::nullopt);
+  EXPECT_EQ(fault, AnswerFault::kNone);
+  EXPECT_EQ(reader.pending_code(), ReplyCode::kTooManyConnections);
+}
+
 TEST_F(LineCodecOfEndpoints, StatementsKeepTextAndIdPositionGoesBefore) {
   EndpointStatement statement;
   statement.kind = EndpointStatementKind::kCaller;
@@ -160,6 +216,8 @@
   EXPECT_EQ(status->received, (LogPosition{3, 1209}));
   EXPECT_EQ(DecodeReplication("leader 3 3.1 0 0 0 0"), std::nullopt);
   EXPECT_EQ(DecodeReplication("replica x"), std::nullopt);
+  EXPECT_EQ(DecodeReplication("replica 3 3.12"), std::nullopt);
+  EXPECT_EQ(DecodeReplication("replica 3 3.1209 0 12 2 17x"), std::nullopt);
 }
 
 // Random bytes must be rejected without a crash, and no line end inside a
@@ -181,8 +239,9 @@
         EXPECT_EQ(statement->text.find('\n'), std::string::npos);
         EXPECT_EQ(statement->id.find('\n'), std::string::npos);
       }
-      bool malformed = false;
-      replies.Add(*line, &malformed);
+      AnswerFault fault = AnswerFault::kNone;
+      replies.Add(*line, &fault);
+      if (fault != AnswerFault::kNone) replies = ReplyReader();
     }
   }
 }
--- a/test/session/caller_session_test.cc
+++ b/test/session/caller_session_test.cc
@@ -134,7 +134,7 @@
     Run(StatementKind::kRead);
     const auto read = link_.Answer("replica", OkReply({1, 100}), now_);
     if (read) return read->min_position;
-    EXPECT_TRUE(link_.Answer("db", OkReply({1, 100}), now_));
+    EXPECT_TRUE(link_.Answer("db", OkReply({1, 94}), now_));
     return std::nullopt;
   }
 };
--- a/test/session/fake_session_link.h
+++ b/test/session/fake_session_link.h
@@ -45,10 +45,13 @@
     found->second.unanswered.push_back(statement);
     return true;
   }
+  bool HasUnrequestedBytes(ConnectionId /*connection*/) const override {
+    return false;
+  }
   void Close(ConnectionId connection) override { sessions.erase(connection); }
 
   /// Accepts all sessions that are being opened.
-  void AcceptAll(TimePoint now, LogPosition position = {1, 100}) {
+  void AcceptAll(TimePoint now, LogPosition position = {1, 1}) {
     for (const ConnectionId id : Ids()) {
       const auto found = sessions.find(id);
       if (found == sessions.end() || found->second.open) continue;
--- a/test/session/session_router_test.cc
+++ b/test/session/session_router_test.cc
@@ -212,6 +212,63 @@
   EXPECT_EQ(link_.Running("near"), 0U);
 }
 
+// Guards against a refusal of an earlier statement, answered a second time,
+// that becomes a promise for a write which runs.
+TEST_F(SessionRouterWithThreeEndpoints, RefusalIsFollowedByTheResultInDoubt) {
+  router_.Submit(Job(true, true), now_);
+  link_.AcceptAll(now_);
+  ASSERT_TRUE(link_.Answer("primary", ErrorReply(ReplyCode::kBusy), now_));
+  EXPECT_TRUE(owner_->results.empty());
+  ASSERT_TRUE(link_.Answer("primary", OkReply({1, 101}), now_));
+  ASSERT_EQ(owner_->results.size(), 1U);
+  EXPECT_EQ(owner_->results[0].end, JobResult::End::kLost);
+}
+
+TEST_F(SessionRouterWithThreeEndpoints, RefusalIsConfirmedWriteIsSentAgain) {
+  router_.Submit(Job(true, true), now_);
+  link_.AcceptAll(now_);
+  ASSERT_TRUE(link_.Answer("primary", ErrorReply(ReplyCode::kBusy), now_));
+  StatementReply status = OkReply({1, 101});
+  status.rows = {"a status"};
+  status.replication = ReplicationStatus{true, 1, {1, 101}};
+  const auto confirmation = link_.Answer("primary", status, now_);
+  ASSERT_TRUE(confirmation.has_value());
+  EXPECT_EQ(confirmation->kind, EndpointStatementKind::kStatus);
+  Pass(milliseconds(50));
+  EXPECT_EQ(link_.Running("primary"), 1U);
+  ASSERT_TRUE(link_.Answer("primary", OkReply({1, 102}), now_));
+  ASSERT_EQ(owner_->results.size(), 1U);
+  EXPECT_EQ(owner_->results[0].end, JobResult::End::kAnswered);
+}
+
+// Guards against a read whose true answer comes after an error that was not
+// its own and is taken for that of the next statement.
+TEST_F(SessionRouterWithThreeEndpoints, ReadFailsAnOwnStatementComesNext) {
+  router_.Submit(Job(true), now_);
+  link_.AcceptAll(now_);
+  ASSERT_TRUE(link_.Answer("primary", ErrorReply(ReplyCode::kTimeout), now_));
+  router_.Submit(Job(true), now_);
+  const auto statement = link_.Answer("primary", OkReply({1, 101}), now_);
+  ASSERT_TRUE(statement.has_value());
+  EXPECT_EQ(statement->kind, EndpointStatementKind::kReset);
+}
+
+// Guards against a position of the primary that is taken from an answer
+// without proof: reads on replicas would count as recent enough.
+TEST_F(SessionRouterWithThreeEndpoints, AnswerIsUnsignedItsPositionIsNotUsed) {
+  const auto job = Job(true);
+  job->begin = EndpointStatementKind::kBegin;
+  router_.Submit(job, now_);
+  link_.AcceptAll(now_);
+  ASSERT_TRUE(link_.Answer("primary",
+                           OkReply({1, 101}, TransactionState::kOpen), now_));
+  const PositionHistory* positions = router_.FindPositionHistory("registro");
+  EXPECT_FALSE(positions->PositionCovering(now_).has_value());
+  ASSERT_TRUE(link_.Answer("primary",
+                           OkReply({1, 102}, TransactionState::kOpen), now_));
+  EXPECT_TRUE(positions->PositionCovering(now_).has_value());
+}
+
 TEST_F(SessionRouterWithoutLease, PrimaryIsExpectedTooLateItIsRefusedAtOnce) {
   router_.ExpectPrimary("registro", now_ + milliseconds(1800), now_);
   router_.Submit(Job(true, true), now_);
