Endpoint probe: a second answer to an earlier query is not the present status

The leader could take an old status or an old position of the primary for a new one, and an order to step down for obeyed: all answers to STATUS look alike, and the probe took each for that to its latest query. Positions stated to all VMs decide which replica may serve a read (rule STALE).

Each query is now followed by RESET on the same connection, and the status counts once both answers arrived in this order. After a faulty answer each query uses a new connection for 60 s.

--- a/src/core/failover/endpoint_probe.cc
+++ b/src/core/failover/endpoint_probe.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/session/answer_check.h"
+
 namespace carawayhaven {
 namespace {
 
@@ -10,8 +12,9 @@
 
 }  // namespace
 
-EndpointProbe::EndpointProbe(SessionLink& link, EndpointRecord record)
-    : link_(link), record_(std::move(record)) {}
+EndpointProbe::EndpointProbe(SessionLink& link, EndpointRecord record,
+                             AnswerObserver& observer)
+    : link_(link), record_(std::move(record)), observer_(observer) {}
 
 EndpointProbe::~EndpointProbe() {
   if (connection_ != 0) link_.Close(connection_);
@@ -49,8 +52,13 @@
     statement.term = *step_down_;
     step_down_sent_ = true;
   }
+  EndpointStatement separator;
+  separator.kind = EndpointStatementKind::kReset;
   query_sent_at_ = now;
-  link_.Send(connection_, statement);
+  awaited_.clear();
+  for (const EndpointStatement& sent : {statement, separator}) {
+    if (link_.Send(connection_, sent)) awaited_.push_back(sent);
+  }
 }
 
 void EndpointProbe::Tick(TimePoint now) {
@@ -60,6 +68,8 @@
   ++unanswered_;
   if (!stepped_down_) step_down_sent_ = false;
   if (connection_ != 0) link_.Close(std::exchange(connection_, 0));
+  awaited_.clear();
+  query_reply_.reset();
 }
 
 void EndpointProbe::OnSessionOpened(ConnectionId connection,
@@ -80,19 +90,57 @@
   if (!failing_) last_alive_at_ = now;
   connection_ = 0;
   open_ = false;
+  awaited_.clear();
+  query_reply_.reset();
   query_pending_ = false;
   answer_deadline_ = TimePoint::max();
   if (!stepped_down_) step_down_sent_ = false;
 }
 
-void EndpointProbe::OnSessionFault(ConnectionId connection,
-                                   AnswerFault /*fault*/, TimePoint now) {
-  OnSessionClosed(connection, ReplyCode::kOther, now);
+void EndpointProbe::OnSessionFault(ConnectionId connection, AnswerFault fault,
+                                   TimePoint now) {
+  if (connection == connection_) RejectAnswer(fault, now);
+}
+
+void EndpointProbe::RejectAnswer(AnswerFault fault, TimePoint now) {
+  FaultyAnswer answer;
+  answer.endpoint = record_.name;
+  answer.connection = connection_;
+  answer.fault = fault;
+  answer.phase = open_ ? ConnectionPhase::kProbe : ConnectionPhase::kOpening;
+  if (!awaited_.empty()) answer.since_sent = now - query_sent_at_;
+  observer_.OnFaultyAnswer(answer);
+  faulty_until_ = now + kFaultMemory;
+  link_.Close(connection_);
+  const bool was_failing = failing_;
+  OnSessionClosed(connection_, ReplyCode::kOther, now);
+  failing_ = was_failing;
 }
 
 void EndpointProbe::OnReply(ConnectionId connection,
                             const StatementReply& reply, TimePoint now) {
   if (connection != connection_) return;
+  const AnswerFault fault =
+      awaited_.empty()
+          ? AnswerFault::kUnrequested
+          : CheckAnswer(awaited_.front(), TransactionState::kIdle, reply);
+  if (fault != AnswerFault::kNone) {
+    RejectAnswer(fault, now);
+    return;
+  }
+  awaited_.pop_front();
+  if (!awaited_.empty()) {
+    query_reply_ = reply;
+    return;
+  }
+  if (query_reply_) Accept(*std::exchange(query_reply_, std::nullopt), now);
+  if (now < faulty_until_) {
+    link_.Close(std::exchange(connection_, 0));
+    open_ = false;
+  }
+}
+
+void EndpointProbe::Accept(const StatementReply& reply, TimePoint now) {
   query_pending_ = false;
   answer_deadline_ = TimePoint::max();
   unanswered_ = 0;
--- a/src/core/failover/endpoint_probe.h
+++ b/src/core/failover/endpoint_probe.h
@@ -1,8 +1,10 @@
 #ifndef CARAWAYHAVEN_CORE_FAILOVER_ENDPOINT_PROBE_H_
 #define CARAWAYHAVEN_CORE_FAILOVER_ENDPOINT_PROBE_H_
 
+#include <deque>
 #include <optional>
 
+#include "core/session/answer_observer.h"
 #include "core/session/endpoint_record.h"
 #include "core/session/session_link.h"
 
@@ -18,13 +20,20 @@
 
 /// Queries the replication status of one endpoint over a connection of its own.
 /// When a query gets no answer in time, the connection is closed and the next
-/// query opens a new one. Not thread-safe.
+/// query opens a new one. All statuses look alike, so each query is followed by
+/// a statement with another kind of answer: a late second answer to an earlier
+/// query puts the answers out of order. Not thread-safe.
 class EndpointProbe : public SessionLinkEvents {
  public:
   // Two round trips between regions and a short queue at the endpoint.
   static constexpr Duration kAnswerTimeout = std::chrono::milliseconds(500);
 
-  EndpointProbe(SessionLink& link, EndpointRecord record);
+  /// After a faulty answer each query uses a new connection for this time.
+  static constexpr Duration kFaultMemory = std::chrono::seconds(60);
+
+  /// `link` and `observer` must outlive the probe.
+  EndpointProbe(SessionLink& link, EndpointRecord record,
+                AnswerObserver& observer);
   ~EndpointProbe() override;
   EndpointProbe(const EndpointProbe&) = delete;
   EndpointProbe& operator=(const EndpointProbe&) = delete;
@@ -83,11 +92,21 @@
 
  private:
   void Send(TimePoint now);
+  /// Handles a whole answer to the query.
+  void Accept(const StatementReply& reply, TimePoint now);
+  void RejectAnswer(AnswerFault fault, TimePoint now);
 
   SessionLink& link_;
   EndpointRecord record_;
+  AnswerObserver& observer_;
   ConnectionId connection_ = 0;
   bool open_ = false;
+  /// Statements on the connection without a reply: the query and the statement
+  /// after it.
+  std::deque<EndpointStatement> awaited_;
+  /// The reply to the query, while the second reply is awaited.
+  std::optional<StatementReply> query_reply_;
+  TimePoint faulty_until_ = TimePoint::min();
   bool query_pending_ = false;
   /// Term of a step-down order that is to be sent or was sent.
   std::optional<Term> step_down_;
--- a/src/core/failover/primary_keeper.cc
+++ b/src/core/failover/primary_keeper.cc
@@ -136,7 +136,8 @@
                      (probe->record().address != endpoint.record.address ||
                       probe->record().started_ms != endpoint.record.started_ms);
   if (probe == nullptr || stale) {
-    probe = std::make_unique<EndpointProbe>(context_.link, endpoint.record);
+    probe = std::make_unique<EndpointProbe>(context_.link, endpoint.record,
+                                            context_.observer);
   }
   return *probe;
 }
