Object API client: a success needs a version that fits the update

An update was reported as done, or refused for a conflict, by any 200 or 412: without a version, with the version it expected to replace, or with an older one. Such an answer belongs to another update; the outcome is unknown now. A watch that gets a revision below its own is unknown too.

Before: VersionDoesNotFitTheUpdateIsUnknown and WatchReplyIsOlderThanTheWatchIsUnknown failed.

--- a/src/net/platform_client.cc
+++ b/src/net/platform_client.cc
@@ -103,13 +103,31 @@
     return reply;
   }
 
+  // A success or conflict without the version of the object is not proven to
+  // be the answer.
   StoreReply ToObjectReply(const std::string& path) const {
+    const auto version = ToVersion(era, ParseNumber(http.etag));
+    const bool proven = status == StoreStatus::kOk ? version.value_or(0) != 0
+                                                   : version.has_value();
+    const bool needs_proof =
+        status == StoreStatus::kOk || status == StoreStatus::kConflict;
+    if (needs_proof && !proven) return EmptyReply(StoreStatus::kUnknown);
     StoreReply reply = EmptyReply(status);
-    reply.object = {path, http.body,
-                    ToVersion(era, ParseNumber(http.etag)).value_or(0)};
+    reply.object = {path, http.body, version.value_or(0)};
     return reply;
   }
 
+  // An update gives the object a newer version, and a conflict means that it
+  // has another one than expected. Any other answer belongs to another update.
+  StoreReply ToUpdateReply(const std::string& path,
+                           ObjectVersion expected) const {
+    StoreReply reply = ToObjectReply(path);
+    const ObjectVersion version = reply.object.version;
+    const bool fits = (status != StoreStatus::kOk || version > expected) &&
+                      (status != StoreStatus::kConflict || version != expected);
+    return fits ? reply : EmptyReply(StoreStatus::kUnknown);
+  }
+
   // Parses the list of changed objects. A malformed list gives a reply with
   // status kUnknown; a malformed object is left out.
   StoreReply ToWatchReply(ObjectVersion after) const {
@@ -123,6 +141,8 @@
       return EmptyReply(StoreStatus::kUnknown);
     }
     reply.revision = MakeVersion(era, *revision);
+    // The changes up to `after` are known, so this answers another watch.
+    if (reply.revision < after) return EmptyReply(StoreStatus::kUnknown);
     reply.complete = after == 0;
     for (const std::string_view text : *objects) {
       if (auto object = DecodeObject(era, text)) {
@@ -171,7 +191,7 @@
                                 expected != 0 &&
                                 response.era != EraOf(expected);
          callback(overwrote ? response.EmptyReply(StoreStatus::kUnknown)
-                            : response.ToObjectReply(path));
+                            : response.ToUpdateReply(path, expected));
        });
 }
 
--- a/test/net/platform_client_test.cc
+++ b/test/net/platform_client_test.cc
@@ -176,6 +176,41 @@
   }
 }
 
+// Guards against a success or a conflict that an answer does not prove: it has
+// no version, or one that this update cannot have.
+TEST_F(PlatformClientWithRestoredStore, VersionDoesNotFitTheUpdateIsUnknown) {
+  for (const char* etag : {"", "x", "0", "6", "7", "99999999999999999999"}) {
+    Prepare(200, "1", etag, "");
+    EXPECT_EQ(Put(MakeVersion(1, 7)).status, StoreStatus::kUnknown) << etag;
+  }
+  for (const char* etag : {"", "x", "7"}) {
+    Prepare(412, "1", etag, "");
+    EXPECT_EQ(Put(MakeVersion(1, 7)).status, StoreStatus::kUnknown) << etag;
+  }
+  Prepare(200, "1", "8", "");
+  EXPECT_EQ(Put(MakeVersion(1, 7)).status, StoreStatus::kOk);
+  Prepare(412, "1", "8", "");
+  EXPECT_EQ(Put(MakeVersion(1, 7)).status, StoreStatus::kConflict);
+  Prepare(412, "1", "0", "");
+  EXPECT_EQ(Put(MakeVersion(1, 7)).status, StoreStatus::kConflict);
+  for (const char* etag : {"", "0"}) {
+    Prepare(200, "1", etag, "text");
+    EXPECT_EQ(Get().status, StoreStatus::kUnknown) << etag;
+  }
+}
+
+// Guards against a watch that goes back to changes that it has delivered: the
+// reply belongs to an earlier watch.
+TEST_F(PlatformClientWithRestoredStore,
+       WatchReplyIsOlderThanTheWatchIsUnknown) {
+  Prepare(200, "1", "7", "text");
+  Get();
+  Prepare(200, "1", "", R"({"revision":6,"objects":[]})");
+  EXPECT_EQ(Watch(MakeVersion(1, 7)).status, StoreStatus::kUnknown);
+  Prepare(200, "1", "", R"({"revision":7,"objects":[]})");
+  EXPECT_EQ(Watch(MakeVersion(1, 7)).status, StoreStatus::kOk);
+}
+
 // Guards against a watch that waits for revisions that were given out again.
 TEST_F(PlatformClientWithRestoredStore, WatchOfAnEarlierEraIsTooOld) {
   Prepare(200, "1", "7", "text");
