--- a/test/platform/object_store_test.cc
+++ b/test/platform/object_store_test.cc
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -317,5 +318,73 @@
   }
 }
 
+class CallsToTheStore : public LoopFixture, public HttpHandler {
+ protected:
+  void OnRequest(const HttpRequest&, HttpResponder respond) override {
+    respond({status_, "application/json", "", body_});
+  }
+
+  template <typename Call>
+  StoreStatus Await(int status, const std::string& body, Call call) {
+    status_ = status;
+    body_ = body;
+    std::optional<StoreReply> result;
+    call([&result](const StoreReply& reply) { result = reply; });
+    EXPECT_TRUE(RunUntil([&result] { return result.has_value(); }));
+    return result.value_or(StoreReply{}).status;
+  }
+  StoreStatus Get(const std::string& body) {
+    return Await(200, body, [this](const StoreCallback& done) {
+      store_.Get("servers/i-1", done);
+    });
+  }
+  StoreStatus Put(ObjectVersion expected, int status, const std::string& body) {
+    return Await(status, body, [this, expected](const StoreCallback& done) {
+      store_.Put("servers/i-1", "{}", expected, done);
+    });
+  }
+  StoreStatus Watch(ObjectVersion after, int revision) {
+    return Await(200, Event(Object("i-1", "3", "{}"), false, revision),
+                 [this, after](const StoreCallback& done) {
+                   store_.Watch("servers/", after, done);
+                 });
+  }
+
+  int status_ = 200;
+  std::string body_;
+  HttpServer server_{*loop_, "127.0.0.1", kPort, *this};
+  ObjectStore store_{*loop_, kAddress};
+};
+
+// Guards against a caller that gets the object of another request.
+TEST_F(CallsToTheStore, AnswerHasAnotherObjectItIsUnknown) {
+  const std::string own = Object("i-1", "8", "{}");
+  const std::string other = Object("i-2", "8", "{}");
+  EXPECT_EQ(Get(own), StoreStatus::kOk);
+  EXPECT_EQ(Get(other), StoreStatus::kUnknown);
+  EXPECT_EQ(Put(7, 200, own), StoreStatus::kOk);
+  EXPECT_EQ(Put(7, 200, other), StoreStatus::kUnknown);
+  EXPECT_EQ(Put(7, 409, own), StoreStatus::kConflict);
+  EXPECT_EQ(Put(7, 409, other), StoreStatus::kUnknown);
+  EXPECT_EQ(Put(0, 201, other), StoreStatus::kUnknown);
+}
+
+// Guards against a success or a conflict of an update that got the answer of an
+// earlier one.
+TEST_F(CallsToTheStore, RevisionDoesNotFitTheUpdateIsUnknown) {
+  const std::string same = Object("i-1", "7", "{}");
+  EXPECT_EQ(Put(7, 200, same), StoreStatus::kUnknown);
+  EXPECT_EQ(Put(7, 200, Object("i-1", "6", "{}")), StoreStatus::kUnknown);
+  EXPECT_EQ(Put(7, 409, same), StoreStatus::kUnknown);
+  EXPECT_EQ(Put(0, 201, same), StoreStatus::kOk);
+  EXPECT_EQ(Put(0, 409, same), StoreStatus::kConflict);
+}
+
+// Guards against a watch that goes back to changes that it has delivered.
+TEST_F(CallsToTheStore, WatchReplyIsOlderThanTheWatchIsUnknown) {
+  EXPECT_EQ(Watch(7, 6), StoreStatus::kUnknown);
+  EXPECT_EQ(Watch(7, 7), StoreStatus::kOk);
+}
+
 }  // namespace
 }  // namespace carawayhaven::platform
