Promotion client: an unclear answer is no refusal

Every status but 200, 202, 429 and 503 counted as "refused, nothing changed", also 500, 502, 504, 204 and 3xx. The leader then chose another endpoint although the order may have been taken.

--- a/src/core/failover/promotion_service.h
+++ b/src/core/failover/promotion_service.h
@@ -16,7 +16,8 @@
   kRefused,
   /// The service cannot take the order now; nothing changed.
   kUnavailable,
-  /// No answer; the order may still take effect.
+  /// No answer, or one that does not tell whether the order was taken; it may
+  /// still take effect.
   kUnknown,
 };
 
--- a/test/platform/object_store_test.cc
+++ b/test/platform/object_store_test.cc
@@ -16,6 +16,7 @@
 #include "net/http_server.h"
 #include "net/loop_fixture.h"
 #include "platform/documents.h"
+#include "platform/promotion_client.h"
 
 namespace carawayhaven::platform {
 namespace {
@@ -386,5 +387,32 @@
   EXPECT_EQ(Watch(7, 7), StoreStatus::kOk);
 }
 
+// Guards against an order to promote that may have taken effect and counts as
+// refused.
+TEST_F(CallsToTheStore, PromotionHasAnUnclearAnswerItIsUnknown) {
+  PromotionClient promotions(*loop_, kAddress);
+  const auto promote = [&](int status) {
+    status_ = status;
+    std::optional<PromotionResult> result;
+    promotions.Promote("huvo", "i-1", "vm", 7,
+                       [&result](PromotionResult got) { result = got; });
+    EXPECT_TRUE(RunUntil([&result] { return result.has_value(); }));
+    return result;
+  };
+  for (const int status : {200, 202}) {
+    EXPECT_EQ(promote(status), PromotionResult::kAccepted) << status;
+  }
+  for (const int status : {400, 403, 404, 409, 412}) {
+    EXPECT_EQ(promote(status), PromotionResult::kRefused) << status;
+  }
+  for (const int status : {429, 503}) {
+    EXPECT_EQ(promote(status), PromotionResult::kUnavailable) << status;
+  }
+  for (const int status : {204, 302, 304, 500, 502, 504}) {
+    EXPECT_EQ(promote(status), PromotionResult::kUnknown) << status;
+  }
+  loop_.reset();
+}
+
 }  // namespace
 }  // namespace carawayhaven::platform
