--- a/test/platform/line_caller_server_test.cc
+++ b/test/platform/line_caller_server_test.cc
@@ -383,5 +383,123 @@
   EXPECT_FALSE(sent && caller_.received().starts_with("ERROR OVERLOAD"));
 }
 
+// Guards against a caller that gets a message while no statement waits, which
+// ends its connection or is taken for the next answer.
+TEST_F(LineCallerServerOfAProxy, AnswerWithoutAStatementIsNotForwarded) {
+  for (const char* unrequested :
+       {"COMPLETE s1\r\nREADY I -\r\n", "COMPLETE s1\r\n", "DATAROW a\r\n",
+        "READY I -\r\n", "READY T -\r\n", "text\r\n", "\r\n"}) {
+    SCOPED_TRACE(unrequested);
+    RawListener listener;
+    front_factory_.addresses = {listener.address()};
+    RawSocket caller(kFrontPort);
+    caller.Write("CONNECT packs u1\r\n");
+    RunTicks(2);
+    RawSocket session_vm = listener.Accept();
+    session_vm.Write("READY I -\r\n");
+    RunTicks(2);
+    session_vm.Write(unrequested);
+    bool closed = false;
+    int ticks = 40;
+    RunUntil([&] { return (closed = !caller.Read()) || --ticks == 0; });
+    EXPECT_TRUE(closed);
+    EXPECT_EQ(caller.received(), "READY I -\r\n");
+  }
+}
+
+// Guards against a statement that gets an answer that is joined from two, is
+// not whole, or is followed by one of no statement.
+TEST_F(LineCallerServerOfAProxy, AnswerIsNotWholeItIsNotForwardedAsOne) {
+  const std::string lost =
+      "ERROR INDOUBT the session ended before the answer\r\nREADY I -\r\n";
+  const struct {
+    const char* answer;
+    std::string received;
+  } cases[] = {{"READY I -\r\n", lost},
+               {"COMPLETE s1\nREADY I -\r\n", lost},
+               {"DATAROW a\nCOMPLETE s1\r\nREADY I -\r\n", lost},
+               {"COMPLETE s1\r\nCOMPLETE s2\r\nREADY I -\r\n",
+                "COMPLETE s1\r\nREADY I -\r\n"},
+               {"COMPLETE s1\r\nDATAROW a\r\nREADY I -\r\n",
+                "COMPLETE s1\r\nREADY I -\r\n"},
+               {"COMPLETE s1\r\nREADY I \r\n", "COMPLETE s1\r\nREADY I -\r\n"},
+               {"COMPLETE s1\r\nREADY X -\r\n", "COMPLETE s1\r\nREADY I -\r\n"},
+               {"text\r\nCOMPLETE s1\r\nREADY I -\r\n", lost},
+               {"COMPLETE s1\r\nREADY I -\r\nCOMPLETE s1\r\nREADY I -\r\n",
+                "COMPLETE s1\r\nREADY I -\r\n"}};
+  for (const auto& entry : cases) {
+    SCOPED_TRACE(entry.answer);
+    RawListener listener;
+    front_factory_.addresses = {listener.address()};
+    RawSocket caller(kFrontPort);
+    caller.Write("CONNECT packs u1\r\n");
+    RunTicks(2);
+    RawSocket session_vm = listener.Accept();
+    session_vm.Write("READY I -\r\n");
+    RunTicks(2);
+    caller.Write("QUERY q1 WRITE 1a4 x\r\n");
+    RunTicks(2);
+    session_vm.Write(entry.answer);
+    bool closed = false;
+    int ticks = 40;
+    RunUntil([&] { return (closed = !caller.Read()) || --ticks == 0; });
+    EXPECT_TRUE(closed);
+    EXPECT_EQ(caller.received(), "READY I -\r\n" + entry.received);
+  }
+}
+
+// Guards against a session that is opened by what is no acceptance.
+TEST_F(LineCallerServerOfAProxy, SessionIsNotAcceptedNextVmIsTried) {
+  for (const char* first : {"COMPLETE s1\r\nREADY I -\r\n", "READY T -\r\n",
+                            "READY I -\n", "DATAROW a\r\n", "text\r\n"}) {
+    SCOPED_TRACE(first);
+    RawListener listener;
+    front_factory_.addresses = {listener.address(), kSessionVmAddress};
+    RawSocket caller(kFrontPort);
+    caller.Write("CONNECT packs u1\r\nQUERY q1 SET a b\r\n");
+    RunTicks(2);
+    RawSocket session_vm = listener.Accept();
+    session_vm.Write(first);
+    const std::string expected = "READY I -\r\nCOMPLETE -\r\nREADY I -\r\n";
+    int ticks = 40;
+    RunUntil([&] {
+      return !caller.Read() || caller.received() == expected || --ticks == 0;
+    });
+    EXPECT_EQ(caller.received(), expected);
+  }
+}
+
+// Guards against statements that run after the session was rejected.
+TEST_F(LineCallerServerOfAProxy, SessionIsRejectedNothingElseIsForwarded) {
+  RawListener listener;
+  front_factory_.addresses = {listener.address()};
+  caller_.Write("CONNECT packs u1\r\nQUERY q1 SET a b\r\n");
+  RunTicks(2);
+  RawSocket session_vm = listener.Accept();
+  session_vm.Write("ERROR NODB no\r\nREADY I -\r\n");
+  int ticks = 40;
+  RunUntil([&] { return !caller_.Read() || --ticks == 0; });
+  EXPECT_EQ(caller_.received(), "ERROR NODB no\r\n");
+  session_vm.Read();
+  EXPECT_EQ(session_vm.received().find("QUERY"), std::string::npos);
+}
+
+// Guards against a notice of the session VM that is dropped: it may end an open
+// transaction, or refuse a line of the caller, while no statement waits.
+TEST_F(LineCallerServerOfAProxy, ErrorThatEndsTheSessionIsForwarded) {
+  RawListener listener;
+  RawSocket session_vm = ConnectThrough(listener);
+  caller_.Write("QUERY q1 BEGIN\r\n");
+  RunTicks(2);
+  session_vm.Write("COMPLETE -\r\nREADY T -\r\n");
+  RunTicks(2);
+  session_vm.Write("ERROR ABORTED stopping\r\n");
+  // A close with unread bytes would discard what was sent.
+  session_vm.Read();
+  session_vm.Close();
+  EXPECT_EQ(ReceiveUntilClosed(),
+            "COMPLETE -\r\nREADY T -\r\nERROR ABORTED stopping\r\n");
+}
+
 }  // namespace
 }  // namespace carawayhaven::platform
