Failure detector: only the answer to a probe shows a working primary

Any ok on the connection cleared the suspicion: an earlier answer repeated, or one with an id that was never sent. A primary that no longer confirms could stay primary, and a higher term was believed without a request.

An answer now counts once on each connection, and only if its probe was sent.

Before: the three tests of FailureDetectorOfAPrimary failed.

--- a/src/core/group/failure_detector.cc
+++ b/src/core/group/failure_detector.cc
@@ -22,6 +22,7 @@
   term_ = term;
   hysteresis_until_ = after_promotion ? now + kPromotionHysteresis : now;
   next_probe_ = now;
+  main_answered_ = next_correlation_ - 1;
 }
 
 void FailureDetector::Stop() {
@@ -88,6 +89,12 @@
 void FailureDetector::OnAnswer(ConnectionId connection,
                                const EndpointAnswer& answer, TimePoint now) {
   if (connection != main_connection_ && connection != fresh_connection_) return;
+  CorrelationId& answered =
+      connection == main_connection_ ? main_answered_ : fresh_answered_;
+  if (answer.correlation <= answered ||
+      answer.correlation >= next_correlation_) {
+    return;
+  }
   DiscardProbesAfterPause(now);
   if (answer.term > term_) {
     handler_.OnHigherTermSeen(answer, now);
@@ -96,6 +103,7 @@
   // kNotPrimary and other errors do not prove that the primary works: the probe
   // stays unanswered and counts as a miss.
   if (answer.status != EndpointStatus::kOk) return;
+  answered = answer.correlation;
   while (!probes_.empty() &&
          probes_.front().correlation <= answer.correlation) {
     probes_.pop_front();
@@ -104,6 +112,7 @@
     const bool main_is_silent = main_connection_ != 0 && main_open_;
     CloseConnection(main_connection_);
     main_connection_ = std::exchange(fresh_connection_, 0);
+    main_answered_ = fresh_answered_;
     main_open_ = true;
     if (main_is_silent) handler_.OnConnectionSilent(now);
   }
@@ -133,6 +142,7 @@
   probe.repeated = true;
   CloseConnection(fresh_connection_);
   fresh_connection_ = link_.Open(address_, *this);
+  fresh_answered_ = main_answered_;
 }
 
 void FailureDetector::SendOn(ConnectionId connection,
--- a/src/core/group/failure_detector.h
+++ b/src/core/group/failure_detector.h
@@ -96,6 +96,9 @@
   std::uint32_t misses_ = 0;
   std::deque<Probe> probes_;
   CorrelationId next_correlation_ = 1;
+  /// Probes up to these are answered on the connection, or were not sent on it.
+  CorrelationId main_answered_ = 0;
+  CorrelationId fresh_answered_ = 0;
   ConnectionId main_connection_ = 0;
   bool main_open_ = false;
   /// Connection of the newest repeated probe.
