Promoter: an answer with id 0 answers no command

With no command outstanding the awaited id is 0, so an answer with id 0 was taken for one: it could turn a refusal into a grant and give a majority that no endpoints granted. The group monitor had the same comparison; it is changed likewise, without a test of its own.

Before: PromoterOfThreeEndpoints.GrantIsUnrequestedRefusalStays failed.

--- a/src/core/group/group_monitor.cc
+++ b/src/core/group/group_monitor.cc
@@ -118,7 +118,8 @@
 void GroupMonitor::OnAnswer(ConnectionId connection,
                             const EndpointAnswer& answer, TimePoint now) {
   for (auto& [name, owned] : owned_) {
-    if (owned.connection != connection || owned.awaited != answer.correlation) {
+    if (owned.connection != connection || !owned.open || owned.awaited == 0 ||
+        owned.awaited != answer.correlation) {
       continue;
     }
     owned.awaited = 0;
--- a/src/core/group/promoter.cc
+++ b/src/core/group/promoter.cc
@@ -117,7 +117,10 @@
         return entry.second.connection == connection;
       });
   if (found == contacts_.end() || AbortAfterPause(now)) return;
-  if (found->second.awaited != answer.correlation) return;
+  if (found->second.awaited == 0 ||
+      found->second.awaited != answer.correlation) {
+    return;
+  }
   found->second.awaited = 0;
   found->second.answer = answer;
   RecordSeenTerm(answer.term);
--- a/test/group/unrequested_answers_test.cc
+++ b/test/group/unrequested_answers_test.cc
@@ -1,13 +1,17 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <random>
 #include <string>
 #include <vector>
 
+#include "core/config/team_config.h"
 #include "core/endpoint_answer.h"
 #include "core/endpoint_command.h"
 #include "core/endpoint_link.h"
 #include "core/group/failure_detector.h"
+#include "core/group/group_directory.h"
+#include "core/group/promoter.h"
 
 namespace carawayhaven {
 namespace {
@@ -109,5 +113,66 @@
   EXPECT_EQ(higher_terms_, 1);
 }
 
+class PromoterOfThreeEndpoints : public testing::Test, public PromoterHandler {
+ protected:
+  PromoterOfThreeEndpoints() {
+    service_.name = "s";
+    service_.endpoints = {
+        {"e0", "0", "dc0"}, {"e1", "1", "dc1"}, {"e2", "2", "dc2"}};
+  }
+
+  void OnPromoted(const GroupUpdateMessage&, TimePoint) override {}
+  void OnHigherTermSeen(const EndpointAnswer&, TimePoint) override {}
+  void OnHoldWrites(TimePoint) override {}
+  void OnReleaseWrites(TimePoint) override {}
+  bool WritesInFlight() override { return false; }
+
+  /// Answers the last command that was sent to the endpoint.
+  void Answer(const std::string& endpoint, EndpointStatus status, Term term) {
+    const ConnectionId connection = link_.connections[endpoint];
+    CorrelationId correlation = 0;
+    for (const RecordingLink::Sent& sent : link_.sent) {
+      if (sent.connection == connection) correlation = sent.command.correlation;
+    }
+    Answer(endpoint, correlation, status, term);
+  }
+  void Answer(const std::string& endpoint, CorrelationId correlation,
+              EndpointStatus status, Term term) {
+    EndpointAnswer answer;
+    answer.correlation = correlation;
+    answer.status = status;
+    answer.term = term;
+    promoter_.OnAnswer(link_.connections[endpoint], answer, now_);
+  }
+
+  ServiceConfig service_;
+  TimePoint now_{seconds(1)};
+  RecordingLink link_;
+  GroupDirectory directory_;
+  std::mt19937_64 random_{1};
+  Promoter promoter_{service_, "vm", link_, directory_, random_, *this};
+};
+
+// Guards against a promotion without a majority of grants: an answer that
+// belongs to no command turned a refusal into a grant.
+TEST_F(PromoterOfThreeEndpoints, GrantIsUnrequestedRefusalStays) {
+  promoter_.StartAttempt(Duration{0}, now_);
+  promoter_.Tick(now_);
+  ASSERT_EQ(promoter_.state(), "surveying");
+  for (const auto& [address, connection] : link_.connections) {
+    promoter_.OnConnectionOpened(connection, now_);
+  }
+  Answer("1", EndpointStatus::kOk, 1);
+  Answer("2", EndpointStatus::kOk, 1);
+  ASSERT_EQ(promoter_.state(), "verifying");
+  Answer("0", EndpointStatus::kNotPrimary, 1);
+  ASSERT_EQ(promoter_.state(), "fencing");
+  Answer("0", EndpointStatus::kRefused, 2);
+  Answer("1", EndpointStatus::kRefused, 2);
+  Answer("1", 0, EndpointStatus::kOk, 2);
+  Answer("2", EndpointStatus::kOk, 2);
+  EXPECT_EQ(promoter_.state(), "backing_off");
+}
+
 }  // namespace
 }  // namespace carawayhaven
