Endpoint pool: report only answers to a command

Position, age and the wish to leave were taken from every answer before its id was compared, also from stray ones. They are taken from answers to an outstanding command only.

Before: EndpointPoolTest.AnswerIsUnrequestedItIsNotReported failed.

--- a/src/core/queue/endpoint_pool.cc
+++ b/src/core/queue/endpoint_pool.cc
@@ -206,9 +206,12 @@
 
 void EndpointPool::OnAnswer(ConnectionId connection,
                             const EndpointAnswer& answer, TimePoint now) {
-  handler_.OnEndpointAnswer(options_.endpoint, answer, now);
   if (confirmations_.Owns(connection)) {
-    if (!confirmations_.OnAnswer(answer, now)) ++totals_.stray_answers;
+    if (confirmations_.OnAnswer(answer, now)) {
+      handler_.OnEndpointAnswer(options_.endpoint, answer, now);
+    } else {
+      ++totals_.stray_answers;
+    }
     completions_.Flush();
     return;
   }
@@ -220,9 +223,12 @@
     running_.erase(found);
     suspected_.erase(connection);
     if (running.counts_as_long) --running_long_;
+    handler_.OnEndpointAnswer(options_.endpoint, answer, now);
     Finish(connection, std::move(running), answer, now);
-  } else if (!connections_.Contains(connection) ||
-             !connections_.OnAnswer(connection, answer.correlation, now)) {
+  } else if (connections_.Contains(connection) &&
+             connections_.OnAnswer(connection, answer.correlation, now)) {
+    handler_.OnEndpointAnswer(options_.endpoint, answer, now);
+  } else {
     ++totals_.stray_answers;
   }
   Dispatch(now);
--- a/test/queue/endpoint_pool_test.cc
+++ b/test/queue/endpoint_pool_test.cc
@@ -13,10 +13,14 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-class IgnoreAnswers : public EndpointPoolHandler {
+class CountAnswers : public EndpointPoolHandler {
  public:
   void OnEndpointAnswer(const EndpointName&, const EndpointAnswer&,
-                        TimePoint) override {}
+                        TimePoint) override {
+    ++answers;
+  }
+
+  int answers = 0;
 };
 
 class EndpointPoolTest : public testing::Test {
@@ -113,7 +117,7 @@
 
   TimePoint now_{seconds(1)};
   FakeEndpoint link_;
-  IgnoreAnswers handler_;
+  CountAnswers handler_;
   std::unique_ptr<EndpointPool> pool_;
   std::vector<std::vector<Outcome>> outcomes_;
 };
@@ -168,6 +172,22 @@
   EXPECT_TRUE(outcomes_[read].empty());
 }
 
+// Guards against a position or a state of the endpoint that is taken from an
+// answer to no command.
+TEST_F(EndpointPoolTest, AnswerIsUnrequestedItIsNotReported) {
+  Submit(Read());
+  const FakeEndpoint::Sent read = link_.sent.back();
+  FakeEndpoint::Sent foreign = read;
+  foreign.command.correlation += 100;
+  FakeEndpoint::Answer(*pool_, foreign, now_);
+  EXPECT_EQ(handler_.answers, 0);
+  FakeEndpoint::Answer(*pool_, read, now_);
+  EXPECT_EQ(handler_.answers, 1);
+  FakeEndpoint::Answer(*pool_, read, now_);
+  EXPECT_EQ(handler_.answers, 1);
+  EXPECT_EQ(pool_->stats().stray_answers, 2U);
+}
+
 // Guards against acknowledging a write because of a confirm that was sent
 // before the write ran.
 TEST_F(EndpointPoolTest, WriteEndsOnlyByConfirmThatBeganAfterItRan) {
