Failover: a lease reply must answer a request of this process to that VM

Lease requests were numbered from 1 in each process, and replies were matched by number alone. A late reply to the predecessor of a restarted process, or one of a VM that was not asked, matched a request of the same number; its lease then counted from the later time, so a VM could use a primary for longer than the leader had granted.

The numbers now start at the process number, and the sender is compared.

Before: both tests of VmThatRequestsLeases failed, the other 74 tests of failover_test passed. Now all 76 pass.

--- a/src/core/failover/failover_manager.cc
+++ b/src/core/failover/failover_manager.cc
@@ -63,6 +63,9 @@
 constexpr Duration kMaxFailureAge = milliseconds(2500);
 // Replies to older lease requests are ignored.
 constexpr Duration kRequestLifetime = std::chrono::seconds(2);
+// The ids of lease requests start at the process number, shifted by this, so
+// that a late reply to an earlier process of the VM matches none of them.
+constexpr int kCorrelationBits = 64 - kRevisionBits - 13;
 
 }  // namespace
 
@@ -77,6 +80,7 @@
       watcher_(store_, std::string(kProxyObjectPrefix), deps.clock, deps.random,
                *this),
       own_version_(own_version),
+      next_correlation_((own_version << kCorrelationBits) + 1),
       leader_seen_at_(deps.clock()),
       alive_(std::make_shared<FailoverManager*>(this)) {
   election_.OnEra(EraOf(own_version), deps.clock());
@@ -450,7 +454,7 @@
   if (now < next_lease_request_) return;
   next_lease_request_ = now + kLeaseRequestInterval;
   std::erase_if(requests_, [now](const auto& entry) {
-    return now - entry.second > kRequestLifetime;
+    return now - entry.second.sent > kRequestLifetime;
   });
   LeaseRequestMessage request;
   request.config_version = config_version_;
@@ -459,7 +463,9 @@
   request.reports = BuildReports(now);
   const auto send_request = [&](const VmName& vm) {
     request.correlation = next_correlation_++;
-    if (deps_.peers.Send(vm, request)) requests_[request.correlation] = now;
+    if (deps_.peers.Send(vm, request)) {
+      requests_[request.correlation] = {vm, now};
+    }
   };
   if (election_.IsLeader(now)) {
     // A predecessor that still runs can reply that it is not the leader.
@@ -543,8 +549,8 @@
                                    TimePoint now) {
   OnEra(EraOf(reply.leader_record_version), now);
   const auto sent_request = requests_.find(reply.correlation);
-  if (sent_request == requests_.end()) return;
-  const TimePoint sent = sent_request->second;
+  if (sent_request == requests_.end() || sent_request->second.vm != vm) return;
+  const TimePoint sent = sent_request->second.sent;
   requests_.erase(sent_request);
   peer_answered_at_ = now;
   if (reply.leader == vm && !election_.IsLeader(now)) SetLeader(vm, now);
--- a/src/core/failover/failover_manager.h
+++ b/src/core/failover/failover_manager.h
@@ -94,6 +94,12 @@
   TimePoint store_answered_at() const { return store_answered_at_; }
 
  private:
+  /// A lease request without a reply.
+  struct LeaseRequest {
+    VmName vm;
+    TimePoint sent;
+  };
+
   void NoteRecordedLeader(TimePoint now);
   void TakeOverIfDue(TimePoint now);
   void DetectStoppedPredecessors(TimePoint now);
@@ -142,8 +148,8 @@
   TimePoint next_take_over_;
   /// When a peer last answered a lease request.
   TimePoint peer_answered_at_;
-  CorrelationId next_correlation_ = 1;
-  std::map<CorrelationId, TimePoint> requests_;
+  CorrelationId next_correlation_;
+  std::map<CorrelationId, LeaseRequest> requests_;
   TimePoint next_lease_request_;
   /// Supervisors that replace a primary. Each of their steps is taken when it
   /// is due and not at the next tick, since callers wait for it.
