Session log: separate limit for faulty answers, counts by class

Operators could not tell from log_suppressed whether lines about successes, failures or wrong answers were missing: it had one count. The lines endpoint_answer_faulty had no limit, so an endpoint that answers every statement wrongly could fill the log.

Each class of lines (routine, failure, faulty_answer) has its own limit per second, 50 for faulty answers, and its own count in log_suppressed and carawayhaven_log_suppressed_total{class}. The field "lines" of log_suppressed is gone; the metric has the new label.

Failed before: SessionLogWithFailures.FaultyAnswersHaveTheirOwnBound and SuppressedLinesAreCountedByClass.

--- a/src/proxy/session_log.cc
+++ b/src/proxy/session_log.cc
@@ -1,5 +1,6 @@
 #include "proxy/session_log.h"
 
+#include <chrono>
 #include <utility>
 
 #include "proxy/logging.h"
@@ -13,6 +14,9 @@
     "sent",     "hedged", "retried",   "refused",
     "answered", "lost",   "timed_out", "held_for_right"};
 
+constexpr std::array<std::string_view, 3> kClassNames{"routine", "failure",
+                                                      "faulty_answer"};
+
 double Milliseconds(Duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
 }
@@ -29,9 +33,17 @@
       clock_(std::move(clock)),
       statement_seconds_(metrics.GetHistogram(
           "carawayhaven_statement_seconds",
-          "Time from a caller's statement to its answer", kSecondsScale)),
-      suppressed_(metrics.GetCounter("carawayhaven_log_suppressed_total",
-                                     "Log lines left out to bound the log")) {
+          "Time from a caller's statement to its answer", kSecondsScale)) {
+  constexpr std::array<unsigned, kClasses> kLimits{kRoutineLinesPerSecond,
+                                                   kFailureLinesPerSecond,
+                                                   kFaultyAnswerLinesPerSecond};
+  for (std::size_t i = 0; i < kClasses; ++i) {
+    budgets_[i].limit = kLimits[i];
+    budgets_[i].suppressed_total =
+        &metrics.GetCounter("carawayhaven_log_suppressed_total",
+                            "Log lines left out to bound the log",
+                            {{"class", std::string(kClassNames[i])}});
+  }
   for (std::size_t i = 0; i < kDecisionNames.size(); ++i) {
     decisions_[i] = &metrics.GetCounter(
         "carawayhaven_routing_total", "Decisions of the router",
@@ -39,24 +51,29 @@
   }
 }
 
-bool SessionLog::AllowLine(bool failure) {
+bool SessionLog::AllowLine(LineClass line_class) {
   const TimePoint now = clock_();
   if (now - window_start_ >= std::chrono::seconds(1)) {
     window_start_ = now;
-    routine_lines_ = 0;
-    failure_lines_ = 0;
-    if (suppressed_in_window_ > 0) {
+    std::array<std::uint64_t, kClasses> suppressed{};
+    for (std::size_t i = 0; i < kClasses; ++i) {
+      budgets_[i].lines = 0;
+      suppressed[i] = std::exchange(budgets_[i].suppressed, 0);
+    }
+    if (suppressed != std::array<std::uint64_t, kClasses>{}) {
       Log(LogLevel::kWarning, "log_suppressed",
-          {{"lines", std::exchange(suppressed_in_window_, 0)}});
+          {{kClassNames[0], suppressed[0]},
+           {kClassNames[1], suppressed[1]},
+           {kClassNames[2], suppressed[2]}});
     }
   }
-  unsigned& lines = failure ? failure_lines_ : routine_lines_;
-  if (lines < (failure ? kFailureLinesPerSecond : kRoutineLinesPerSecond)) {
-    ++lines;
+  Budget& budget = budgets_[static_cast<std::size_t>(line_class)];
+  if (budget.lines < budget.limit) {
+    ++budget.lines;
     return true;
   }
-  ++suppressed_in_window_;
-  suppressed_.Increment();
+  ++budget.suppressed;
+  budget.suppressed_total->Increment();
   return false;
 }
 
@@ -67,7 +84,7 @@
                        decision.kind == RoutingDecision::Kind::kAnswered;
   // OnStatementEnded logs the end of the statement, with its reply.
   if (decision.kind == RoutingDecision::Kind::kAnswered) return;
-  if (!AllowLine(!routine)) return;
+  if (!AllowLine(routine ? LineClass::kRoutine : LineClass::kFailure)) return;
   Log(LogLevel::kInfo, "statement_routed",
       {{"id", decision.job->statement.id},
        {"decision", kDecisionNames[kind]},
@@ -99,6 +116,7 @@
         {{"fault", std::string(AnswerFaultName(answer.fault))}});
   }
   counter->Increment();
+  if (!AllowLine(LineClass::kFaultyAnswer)) return;
   std::string earlier_ids;
   for (const std::string_view id : answer.earlier_ids) {
     if (!earlier_ids.empty()) earlier_ids += ' ';
@@ -129,7 +147,7 @@
   counter->Increment();
   const bool failed = reply.code != ReplyCode::kOk;
   if (!failed && reply.signature.empty()) return;
-  if (!AllowLine(failed)) return;
+  if (!AllowLine(failed ? LineClass::kFailure : LineClass::kRoutine)) return;
   Log(failed ? LogLevel::kWarning : LogLevel::kInfo, "statement_ended",
       {{"id", statement.id},
        {"code", ReplyCodeName(reply.code)},
--- a/src/proxy/session_log.h
+++ b/src/proxy/session_log.h
@@ -2,6 +2,7 @@
 #define CARAWAYHAVEN_PROXY_SESSION_LOG_H_
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -15,8 +16,8 @@
 namespace carawayhaven {
 
 /// Logs and counts the decisions of a session proxy. The lines about statements
-/// are limited per second, separately for failures and for routine lines;
-/// suppressed lines are counted. Not thread-safe.
+/// are limited per second, separately for routine lines, failures and faulty
+/// answers; suppressed lines are counted. Not thread-safe.
 class SessionLog : public RouterObserver,
                    public SessionObserver,
                    public FailoverObserver {
@@ -28,6 +29,8 @@
   // hundred statements per second.
   static constexpr unsigned kRoutineLinesPerSecond = 40;
   static constexpr unsigned kFailureLinesPerSecond = 200;
+  /// Maximum number of lines per second about faulty answers.
+  static constexpr unsigned kFaultyAnswerLinesPerSecond = 50;
 
   SessionLog(Metrics& metrics, Clock clock);
 
@@ -47,7 +50,17 @@
                          std::string_view error) override;
 
  private:
-  bool AllowLine(bool failure);
+  enum class LineClass : std::uint8_t { kRoutine, kFailure, kFaultyAnswer };
+  struct Budget {
+    unsigned limit = 0;
+    unsigned lines = 0;
+    std::uint64_t suppressed = 0;
+    Counter* suppressed_total = nullptr;
+  };
+
+  static constexpr std::size_t kClasses = 3;
+
+  bool AllowLine(LineClass line_class);
 
   Metrics& metrics_;
   Clock clock_;
@@ -55,11 +68,8 @@
   std::map<ReplyCode, Counter*> replies_;
   std::map<AnswerFault, Counter*> faulty_answers_;
   std::array<Counter*, 8> decisions_{};
-  Counter& suppressed_;
+  std::array<Budget, kClasses> budgets_;
   TimePoint window_start_;
-  unsigned routine_lines_ = 0;
-  unsigned failure_lines_ = 0;
-  std::uint64_t suppressed_in_window_ = 0;
 };
 
 }  // namespace carawayhaven
