Session log: leave out whole statements under load, not the rest of a second

Operators looking for a wrong answer found either its statement_routed line or its statement_ended line, or none: after 40 lines in a second all further routine lines were dropped. A wrong answer is a success for the proxy, and so is the end of a retried statement, so these were among the dropped lines.

A hash of the id (XXH3) decides whether a statement is logged. The share is chosen each second from the load of the second before and is halved within a second when the load rises. A statement is charged for both of its lines when it is sent, and a fixed table of 1,024 hashes (8 KB, independent of the number of callers and statements) remembers it until its end, so a change of the share splits no statement. A statement with a line about a failure or a faulty answer is remembered too; its end is charged to the failures.

The limits are as before: 40 routine lines and 200 about failures. An end may be written in a later second than the one it is charged to.

Failed before: SessionLogUnderLoad.StatementHasAllLinesOrNone, StatementsOfTheWholeSecondAreLogged, EndOfRetriedStatementIsLogged, EndOfStatementWithFaultyAnswerIsLogged, SessionLogOfTwoVms. BusierVmLogsNoStatementThatTheOtherLeavesOut and SessionLogWithFailures. FailedStatementsAreLoggedWithTheirEnd. RoutineLinesStayWithinTheirBudget passed before as well; it guards the limit.

--- a/src/proxy/session_log.cc
+++ b/src/proxy/session_log.cc
@@ -1,6 +1,10 @@
 #include "proxy/session_log.h"
 
+#include <xxhash.h>
+
+#include <algorithm>
 #include <chrono>
+#include <span>
 #include <utility>
 
 #include "proxy/logging.h"
@@ -17,6 +21,11 @@
 constexpr std::array<std::string_view, 3> kClassNames{"routine", "failure",
                                                       "faulty_answer"};
 
+// Never zero, which marks a free place among the followed statements.
+std::uint64_t HashId(std::string_view id) {
+  return XXH3_64bits(id.data(), id.size()) | 1U;
+}
+
 double Milliseconds(Duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
 }
@@ -51,40 +60,113 @@
   }
 }
 
-bool SessionLog::AllowLine(LineClass line_class) {
+void SessionLog::StartSecondIfDue() {
   const TimePoint now = clock_();
-  if (now - window_start_ >= std::chrono::seconds(1)) {
-    window_start_ = now;
-    std::array<std::uint64_t, kClasses> suppressed{};
-    for (std::size_t i = 0; i < kClasses; ++i) {
-      budgets_[i].lines = 0;
-      suppressed[i] = std::exchange(budgets_[i].suppressed, 0);
-    }
-    if (suppressed != std::array<std::uint64_t, kClasses>{}) {
-      Log(LogLevel::kWarning, "log_suppressed",
-          {{kClassNames[0], suppressed[0]},
-           {kClassNames[1], suppressed[1]},
-           {kClassNames[2], suppressed[2]}});
-    }
+  const Duration elapsed = now - window_start_;
+  if (elapsed < std::chrono::seconds(1)) return;
+  window_start_ = now;
+  constexpr std::uint64_t kTarget = kTargetLines / kLinesPerStatement;
+  const std::uint64_t rate = std::exchange(statements_, 0) *
+                             Duration(std::chrono::seconds(1)).count() /
+                             elapsed.count();
+  share_ = rate <= kTarget ? kAllStatements : kAllStatements / rate * kTarget;
+  halve_at_ = kTargetLines;
+  std::array<std::uint64_t, kClasses> suppressed{};
+  for (std::size_t i = 0; i < kClasses; ++i) {
+    budgets_[i].lines = 0;
+    suppressed[i] = std::exchange(budgets_[i].suppressed, 0);
   }
+  if (suppressed == std::array<std::uint64_t, kClasses>{}) return;
+  Log(LogLevel::kWarning, "log_suppressed",
+      {{kClassNames[0], suppressed[0]},
+       {kClassNames[1], suppressed[1]},
+       {kClassNames[2], suppressed[2]}});
+}
+
+bool SessionLog::Charge(LineClass line_class, unsigned lines) {
+  Budget& budget = budgets_[static_cast<std::size_t>(line_class)];
+  if (budget.lines + lines > budget.limit) return false;
+  budget.lines += lines;
+  return true;
+}
+
+void SessionLog::Suppress(LineClass line_class) {
   Budget& budget = budgets_[static_cast<std::size_t>(line_class)];
-  if (budget.lines < budget.limit) {
-    ++budget.lines;
-    return true;
-  }
   ++budget.suppressed;
   budget.suppressed_total->Increment();
+}
+
+bool SessionLog::AllowStatement(std::uint64_t statement) {
+  ++statements_;
+  if (statement > share_) return false;
+  if (!Charge(LineClass::kRoutine, kLinesPerStatement)) return false;
+  const unsigned lines =
+      budgets_[static_cast<std::size_t>(LineClass::kRoutine)].lines;
+  // The load has risen: the rest of the budget is for the rest of the second.
+  if (lines >= halve_at_) {
+    share_ /= 2;
+    halve_at_ += (kRoutineLinesPerSecond - halve_at_ + 1) / 2;
+  }
+  return true;
+}
+
+bool SessionLog::AllowRoutingLine(std::uint64_t statement, bool routine) {
+  if (IsFollowed(statement)) {
+    if (Charge(LineClass::kFailure)) return true;
+  } else if (routine) {
+    if (AllowStatement(statement)) {
+      Follow(statement);
+      return true;
+    }
+    Suppress(LineClass::kRoutine);
+    return false;
+  } else if (Charge(LineClass::kFailure, kLinesPerStatement)) {
+    Follow(statement);
+    return true;
+  } else if (Charge(LineClass::kFailure)) {
+    return true;
+  }
+  Suppress(LineClass::kFailure);
   return false;
 }
 
+bool SessionLog::IsFollowed(std::uint64_t statement) const {
+  const auto set =
+      std::span(followed_).subspan(statement / 2 % kSets * kWays, kWays);
+  return std::find(set.begin(), set.end(), statement) != set.end();
+}
+
+void SessionLog::Follow(std::uint64_t statement) {
+  const auto set =
+      std::span(followed_).subspan(statement / 2 % kSets * kWays, kWays);
+  const auto free = std::find(set.begin(), set.end(), 0U);
+  if (free != set.end()) {
+    *free = statement;
+  } else {
+    set[statement / 2 / kSets % kWays] = statement;
+  }
+}
+
+bool SessionLog::Unfollow(std::uint64_t statement) {
+  const auto set =
+      std::span(followed_).subspan(statement / 2 % kSets * kWays, kWays);
+  const auto found = std::find(set.begin(), set.end(), statement);
+  if (found == set.end()) return false;
+  *found = 0;
+  return true;
+}
+
 void SessionLog::OnRouting(const RoutingDecision& decision) {
   const auto kind = static_cast<std::size_t>(decision.kind);
   decisions_[kind]->Increment();
-  const bool routine = decision.kind == RoutingDecision::Kind::kSent ||
-                       decision.kind == RoutingDecision::Kind::kAnswered;
   // OnStatementEnded logs the end of the statement, with its reply.
   if (decision.kind == RoutingDecision::Kind::kAnswered) return;
-  if (!AllowLine(routine ? LineClass::kRoutine : LineClass::kFailure)) return;
+  const std::uint64_t statement = HashId(decision.job->statement.id);
+  StartSecondIfDue();
+  if (!AllowRoutingLine(statement,
+                        decision.kind == RoutingDecision::Kind::kSent)) {
+    return;
+  }
   Log(LogLevel::kInfo, "statement_routed",
       {{"id", decision.job->statement.id},
        {"decision", kDecisionNames[kind]},
@@ -116,7 +198,18 @@
         {{"fault", std::string(AnswerFaultName(answer.fault))}});
   }
   counter->Increment();
-  if (!AllowLine(LineClass::kFaultyAnswer)) return;
+  StartSecondIfDue();
+  if (!Charge(LineClass::kFaultyAnswer)) {
+    Suppress(LineClass::kFaultyAnswer);
+    return;
+  }
+  // An abandoned statement has ended already.
+  if (!answer.id.empty() && answer.phase != ConnectionPhase::kAbandoned) {
+    const std::uint64_t statement = HashId(answer.id);
+    if (!IsFollowed(statement) && Charge(LineClass::kFailure)) {
+      Follow(statement);
+    }
+  }
   std::string earlier_ids;
   for (const std::string_view id : answer.earlier_ids) {
     if (!earlier_ids.empty()) earlier_ids += ' ';
@@ -146,8 +239,15 @@
   }
   counter->Increment();
   const bool failed = reply.code != ReplyCode::kOk;
-  if (!failed && reply.signature.empty()) return;
-  if (!AllowLine(failed ? LineClass::kFailure : LineClass::kRoutine)) return;
+  const std::uint64_t id = HashId(statement.id);
+  const bool followed = Unfollow(id);
+  if (!followed && !failed && reply.signature.empty()) return;
+  StartSecondIfDue();
+  // The end of a followed statement was charged with its first line.
+  if (!followed && !(failed && Charge(LineClass::kFailure))) {
+    Suppress(failed ? LineClass::kFailure : LineClass::kRoutine);
+    return;
+  }
   Log(failed ? LogLevel::kWarning : LogLevel::kInfo, "statement_ended",
       {{"id", statement.id},
        {"code", ReplyCodeName(reply.code)},
--- a/test/proxy/session_log_test.cc
+++ b/test/proxy/session_log_test.cc
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <sstream>
@@ -42,6 +43,11 @@
     log_.OnStatementEnded(statement, reply, "", milliseconds(5));
   }
 
+  void Answer(const std::string& id) {
+    Route(id, Kind::kAnswered);
+    End(id);
+  }
+
   void Fault(std::string_view id) {
     FaultyAnswer answer;
     answer.endpoint = "i-1";
@@ -51,6 +57,23 @@
     log_.OnFaultyAnswer(answer);
   }
 
+  // Sends `count` statements in the next second, evenly, each of which is
+  // answered while later ones are sent. Their ids count up from `first` and,
+  // after the highest one, from zero.
+  void RunSecond(const std::string& prefix, int count, int first = 0) {
+    constexpr int kInFlight = 10;
+    const auto id = [&](int i) {
+      return prefix + std::to_string((first + i) % count);
+    };
+    for (int i = 0; i < count + kInFlight; ++i) {
+      if (i < count) {
+        now_ += Duration(std::chrono::seconds(1)) / count;
+        Route(id(i), Kind::kSent);
+      }
+      if (i >= kInFlight) Answer(id(i - kInFlight));
+    }
+  }
+
   void Pass(Duration duration) { now_ += duration; }
 
   std::vector<nlohmann::json> Lines(std::string_view event) const {
@@ -79,6 +102,111 @@
   LogSink sink_{LogLevel::kInfo, out_};
 };
 
+class SessionLogUnderLoad : public testing::Test {
+ protected:
+  void SetUp() override {
+    for (int second = 0; second < 5; ++second) {
+      vm_.RunSecond("s" + std::to_string(second) + '-', 300);
+    }
+  }
+
+  LoggedVm vm_;
+};
+
+// Guards against a statement that cannot be followed because the log has only
+// one of its lines.
+TEST_F(SessionLogUnderLoad, StatementHasAllLinesOrNone) {
+  const std::set<std::string> sent = vm_.Ids("statement_routed");
+  EXPECT_EQ(sent, vm_.Ids("statement_ended"));
+  EXPECT_GE(sent.size(), 5U * 8U);
+}
+
+// Guards against a log that shows only the start of each second.
+TEST_F(SessionLogUnderLoad, StatementsOfTheWholeSecondAreLogged) {
+  std::map<int, int> tenths;
+  for (const std::string& id : vm_.Ids("statement_routed")) {
+    ++tenths[std::stoi(id.substr(id.find('-') + 1)) / 30];
+  }
+  EXPECT_EQ(tenths.size(), 10U);
+}
+
+// Guards against a log whose cost grows with the load.
+TEST_F(SessionLogUnderLoad, RoutineLinesStayWithinTheirBudget) {
+  const std::size_t before = vm_.Lines("statement_routed").size() +
+                             vm_.Lines("statement_ended").size();
+  EXPECT_LE(before, 5U * SessionLog::kRoutineLinesPerSecond);
+  vm_.Pass(std::chrono::seconds(1));
+  vm_.RunSecond("more", 20000);
+  vm_.RunSecond("most", 20000);
+  const std::size_t after = vm_.Lines("statement_routed").size() +
+                            vm_.Lines("statement_ended").size();
+  EXPECT_LE(after - before, 2U * SessionLog::kRoutineLinesPerSecond);
+  EXPECT_GE(after - before, 1U * SessionLog::kRoutineLinesPerSecond);
+}
+
+// Guards against a retried statement whose outcome is not in the log.
+TEST_F(SessionLogUnderLoad, EndOfRetriedStatementIsLogged) {
+  vm_.Pass(milliseconds(1));
+  for (int i = 0; i < 50; ++i) {
+    const std::string id = "retried" + std::to_string(i);
+    vm_.Route(id, Kind::kRetried);
+    vm_.Route(id, Kind::kSent);
+    vm_.Answer(id);
+  }
+  const std::set<std::string> ended = vm_.Ids("statement_ended");
+  for (int i = 0; i < 50; ++i) {
+    EXPECT_TRUE(ended.contains("retried" + std::to_string(i))) << i;
+  }
+}
+
+// Guards against a success after a faulty answer that is not in the log.
+TEST_F(SessionLogUnderLoad, EndOfStatementWithFaultyAnswerIsLogged) {
+  vm_.RunSecond("busy", 300);
+  for (int i = 0; i < 20; ++i) {
+    const std::string id = "faulty" + std::to_string(i);
+    vm_.Fault(id);
+    vm_.Answer(id);
+  }
+  const std::set<std::string> ended = vm_.Ids("statement_ended");
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_TRUE(ended.contains("faulty" + std::to_string(i))) << i;
+  }
+}
+
+class SessionLogOfTwoVms : public testing::Test {};
+
+// Guards against VMs that log different statements, so that no statement can be
+// followed across them.
+TEST_F(SessionLogOfTwoVms, BusierVmLogsNoStatementThatTheOtherLeavesOut) {
+  constexpr int kShared = 40;
+  std::set<std::string> of_quiet;
+  std::set<std::string> of_busy;
+  {
+    LoggedVm quiet;
+    for (int second = 0; second < 20; ++second) {
+      quiet.RunSecond(std::to_string(second) + '-', kShared);
+    }
+    of_quiet = quiet.Ids("statement_ended");
+  }
+  {
+    LoggedVm busy;
+    for (int second = 0; second < 20; ++second) {
+      // The shared statements come last.
+      busy.RunSecond(std::to_string(second) + '-', 10 * kShared, kShared);
+    }
+    of_busy = busy.Ids("statement_ended");
+  }
+  int seen_by_both = 0;
+  for (const std::string& id : of_busy) {
+    // The first two seconds: the load of the second before is not known.
+    if (id.starts_with("0-") || id.starts_with("1-")) continue;
+    if (std::stoi(id.substr(id.find('-') + 1)) >= kShared) continue;
+    ++seen_by_both;
+    EXPECT_TRUE(of_quiet.contains(id)) << id;
+  }
+  EXPECT_GT(seen_by_both, 0);
+}
+
 class SessionLogWithFailures : public testing::Test {
  protected:
   void SetUp() override {
@@ -109,6 +237,15 @@
           "carawayhaven_faulty_answers_total{fault=\"unsigned\"} 1000"));
 }
 
+// Guards against failures beyond the limit of which the log has one line each.
+TEST_F(SessionLogWithFailures, FailedStatementsAreLoggedWithTheirEnd) {
+  EXPECT_EQ(vm_.Lines("statement_ended").size(),
+            SessionLog::kFailureLinesPerSecond / 2);
+  for (const std::string& id : vm_.Ids("statement_ended")) {
+    EXPECT_TRUE(vm_.Ids("statement_routed").contains(id)) << id;
+  }
+}
+
 // Guards against a log that does not say whether failures were left out.
 TEST_F(SessionLogWithFailures, SuppressedLinesAreCountedByClass) {
   for (int i = 0; i < 53; ++i) vm_.Fault("");
