Session log: statement_ended names the endpoint and a hash of the signature

Operators with the id of a request that got a wrong answer could not tell which endpoint the answer came from when the statement was sent to several, nor whether the answer that left the session VM is the one the caller has.

The router reports the endpoint just before the end of the statement; the log keeps it until then. The signature is logged as its XXH3 hash, as it may be long. The connection of the answer is not known there; statement_routed has it.

--- a/src/proxy/session_log.cc
+++ b/src/proxy/session_log.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <charconv>
 #include <chrono>
 #include <span>
 #include <utility>
@@ -26,6 +27,17 @@
   return XXH3_64bits(id.data(), id.size()) | 1U;
 }
 
+// The signature itself may be long, and is the caller's.
+std::string SignatureHash(std::string_view signature) {
+  if (signature.empty()) return {};
+  std::array<char, 16> digits{};
+  const auto [end, error] =
+      std::to_chars(digits.data(), digits.data() + digits.size(),
+                    XXH3_64bits(signature.data(), signature.size()), 16);
+  const std::size_t size = end - digits.data();
+  return std::string(digits.size() - size, '0').append(digits.data(), size);
+}
+
 double Milliseconds(Duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
 }
@@ -159,9 +171,13 @@
 void SessionLog::OnRouting(const RoutingDecision& decision) {
   const auto kind = static_cast<std::size_t>(decision.kind);
   decisions_[kind]->Increment();
-  // OnStatementEnded logs the end of the statement, with its reply.
-  if (decision.kind == RoutingDecision::Kind::kAnswered) return;
   const std::uint64_t statement = HashId(decision.job->statement.id);
+  // OnStatementEnded logs the end of the statement, with its reply.
+  if (decision.kind == RoutingDecision::Kind::kAnswered) {
+    answered_ = statement;
+    answered_endpoint_.assign(decision.endpoint);
+    return;
+  }
   StartSecondIfDue();
   if (!AllowRoutingLine(statement,
                         decision.kind == RoutingDecision::Kind::kSent)) {
@@ -240,6 +256,8 @@
   counter->Increment();
   const bool failed = reply.code != ReplyCode::kOk;
   const std::uint64_t id = HashId(statement.id);
+  std::string_view endpoint;
+  if (std::exchange(answered_, 0) == id) endpoint = answered_endpoint_;
   const bool followed = Unfollow(id);
   if (!followed && !failed && reply.signature.empty()) return;
   StartSecondIfDue();
@@ -253,6 +271,8 @@
        {"code", ReplyCodeName(reply.code)},
        {"cause", cause},
        {"message", reply.message},
+       {"endpoint", endpoint},
+       {"signature_hash", SignatureHash(reply.signature)},
        {"elapsed_ms", Milliseconds(elapsed)}});
 }
 
--- a/src/proxy/session_log.h
+++ b/src/proxy/session_log.h
@@ -105,6 +105,9 @@
   // Number of routine lines after which the share is halved.
   unsigned halve_at_ = kTargetLines;
   std::array<std::uint64_t, kSets * kWays> followed_{};
+  // The latest answered statement and the endpoint that answered it.
+  std::uint64_t answered_ = 0;
+  std::string answered_endpoint_;
 };
 
 }  // namespace carawayhaven
--- a/test/proxy/session_log_test.cc
+++ b/test/proxy/session_log_test.cc
@@ -2,9 +2,13 @@
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
+#include <xxhash.h>
 
 #include <chrono>
 #include <cstddef>
+#include <fstream>
+#include <iomanip>
+#include <iterator>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -269,5 +273,49 @@
           "carawayhaven_log_suppressed_total{class=\"faulty_answer\"} 3"));
 }
 
+class SessionLogOfOneStatement : public testing::Test {
+ protected:
+  LoggedVm vm_;
+};
+
+// Guards against a wrong answer that cannot be traced to its endpoint, and
+// against an endpoint named for an answer of the proxy itself.
+TEST_F(SessionLogOfOneStatement, EndNamesEndpointAndHashOfSignature) {
+  vm_.Route("a", Kind::kSent);
+  vm_.Answer("a");
+  vm_.Route("b", Kind::kSent);
+  vm_.End("b", ReplyCode::kInDoubt);
+  const std::vector<nlohmann::json> lines = vm_.Lines("statement_ended");
+  ASSERT_EQ(lines.size(), 2U);
+  EXPECT_EQ(lines[0].value("endpoint", "?"), "i-1");
+  const std::string signature = "signature of a";
+  std::ostringstream hash;
+  hash << std::hex << std::setw(16) << std::setfill('0')
+       << XXH3_64bits(signature.data(), signature.size());
+  EXPECT_EQ(lines[0].value("signature_hash", "?"), hash.str());
+  EXPECT_EQ(lines[1].value("endpoint", "?"), "");
+  EXPECT_EQ(lines[1].value("signature_hash", "?"), "");
+}
+
+class OperationsPage : public testing::Test {};
+
+// Guards against a fault or phase in the log that no page explains.
+TEST_F(OperationsPage, NamesEachFaultAndPhase) {
+  std::ifstream file("docs/OPERATIONS.md");
+  const std::string page{std::istreambuf_iterator<char>(file), {}};
+  for (auto fault = AnswerFault::kMalformed; fault <= AnswerFault::kJoinedRows;
+       fault = static_cast<AnswerFault>(static_cast<int>(fault) + 1)) {
+    EXPECT_THAT(page, testing::HasSubstr(
+                          "| `" + std::string(AnswerFaultName(fault)) + '`'));
+  }
+  for (auto phase = ConnectionPhase::kOpening;
+       phase <= ConnectionPhase::kConfirmation;
+       phase = static_cast<ConnectionPhase>(static_cast<int>(phase) + 1)) {
+    EXPECT_THAT(page,
+                testing::HasSubstr(
+                    "| `" + std::string(ConnectionPhaseName(phase)) + '`'));
+  }
+}
+
 }  // namespace
 }  // namespace carawayhaven
