Session soak: check the answers to statements that are not signed

The soak compared signature and rows only for READ, WRITE, EXECUTE and COMMIT. A SET, PREPARE, BEGIN or ROLLBACK whose caller got the signature or the rows of another statement passed. Such an answer is now MIXED too. Findings name the statement that the signature belongs to, and the rows that were expected.

promises_test.py: 24 tests pass, 5 of them new (part of a signature, success without one, the answer of a signed statement to BEGIN, rows for SET, unsigned COMMIT of a transaction that ran).

--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -192,6 +192,8 @@
                 raise SessionAborted
         if attempt is not None:
             self.checker.on_reply(statement, code, signature, rows)
+        elif code is None:
+            self.checker.on_unsigned_reply(query_id, text, signature, rows)
         return code
 
     async def _read_line(self, timeout_s):
--- a/test/soak/promises.py
+++ b/test/soak/promises.py
@@ -93,17 +93,20 @@
                 attempt.not_applied_code = code
             return
         if keyword not in ("READ", "WRITE", "COMMIT", "EXECUTE"):
+            self.on_unsigned_reply(statement.id, statement.text, signature,
+                                   rows)
             return
         if signature not in statement.rows_by_signature:
             if signature == "-" and keyword == "COMMIT" and \
                     attempt.connection is None:
                 return
-            self.report("MIXED",
-                        f"{statement.id} has unknown signature {signature}")
+            self.report("MIXED", f"{statement.id} has unknown signature "
+                        f"{signature!r}{self._describe_owner(signature)}")
         elif statement.rows_by_signature[signature] != rows:
             self.report(
                 "MIXED",
-                f"{statement.id} has rows that were not returned for it")
+                f"{statement.id} has rows that were not returned for it: "
+                f"{rows}, not {statement.rows_by_signature[signature]}")
         commit = self.commits.get(statement.id)
         if commit is not None and commit.acknowledged is None:
             commit.acknowledged = time.monotonic()
@@ -114,6 +117,17 @@
                 self.report("ONE", f"{statement.id} acknowledged at a primary "
                             f"that was replaced")
 
+    def _describe_owner(self, signature):
+        owner = next((s.id for s in self.statements.values()
+                      if signature in s.rows_by_signature), None)
+        return f" of {owner}" if owner else ""
+
+    def on_unsigned_reply(self, query_id, text, signature, rows):
+        """A statement that no endpoint signs succeeded."""
+        if signature != "-" or rows:
+            self.report("MIXED", f"{query_id} {text} received signature "
+                        f"{signature} and {len(rows)} rows")
+
     # Events at endpoints and the promotion service; check at the end of a run.
 
     def on_executed(self, endpoint, connection, query_id, text, signature,
--- a/test/soak/promises_test.py
+++ b/test/soak/promises_test.py
@@ -111,6 +111,39 @@
         self.checker.on_reply(read, None, "s", ["y"])
         self.assert_only_finding("MIXED")
 
+    def test_part_of_a_signature_is_mixed(self):
+        read = self.send("READ 1")
+        self.run_at_endpoint(read, signature="1.ab", rows=["x"])
+        self.checker.on_reply(read, None, "1.a", ["x"])
+        self.assert_only_finding("MIXED")
+
+    def test_success_without_signature_is_mixed(self):
+        write = self.send("WRITE 1 a")
+        self.run_at_endpoint(write)
+        self.checker.on_reply(write, None, "-", [])
+        self.assert_only_finding("MIXED")
+
+    def test_answer_of_a_signed_statement_to_begin_is_mixed(self):
+        begin = self.send("BEGIN", self.attempt(transaction=True))
+        self.checker.on_reply(begin, None, "-", [])
+        self.assertEqual(self.checker.findings, [])
+        self.checker.on_reply(begin, None, "s", [])
+        self.assert_only_finding("MIXED")
+
+    def test_rows_in_an_answer_to_set_are_mixed(self):
+        self.checker.on_unsigned_reply("1", "SET v 1", "-", [])
+        self.assertEqual(self.checker.findings, [])
+        self.checker.on_unsigned_reply("1", "SET v 1", "-", ["x"])
+        self.assert_only_finding("MIXED")
+
+    def test_unsigned_commit_of_a_transaction_that_ran_is_mixed(self):
+        attempt = self.attempt(transaction=True)
+        self.connection.open_writes = []
+        self.run_at_endpoint(self.send("READ 1", attempt))
+        commit = self.send("COMMIT", attempt)
+        self.checker.on_reply(commit, None, "-", [])
+        self.assert_only_finding("MIXED")
+
     def test_other_variable_values_violate_session_state(self):
         self.run_at_endpoint(self.send("READ 1", values={"v": "1"}))
         self.assert_only_finding("PINNED")
