--- a/test/soak/database.py
+++ b/test/soak/database.py
@@ -119,6 +119,10 @@
         # Share of the statements with a query id after which the connection
         # is closed without a reply. The statement itself has run.
         self.reply_loss_ratio = 0.0
+        # AnswerFaults in force; the last one applies.
+        self.answer_faults = []
+        # Reads return several rows, each long enough for the proxy to compare.
+        self.returns_long_rows = False
         self.port = 0
         self.server = None
         self.writers = set()
@@ -227,7 +231,7 @@
                 writer.write(f"ERROR {code} -\r\n".encode())
                 return
             await asyncio.sleep(0.008)
-            writer.write(f"READY I {self.position()}\r\n".encode())
+            await self._send(writer, [f"READY I {self.position()}"], "CONNECT")
             while True:
                 line = await reader.readline()
                 if not line.endswith(b"\r\n"):
@@ -240,15 +244,15 @@
                 if self.reply_loss_ratio and words[1] != "-" and \
                         self.group.rng.random() < self.reply_loss_ratio:
                     return
-                text = "".join(f"DATAROW {row}\r\n" for row in rows)
-                text += f"ERROR {code} {self.name}\r\n" if code \
-                    else f"COMPLETE {signature}\r\n"
+                lines = [f"DATAROW {row}" for row in rows]
+                lines.append(f"ERROR {code} {self.name}" if code
+                             else f"COMPLETE {signature}")
                 state = "I" if connection.open_writes is None else \
                     "E" if connection.transaction_failed else "T"
                 position = "-" if code == "BUSY" and self.refuses_status \
                     else self.position()
-                text += f"READY {state} {position}\r\n"
-                writer.write(text.encode())
+                lines.append(f"READY {state} {position}")
+                await self._send(writer, lines, f"{words[1]} {words[2]}")
                 await writer.drain()
         except (ConnectionError, OSError, asyncio.IncompleteReadError):
             pass
@@ -256,6 +260,15 @@
             self.writers.discard(writer)
             writer.close()
 
+    async def _send(self, writer, lines, name):
+        if self.answer_faults:
+            port = writer.get_extra_info("peername")[1]
+            await self.answer_faults[-1].send(
+                writer, lines, f"{self.name} port {port} {name}")
+        else:
+            writer.write(
+                "".join(line + "\r\n" for line in lines).encode())
+
     async def _run_statement(self, connection, query_id, text):
         """Returns rows, error code (None for success), and signature."""
         after = None
@@ -337,7 +350,8 @@
             connection.transaction_failed = connection.open_writes is not None
             return [], error, "-"
         signature = f"{next(SIGNATURE_NUMBERS):x}.{random.getrandbits(32):x}"
-        rows = [] if is_write or keyword == "COMMIT" else [f"r{signature}"]
+        rows = [] if is_write or keyword == "COMMIT" \
+            else self._rows(signature)
         self.group.checker.on_executed(self, connection, query_id, text,
                                        signature, rows)
         if keyword == "COMMIT":
@@ -351,6 +365,13 @@
             await self._commit([query_id])
         return rows, None, signature
 
+    def _rows(self, signature):
+        if not self.returns_long_rows:
+            return [f"r{signature}"]
+        return [f"row-{number}-of-{signature}-of-{self.name}"
+                for number in range(
+                    1 + int(signature.split(".")[0], 16) % 3)]
+
     def _not_primary_error(self, connection, is_write, keyword):
         if self.is_primary:
             return None
--- a/test/soak/deployment.py
+++ b/test/soak/deployment.py
@@ -120,7 +120,7 @@
     """Processes, links and stored data of one run."""
 
     def __init__(self, rng, checker, directory, program, vm_count,
-                 services, sync_replicas=0):
+                 services, sync_replicas=0, with_faulty_answers=False):
         self.rng = rng
         self.checker = checker
         self.table = StoreTable()
@@ -140,6 +140,18 @@
         # Endpoints publish nothing before this time.
         self.heartbeats_resume_at = {}
         self.tasks = []
+        self.with_faulty_answers = with_faulty_answers
+        self.faulty_answers = 0
+        self.faulty_answers_log = None
+
+    def record_faulty_answer(self, kind, description):
+        self.faulty_answers += 1
+        if self.faulty_answers_log is None:
+            self.faulty_answers_log = open(
+                self.directory / "faulty-answers.log", "a")
+        # The wall clock, as in the logs of the proxies.
+        self.faulty_answers_log.write(
+            f"{time.time():.3f} {kind} {description}\n")
 
     def record_disruption(self):
         self.disrupted_at = time.monotonic()
@@ -154,6 +166,7 @@
                 if group.current_primary is None:
                     group.current_primary = endpoint
                     endpoint.is_primary = True
+                endpoint.returns_long_rows = self.with_faulty_answers
                 await endpoint.start()
                 for vm in self.vms:
                     link = Link(("127.0.0.1", endpoint.port))
@@ -239,3 +252,5 @@
                 await vm.kill()
             if vm.log is not None:
                 vm.log.close()
+        if self.faulty_answers_log is not None:
+            self.faulty_answers_log.close()
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -5,6 +5,8 @@
 import signal
 import time
 
+from faulty_answers import AnswerFaults
+
 FAULTS = []
 
 
@@ -345,6 +347,40 @@
     await asyncio.gather(*tasks)
 
 
+async def answers_faulty(deployment, rng):
+    endpoints = [e for g in deployment.groups.values() for e in g.endpoints]
+    chosen = []
+    for endpoint in rng.sample(endpoints, rng.randrange(1, len(endpoints))):
+        faults = AnswerFaults(random.Random(rng.random()),
+                              deployment.record_faulty_answer)
+        endpoint.answer_faults.append(faults)
+        chosen.append((endpoint, faults))
+
+    def undo():
+        for endpoint, faults in chosen:
+            endpoint.answer_faults.remove(faults)
+
+    await _hold_fault(deployment, rng.uniform(0.5, 6), undo)
+
+
+async def run_answer_faults(deployment, rng, seconds, on_fault_started):
+    """Switches endpoints with faulty answers on and off, beside the faults of
+    a schedule.
+
+    They are not among FAULTS, so that the schedules of all seeds stay the same.
+    """
+    tasks = []
+    elapsed = 0.0
+    while elapsed < seconds:
+        pause = rng.uniform(0.3, 2.5)
+        await asyncio.sleep(pause)
+        elapsed += pause
+        on_fault_started(answers_faulty.__name__)
+        tasks.append(asyncio.create_task(
+            answers_faulty(deployment, random.Random(rng.random()))))
+    await asyncio.gather(*tasks)
+
+
 async def run_schedule(deployment, rng, seconds, on_fault_started):
     """Starts faults for the given time; returns when all are undone."""
     tasks = []
--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -14,7 +14,8 @@
 
 from callers import Balancer, Caller
 from deployment import Deployment
-from faults import run_replica_faults, run_restores, run_schedule
+from faults import run_answer_faults, run_replica_faults, run_restores, \
+    run_schedule
 from promises import GuaranteeChecker
 
 # Faults start during this time; then the deployment must recover.
@@ -51,14 +52,15 @@
 
 
 async def run_seed(seed, program, directory, with_restores=False,
-                   sync_replicas=0):
-    """Runs one seed; returns the checker with its findings, and a schedule."""
+                   sync_replicas=0, with_faulty_answers=False):
+    """Runs one seed; returns the checker with its findings, a schedule, and
+    the number of faulty answers."""
     rng = random.Random(seed)
     checker = GuaranteeChecker()
     deployment = Deployment(rng, checker, directory, program,
                             rng.choice([3, 4, 6, 12]),
                             ["registro", "hire-core"][:rng.choice([1, 2])],
-                            sync_replicas)
+                            sync_replicas, with_faulty_answers)
     schedule = []
 
     def on_fault_started(name):
@@ -87,6 +89,10 @@
                 schedules.append(run_replica_faults(
                     deployment, random.Random(f"replicas of {seed}"),
                     FAULT_DURATION_S, on_fault_started))
+            if with_faulty_answers:
+                schedules.append(run_answer_faults(
+                    deployment, random.Random(f"answers of {seed}"),
+                    FAULT_DURATION_S, on_fault_started))
             await asyncio.gather(*schedules)
         await asyncio.sleep(RECOVERY_DURATION_S)
         measured_from = time.monotonic()
@@ -102,13 +108,15 @@
         for task in ended_tasks:
             raise task.exception() or RuntimeError(
                 "a caller or the balancer ended early")
+        if with_faulty_answers and not deployment.faulty_answers:
+            raise RuntimeError("no endpoint gave a faulty answer")
         checker.check_logs(deployment.groups.values())
     finally:
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         await deployment.stop()
-    return checker, schedule
+    return checker, schedule, deployment.faulty_answers
 
 
 def regression_seeds():
@@ -131,6 +139,9 @@
     parser.add_argument("--sync-replicas", type=int, default=0,
                         help="replicas that hold each acknowledged commit; "
                         "above 0 also faults of replicas")
+    parser.add_argument("--faulty-answers", action="store_true",
+                        help="also endpoints that answer twice, late, with "
+                        "another result or not whole")
     options = parser.parse_args()
     if options.regressions:
         seeds = regression_seeds()
@@ -145,12 +156,14 @@
             if options.keep:
                 directory = pathlib.Path(options.keep) / f"seed-{seed}"
                 directory.mkdir(parents=True, exist_ok=True)
-            checker, schedule = asyncio.run(
+            checker, schedule, faulty_answers = asyncio.run(
                 run_seed(seed, options.program, directory, options.restores,
-                         options.sync_replicas))
+                         options.sync_replicas, options.faulty_answers))
+        faulty_text = f"{faulty_answers} faulty answers, " \
+            if options.faulty_answers else ""
         print(f"seed {seed}: {len(checker.served)} served, "
               f"{len(checker.refused)} not, {len(checker.commits)} writes, "
-              f"{len(checker.holder_of_token)} promotions, "
+              f"{len(checker.holder_of_token)} promotions, {faulty_text}"
               f"{len(checker.findings)} findings", flush=True)
         if checker.findings:
             failed.append(seed)
