Session soak: check acknowledged commits of transactions

A commit counted as acknowledged only by the answer to a write outside a transaction: at the answer to a write inside one nothing is committed yet, and the answer to COMMIT was not connected with the commit. So STALE, LOST and ONE were not checked for transactions.

promises_test.py: 28 tests pass, 4 of them new; 3 of these fail with the checker as it was (the one for REFUSED passes with both).

--- a/test/soak/promises.py
+++ b/test/soak/promises.py
@@ -24,6 +24,8 @@
     # Connection and first statement of the transaction at the endpoint.
     connection: object = None
     first_statement: object = None
+    # Commit of the writes of the transaction.
+    commit: object = None
 
 
 @dataclasses.dataclass(eq=False)
@@ -107,7 +109,8 @@
                 "MIXED",
                 f"{statement.id} has rows that were not returned for it: "
                 f"{rows}, not {statement.rows_by_signature[signature]}")
-        commit = self.commits.get(statement.id)
+        commit = attempt.commit if keyword == "COMMIT" \
+            else self.commits.get(statement.id)
         if commit is not None and commit.acknowledged is None:
             commit.acknowledged = time.monotonic()
             commit.session = attempt.session
@@ -215,6 +218,8 @@
                     not statement.attempt.commit_requested:
                 self.report("UNASKED", f"{query_id} committed without COMMIT")
             self.commits[query_id] = commit
+            if statement is not None:
+                statement.attempt.commit = commit
 
     def on_rolled_back(self, endpoint, commits):
         """Commits that waited for replicas are missing in the log of the
--- a/test/soak/promises_test.py
+++ b/test/soak/promises_test.py
@@ -181,6 +181,46 @@
         self.run_at_endpoint(self.send("READ 1"))
         self.assert_only_finding("STALE")
 
+    def acknowledge_transaction(self, after_replacement=False):
+        attempt = self.attempt(transaction=True)
+        attempt.commit_requested = True
+        self.connection.open_writes = []
+        write = self.send("WRITE 1 a", attempt)
+        self.run_at_endpoint(write)
+        self.checker.on_reply(write, None, "s", [])
+        end = self.send("COMMIT", attempt)
+        self.run_at_endpoint(end, signature="t")
+        commit = self.commit(write, after_replacement=after_replacement)
+        self.connection.end_transaction()
+        self.checker.on_reply(end, None, "t", [])
+        return commit
+
+    def test_read_without_a_committed_transaction_is_stale(self):
+        self.acknowledge_transaction()
+        self.group.log.clear()
+        time.sleep(0.001)
+        self.run_at_endpoint(self.send("READ 1"))
+        self.assert_only_finding("STALE")
+
+    def test_lost_transaction(self):
+        commit = self.acknowledge_transaction()
+        self.checker.on_rolled_back(self.endpoint, [commit])
+        self.assert_only_finding("LOST")
+
+    def test_acknowledged_transaction_at_a_replaced_primary_is_reported(self):
+        self.acknowledge_transaction(after_replacement=True)
+        self.assert_only_finding("ONE")
+
+    def test_refused_transaction_that_was_committed_is_reported(self):
+        attempt = self.attempt(transaction=True)
+        attempt.commit_requested = True
+        write = self.send("WRITE 1 a", attempt)
+        end = self.send("COMMIT", attempt)
+        self.commit(write)
+        self.checker.on_reply(end, "READONLY", "-", [])
+        self.checker.check_logs([self.group])
+        self.assert_only_finding("REFUSED")
+
     def test_read_without_own_commit_is_stale(self):
         write = self.send("WRITE 1 a")
         self.run_at_endpoint(write)
