--- a/test/platform/fake_text_endpoint.cc
+++ b/test/platform/fake_text_endpoint.cc
@@ -12,7 +12,7 @@
 
 std::string TakeWord(std::string& text) {
   const std::size_t blank = text.find(' ');
-  const std::string word = text.substr(0, blank);
+  std::string word = text.substr(0, blank);
   text = blank == std::string::npos ? "" : text.substr(blank + 1);
   return word;
 }
