Session soak: the answer decides which connection a transaction runs on

A first statement may run again before its answer, and a closed connection rolls back.

The transaction's connection is now the one of the execution whose answer the caller got; later statements on any other one are reported, also on the closed one. Of the two new tests both fail on the old checker.

--- a/test/soak/promises.py
+++ b/test/soak/promises.py
@@ -24,6 +24,8 @@
     # Connection and first statement of the transaction at the endpoint.
     connection: object = None
     first_statement: object = None
+    # The caller has the answer of the first statement.
+    is_first_answered: bool = False
     # Commit of the writes of the transaction.
     commit: object = None
 
@@ -41,6 +43,8 @@
     prepared: tuple = None
     # Rows of each execution at an endpoint, by the signature of its result.
     rows_by_signature: dict = dataclasses.field(default_factory=dict)
+    # Connection of each execution.
+    connection_by_signature: dict = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(eq=False)
@@ -109,6 +113,10 @@
                 "MIXED",
                 f"{statement.id} has rows that were not returned for it: "
                 f"{rows}, not {statement.rows_by_signature[signature]}")
+        if statement is attempt.first_statement and \
+                signature in statement.connection_by_signature:
+            attempt.is_first_answered = True
+            attempt.connection = statement.connection_by_signature[signature]
         commit = attempt.commit if keyword == "COMMIT" \
             else self.commits.get(statement.id)
         if commit is not None and commit.acknowledged is None:
@@ -141,6 +149,7 @@
             return
         attempt = statement.attempt
         statement.rows_by_signature[signature] = rows
+        statement.connection_by_signature[signature] = connection
         if endpoint.group.name != attempt.service:
             self.report("ROUTE", f"{query_id} ran at {endpoint.group.name}")
         self._check_statement_text(endpoint, connection, statement, text)
@@ -175,12 +184,15 @@
                             f"transaction")
             # Before its reply, the first statement may run again in a new
             # transaction on another connection: the previous transaction is
-            # rolled back.
+            # rolled back. An endpoint may run it there after the connection
+            # was closed. The transaction is the one whose answer the caller
+            # got.
             attempt.first_statement = attempt.first_statement or statement
             if attempt.connection not in (None, connection) and \
                     statement is not attempt.first_statement:
                 self.report("PINNED", f"{statement.id} changed its connection")
-            attempt.connection = connection
+            if not attempt.is_first_answered:
+                attempt.connection = connection
             connection.transaction_attempt = attempt
         elif connection.open_writes is not None:
             self.report("PINNED", f"{statement.id} ran inside a transaction")
--- a/test/soak/promises_test.py
+++ b/test/soak/promises_test.py
@@ -171,6 +171,29 @@
         self.run_at_endpoint(self.send("READ 2", attempt))
         self.assert_only_finding("PINNED")
 
+    def answered_twice(self):
+        """A transaction whose first statement is answered on its second
+        connection and runs on the first, closed one afterwards."""
+        attempt = self.attempt(transaction=True)
+        first = self.send("READ 1", attempt)
+        closed, other = Connection(), Connection()
+        closed.open_writes, other.open_writes = [], []
+        for self.connection, signature in ((other, "s2"), (closed, "s1")):
+            self.run_at_endpoint(first, signature=signature)
+        self.checker.on_reply(first, None, "s2", [])
+        return attempt, closed, other
+
+    def test_first_statement_that_also_runs_on_a_closed_connection(self):
+        attempt, _, self.connection = self.answered_twice()
+        self.run_at_endpoint(self.send("READ 2", attempt))
+        self.assertEqual(self.checker.findings, [])
+
+    def test_transaction_on_the_connection_without_its_answer_is_reported(
+            self):
+        attempt, self.connection, _ = self.answered_twice()
+        self.run_at_endpoint(self.send("READ 2", attempt))
+        self.assert_only_finding("PINNED")
+
     def test_read_without_an_acknowledged_commit_is_stale(self):
         write = self.send("WRITE 1 a")
         self.run_at_endpoint(write)
