Failover: commits that callers were told of prove that a log is complete

Callers saw, with SyncReplicas 1: the primary and one of two replicas are lost for good, the other holds all acknowledged commits, and writes are refused for 10 s more. Cause: a replica whose log is not known may hold commits that the other lacks, and only time ended the wait. The VMs know which commits callers were told of, but did not keep it. Change: SessionRouter keeps the highest position of a commit that it has reported. While a promotion is held back, the leader asks all VMs for it (AcknowledgementSurvey); a log that reaches the highest answer is complete. A VM that does not answer or has started since gives no proof. One list read of the store per hold, no writes; nothing is asked while no promotion is held.

--- a/src/core/failover/failover_manager.cc
+++ b/src/core/failover/failover_manager.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -61,6 +62,12 @@
 // lease does not try again. Longer than the pause between two attempts to open
 // a connection and the time until an attempt fails.
 constexpr Duration kMaxFailureAge = milliseconds(2500);
+// How often VMs that have not answered are asked again which commits they have
+// reported to callers.
+constexpr Duration kSurveyInterval = milliseconds(500);
+// A VM that leaves has ended by then. Longer than the platform lets a process
+// run after its signal to stop.
+constexpr Duration kLongestDrain = std::chrono::seconds(60);
 // Replies to older lease requests are ignored.
 constexpr Duration kRequestLifetime = std::chrono::seconds(2);
 // The ids of lease requests start at the process number, shifted by this, so
@@ -81,6 +88,7 @@
                *this),
       own_version_(own_version),
       next_correlation_((own_version << kCorrelationBits) + 1),
+      started_at_(deps.clock()),
       leader_seen_at_(deps.clock()),
       alive_(std::make_shared<FailoverManager*>(this)) {
   election_.OnEra(EraOf(own_version), deps.clock());
@@ -91,10 +99,10 @@
   std::unique_ptr<PrimarySupervisor>& supervisor = supervisors_[service];
   if (supervisor == nullptr) {
     supervisor = std::make_unique<PrimarySupervisor>(
-        PrimarySupervisorContext{deps_.link, store_, deps_.promotions,
-                                 election_, deps_.observer,
-                                 deps_.router.endpoints(),
-                                 deps_.router.leases(), self_, deps_.clock},
+        PrimarySupervisorContext{
+            deps_.link, store_, deps_.promotions, election_, deps_.observer,
+            deps_.router.endpoints(), deps_.router.leases(), *this, self_,
+            deps_.clock},
         service);
   }
   return *supervisor;
@@ -131,6 +139,11 @@
       const VmEntry entry = ParseVmEntry(object.value);
       vm_versions_[vm] = object.version;
       if (vm != self_) vms_[vm] = entry;
+      if (entry.leaving) {
+        vms_leaving_since_.try_emplace(vm, now);
+      } else {
+        vms_leaving_since_.erase(vm);
+      }
     }
   } catch (const DecodeError& error) {
     deps_.observer.OnMalformedObject(object.path, error.what());
@@ -193,8 +206,11 @@
   const bool unseen = now - leader_seen_at_ >= kStoreReadDelay;
   const bool unrenewed = watches_store_for_peers_ &&
                          now - election_.record_learned_at() >= kOverdueRenewal;
-  const bool needed = election_.IsLeader(now) ? records_read_at_ < leader_since_
-                                              : unseen || unrenewed;
+  const bool surveys =
+      survey_.is_active() && records_read_at_ < survey_.begun_at();
+  const bool needed = election_.IsLeader(now)
+                          ? records_read_at_ < leader_since_ || surveys
+                          : unseen || unrenewed;
   if (!needed || store_read_in_flight_ || now < next_store_read_) return;
   store_read_in_flight_ = true;
   next_store_read_ =
@@ -490,6 +506,74 @@
   for (const VmName& vm : asked) send_request(vm);
 }
 
+void FailoverManager::SurveyAcknowledgements(TimePoint now) {
+  std::set<ServiceName> held;
+  if (election_.IsLeader(now)) {
+    for (const auto& [service, supervisor] : supervisors_) {
+      if (supervisor->IsHeld()) held.insert(service);
+    }
+  }
+  survey_.SetServices(held, now);
+  if (held.empty() || now < next_survey_) return;
+  next_survey_ = now + kSurveyInterval;
+  LeaseRequestMessage request;
+  request.config_version = config_version_;
+  request.leader_record_version = election_.version();
+  request.acknowledged_of = survey_.services();
+  survey_.RecordAnswer(self_, now, started_at_,
+                       AcknowledgedPositions(request.acknowledged_of, now));
+  for (const VmName& vm : ReportingVms(now)) {
+    if (!survey_.NeedsAnswer(vm)) continue;
+    request.correlation = next_correlation_++;
+    if (deps_.peers.Send(vm, request)) {
+      requests_[request.correlation] = {vm, now};
+    }
+  }
+}
+
+// A VM writes its entry before it runs sessions, and entries stay when their
+// VMs are lost.
+std::vector<VmName> FailoverManager::ReportingVms(TimePoint since) const {
+  std::set<VmName> vms{self_};
+  for (const auto& [vm, entry] : vms_) vms.insert(vm);
+  for (const VmName& vm : deps_.membership.Peers()) vms.insert(vm);
+  std::erase_if(vms, [&](const VmName& vm) {
+    const auto leaving = vms_leaving_since_.find(vm);
+    return leaving != vms_leaving_since_.end() &&
+           leaving->second + kLongestDrain < since;
+  });
+  return {vms.begin(), vms.end()};
+}
+
+// A service whose lease is valid is left out: its callers may still be told of
+// commits.
+std::vector<AcknowledgedPosition> FailoverManager::AcknowledgedPositions(
+    std::span<const ServiceName> services, TimePoint now) const {
+  std::vector<AcknowledgedPosition> positions;
+  for (const ServiceName& service : services) {
+    if (deps_.router.leases().FindValid(service, now) != nullptr) continue;
+    positions.push_back({service, deps_.router.AcknowledgedPosition(service)});
+  }
+  return positions;
+}
+
+// What callers were told before the primary stated a position is in every log
+// that reaches it. What they were told since is known from the VMs.
+std::optional<LogPosition> FailoverManager::AcknowledgedUpTo(
+    const ServiceName& service, LogPosition end) const {
+  if (!survey_.is_active() || records_read_at_ < survey_.begun_at()) {
+    return std::nullopt;
+  }
+  const PositionHistory* history = deps_.router.FindPositionHistory(service);
+  const auto sample =
+      history == nullptr ? std::nullopt : history->NewestUpTo(end);
+  if (!sample) return std::nullopt;
+  const auto reported =
+      survey_.Highest(service, ReportingVms(sample->at), sample->at);
+  if (!reported || *reported > end) return std::nullopt;
+  return std::max(sample->position, *reported);
+}
+
 void FailoverManager::OnLeaseRequest(const VmName& vm,
                                      const LeaseRequestMessage& request,
                                      TimePoint now) {
@@ -511,6 +595,8 @@
   if (config_confirmed_at_ != TimePoint()) {
     reply.config_age = now - config_confirmed_at_;
   }
+  reply.acknowledged = AcknowledgedPositions(request.acknowledged_of, now);
+  reply.running_for = now - started_at_;
   reply.leader = leader_;
   reply.leader_age = now - leader_seen_at_;
   if (election_.IsLeader(now)) {
@@ -559,6 +645,9 @@
   const TimePoint sent = sent_request->second.sent;
   requests_.erase(sent_request);
   peer_answered_at_ = now;
+  if (reply.running_for >= Duration{0}) {
+    survey_.RecordAnswer(vm, sent, now - reply.running_for, reply.acknowledged);
+  }
   if (reply.leader == vm && !election_.IsLeader(now)) SetLeader(vm, now);
   leader_seen_at_ = std::max(leader_seen_at_, sent - reply.leader_age);
   for (const auto& [predecessor, lease_end] : election_.active_predecessors()) {
@@ -627,6 +716,7 @@
   }
   TakeOverIfDue(now);
   RequestLeases(now);
+  SurveyAcknowledgements(now);
   ReadRecordsFromStore(now);
 }
 
--- a/src/core/failover/failover_manager.h
+++ b/src/core/failover/failover_manager.h
@@ -6,8 +6,11 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
+#include <span>
 
 #include "core/config/object_watcher.h"
+#include "core/failover/acknowledgement_survey.h"
 #include "core/failover/duty_election.h"
 #include "core/failover/era_observing_store.h"
 #include "core/failover/primary_keeper.h"
@@ -22,7 +25,8 @@
 /// election, supervises the primaries while this VM is the leader, requests
 /// primary leases from peers and answers their requests. Not thread-safe; all
 /// calls must come from the thread of the event loop.
-class FailoverManager : public ObjectWatcherEvents {
+class FailoverManager : public ObjectWatcherEvents,
+                        private AcknowledgementSource {
  public:
   struct Dependencies {
     SessionLink& link;
@@ -132,6 +136,15 @@
   /// Applies a lease whose durations count from `from`.
   void ApplyLease(const LeaseGrant& lease, TimePoint from, TimePoint now);
   void ApplyAbsence(const PrimaryAbsence& absence, TimePoint now);
+  /// As the leader, asks the VMs which commits they have reported to callers
+  /// while promotions are held back.
+  void SurveyAcknowledgements(TimePoint now);
+  /// The VMs that may have reported a commit to a caller at `since` or later.
+  std::vector<VmName> ReportingVms(TimePoint since) const;
+  std::vector<AcknowledgedPosition> AcknowledgedPositions(
+      std::span<const ServiceName> services, TimePoint now) const;
+  std::optional<LogPosition> AcknowledgedUpTo(const ServiceName& service,
+                                              LogPosition end) const override;
   std::vector<PrimaryReport> BuildReports(TimePoint now) const;
   void SetLeader(const VmName& leader, TimePoint now);
   PrimarySupervisor& SupervisorOf(const ServiceName& service);
@@ -145,6 +158,8 @@
   std::map<ServiceName, std::unique_ptr<PrimarySupervisor>> supervisors_;
   std::map<VmName, VmEntry> vms_;
   std::map<VmName, ObjectVersion> vm_versions_;
+  /// When each VM that leaves was first seen to do so.
+  std::map<VmName, TimePoint> vms_leaving_since_;
   VmName leader_;
   std::vector<VmName> candidates_;
   bool leaving_ = false;
@@ -158,6 +173,9 @@
   TimePoint peer_answered_at_;
   CorrelationId next_correlation_;
   std::map<CorrelationId, LeaseRequest> requests_;
+  const TimePoint started_at_;
+  AcknowledgementSurvey survey_;
+  TimePoint next_survey_;
   TimePoint next_lease_request_;
   /// Supervisors that replace a primary. Each of their steps is taken when it
   /// is due and not at the next tick, since callers wait for it.
--- a/src/core/failover/primary_keeper.cc
+++ b/src/core/failover/primary_keeper.cc
@@ -673,8 +673,14 @@
   }
   const Duration elapsed = now - state_entered_at_;
   const std::vector<ReplicaLog> logs = CollectReplicaLogs(now);
-  const ReplicaSelection selection =
+  ReplicaSelection selection =
       SelectReplica(logs, *sync_replicas_, handover_position_);
+  // Commits that no caller was told of may be missing.
+  if (held_ && !selection.is_complete && selection.best != nullptr) {
+    selection = SelectReplica(logs, *sync_replicas_,
+                              context_.acknowledgements.AcknowledgedUpTo(
+                                  service_, *selection.best->reached));
+  }
   const EndpointState* old = Find(primary_);
   EndpointProbe* old_probe = old == nullptr ? nullptr : &ProbeOf(*old);
   if (old_probe != nullptr && selection.best != nullptr) {
--- a/src/core/failover/primary_keeper.h
+++ b/src/core/failover/primary_keeper.h
@@ -20,6 +20,17 @@
 
 namespace carawayhaven {
 
+/// Knows which commits callers were told of.
+class AcknowledgementSource {
+ public:
+  virtual ~AcknowledgementSource() = default;
+  /// An upper bound of the positions of all commits that callers were told of,
+  /// or nothing if none is known that `end` reaches. Meaningful while no lease
+  /// for the primary is valid.
+  virtual std::optional<LogPosition> AcknowledgedUpTo(
+      const ServiceName& service, LogPosition end) const = 0;
+};
+
 /// Dependencies of a PrimarySupervisor. All references must outlive it.
 struct PrimarySupervisorContext {
   SessionLink& link;
@@ -30,6 +41,7 @@
   const std::map<EndpointName, EndpointState>& endpoints;
   /// The leases of this VM.
   const PrimaryLeases& leases;
+  const AcknowledgementSource& acknowledgements;
   const VmName& self;
   std::function<TimePoint()> clock;
 };
@@ -77,6 +89,10 @@
   /// True from when the primary is not used any more until its successor is.
   bool IsReplacing() const;
 
+  /// True while a promotion is held back because commits may be missing in the
+  /// logs that are known.
+  bool IsHeld() const { return held_; }
+
   /// The lease for the primary that may be granted now, or nothing.
   std::optional<LeaseGrant> GrantableLease(TimePoint now) const;
 
--- a/src/core/peer_message.h
+++ b/src/core/peer_message.h
@@ -148,6 +148,16 @@
   /// Time since the last reply of the store to the sender; negative when
   /// unknown.
   Duration store_age{-1};
+  /// Services whose AcknowledgedPosition is asked for.
+  std::vector<ServiceName> acknowledged_of = {};
+};
+
+/// The highest log position of a commit that the sender's process has reported
+/// to a caller; zero if there was none. The sender has no valid primary lease
+/// of the service, so that it reports no further commit without a new one.
+struct AcknowledgedPosition {
+  ServiceName service;
+  LogPosition position;
 };
 
 /// Grants a primary lease: the permission to use an endpoint as the primary of
@@ -190,6 +200,10 @@
   /// Time since that version was known to be the latest one; negative when
   /// unknown.
   Duration config_age{-1};
+  /// Of the services that were asked for.
+  std::vector<AcknowledgedPosition> acknowledged = {};
+  /// Time since the sender's process started; negative when unknown.
+  Duration running_for{-1};
 };
 
 /// An organisation and a number of operations, in thousandths.
--- a/src/core/session/position_history.cc
+++ b/src/core/session/position_history.cc
@@ -65,4 +65,15 @@
   return samples_.back();
 }
 
+std::optional<PositionHistory::Sample> PositionHistory::NewestUpTo(
+    LogPosition position) const {
+  const auto after =
+      std::upper_bound(samples_.begin(), samples_.end(), position,
+                       [](LogPosition end, const Sample& sample) {
+                         return end < sample.position;
+                       });
+  if (after == samples_.begin()) return std::nullopt;
+  return *std::prev(after);
+}
+
 }  // namespace carawayhaven
--- a/src/core/session/position_history.h
+++ b/src/core/session/position_history.h
@@ -35,6 +35,9 @@
 
   /// Returns the newest sample, or nullopt if there is none.
   std::optional<Sample> Newest() const;
+  /// Returns the newest sample whose position is not beyond `position`, or
+  /// nullopt if there is none.
+  std::optional<Sample> NewestUpTo(LogPosition position) const;
 
  private:
   /// Ascending by time and position; all samples are of the latest term.
--- a/src/core/session/session_router.cc
+++ b/src/core/session/session_router.cc
@@ -192,6 +192,12 @@
   return found == services_.end() ? nullptr : &found->second.positions;
 }
 
+LogPosition SessionRouter::AcknowledgedPosition(
+    const ServiceName& service) const {
+  const auto found = services_.find(service);
+  return found == services_.end() ? LogPosition{} : found->second.acknowledged;
+}
+
 std::size_t SessionRouter::waiting() const {
   std::size_t count = limited_.size();
   for (const auto& [name, service] : services_) count += service.queue.size();
--- a/src/core/session/session_router.h
+++ b/src/core/session/session_router.h
@@ -107,6 +107,9 @@
 
   const PrimaryLeases& leases() const { return leases_; }
   const PositionHistory* FindPositionHistory(const ServiceName& service) const;
+  /// The highest log position of a commit whose success this router has
+  /// reported; zero if there was none.
+  LogPosition AcknowledgedPosition(const ServiceName& service) const;
   const std::map<EndpointName, EndpointState>& endpoints() const {
     return endpoints_;
   }
@@ -178,6 +181,7 @@
     std::map<EndpointName, EndpointState*> endpoints;
     std::uint32_t connection_limit = 1;
     PositionHistory positions;
+    LogPosition acknowledged;
     RetryBudget retries;
     /// A statement of an organisation was submitted.
     bool has_organisations = false;
@@ -297,6 +301,8 @@
   bool NoPrimaryBeforeDeadline(const StatementJob& job, const Service& service,
                                TimePoint now) const;
   void Finish(const JobPtr& job, const JobResult& result, TimePoint now);
+  /// Records the position of a commit whose success is about to be reported.
+  void RecordAcknowledgement(const StatementJob& job, const JobResult& result);
   void SettleUnconfirmedWrites(TimePoint now);
   void TickConnections(TimePoint now);
   void TickQueues(TimePoint now);
--- a/src/core/session/session_router_outcome.cc
+++ b/src/core/session/session_router_outcome.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -23,6 +24,11 @@
 // Retry delay reported to callers while a group has no primary.
 constexpr Duration kFailoverRetryAfter = milliseconds(1000);
 constexpr Duration kMinRetryAfter = milliseconds(10);
+// Beyond the end of every log: the position of a commit that was acknowledged
+// without one.
+constexpr LogPosition kUnknownPosition{
+    std::numeric_limits<Term>::max(),
+    std::numeric_limits<std::uint64_t>::max()};
 
 }  // namespace
 
@@ -107,11 +113,23 @@
     ReportDecision(RoutingDecision::Kind::kAnswered, *job, result.endpoint,
                    result.reply.code, now);
   }
+  RecordAcknowledgement(*job, result);
   const std::shared_ptr<JobOwner> owner = std::move(job->owner);
   job->owner = nullptr;
   owner->OnJobDone(result, now);
 }
 
+void SessionRouter::RecordAcknowledgement(const StatementJob& job,
+                                          const JobResult& result) {
+  const bool committed = result.end == JobResult::End::kAnswered &&
+                         result.reply.code == ReplyCode::kOk &&
+                         job.has_effect && result.connection == 0;
+  if (!committed) return;
+  LogPosition& acknowledged = services_[job.service].acknowledged;
+  acknowledged =
+      std::max(acknowledged, result.reply.position.value_or(kUnknownPosition));
+}
+
 // Settles writes that succeeded on an endpoint whose primary lease had expired.
 // If the lease was renewed in the same term, no other endpoint was promoted and
 // the write is confirmed; otherwise the write may be lost.
--- a/src/wire/peer_codec.cc
+++ b/src/wire/peer_codec.cc
@@ -162,12 +162,17 @@
                                                   report.answer_age.count(),
                                                   report.failing));
     }
+    std::vector<Offset<flatbuffers::String>> services;
+    for (const ServiceName& service : request.acknowledged_of) {
+      services.push_back(AddString(service));
+    }
     const auto vector = builder_.CreateVector(reports);
+    const auto service_vector = builder_.CreateVector(services);
     return {wire::Payload_RightRequest,
             wire::CreateRightRequest(builder_, request.correlation,
                                      request.config_version,
                                      request.leader_record_version, vector,
-                                     request.store_age.count())
+                                     request.store_age.count(), service_vector)
                 .Union()};
   }
 
@@ -188,14 +193,23 @@
       absences.push_back(
           wire::CreatePrimaryAbsence(builder_, service, ready_in.count()));
     }
+    std::vector<Offset<wire::AcknowledgedPosition>> acknowledged;
+    for (const AcknowledgedPosition& entry : reply.acknowledged) {
+      const auto service = AddString(entry.service);
+      const wire::Position position = EncodePosition(entry.position);
+      acknowledged.push_back(
+          wire::CreateAcknowledgedPosition(builder_, service, &position));
+    }
     const auto leader = AddString(reply.leader);
     const auto lease_vector = builder_.CreateVector(lease_offsets);
     const auto absence_vector = builder_.CreateVector(absences);
+    const auto acknowledged_vector = builder_.CreateVector(acknowledged);
     return {wire::Payload_RightReply,
             wire::CreateRightReply(
                 builder_, reply.correlation, leader, reply.leader_age.count(),
                 lease_vector, absence_vector, reply.leader_record_version,
-                reply.config_version, reply.config_age.count())
+                reply.config_version, reply.config_age.count(),
+                acknowledged_vector, reply.running_for.count())
                 .Union()};
   }
 
@@ -353,6 +367,10 @@
         {ToString(report->service()), ToString(report->endpoint()),
          DecodeDuration(report->answer_age_us()), report->failing()});
   }
+  if (request.acknowledged_of() == nullptr) return message;
+  for (const flatbuffers::String* service : *request.acknowledged_of()) {
+    message.acknowledged_of.push_back(ToString(service));
+  }
   return message;
 }
 
@@ -364,7 +382,9 @@
                             {},
                             reply.duty_version(),
                             reply.config_version(),
-                            DecodeDuration(reply.config_age_us())};
+                            DecodeDuration(reply.config_age_us()),
+                            {},
+                            DecodeDuration(reply.running_for_us())};
   for (const wire::GrantedRight* lease : *reply.rights()) {
     message.leases.push_back({ToString(lease->service()),
                               ToString(lease->endpoint()), lease->term(),
@@ -372,6 +392,14 @@
                               DecodePosition(lease->position()),
                               DecodeDuration(lease->position_age_us())});
   }
+  if (reply.acknowledged() != nullptr) {
+    for (const wire::AcknowledgedPosition* entry : *reply.acknowledged()) {
+      // Without a position, nothing is known; zero would mean no commit.
+      if (entry->position() == nullptr) continue;
+      message.acknowledged.push_back(
+          {ToString(entry->service()), DecodePosition(entry->position())});
+    }
+  }
   if (reply.absences() == nullptr) return message;
   for (const wire::PrimaryAbsence* absence : *reply.absences()) {
     const Duration ready_in = DecodeDuration(absence->ready_in_us());
--- a/test/session/position_history_test.cc
+++ b/test/session/position_history_test.cc
@@ -78,6 +78,17 @@
   EXPECT_EQ(history_.SurvivingPosition({}), LogPosition{});
 }
 
+// Guards against a sample beyond the end of a log that counts as part of it.
+TEST_F(PositionHistoryOfAPrimary, LogEndsBetweenSamplesTheOneBeforeIsFound) {
+  EXPECT_FALSE(history_.NewestUpTo({9, 9}));
+  history_.Add(At(100), {1, 50});
+  history_.Add(At(200), {1, 60});
+  EXPECT_FALSE(history_.NewestUpTo({1, 49}));
+  EXPECT_EQ(history_.NewestUpTo({1, 59})->at, At(100));
+  EXPECT_EQ(history_.NewestUpTo({1, 60})->at, At(200));
+  EXPECT_EQ(history_.NewestUpTo({2, 1})->position, (LogPosition{1, 60}));
+}
+
 TEST_F(PositionHistoryOfAPrimary, DenseAnswersMemoryIsBoundedAndCovers) {
   for (int ms = 0; ms < 60'000; ms += 5) {
     history_.Add(At(ms), {1, static_cast<std::uint64_t>(ms)});
--- a/test/session/session_router_test.cc
+++ b/test/session/session_router_test.cc
@@ -96,6 +96,24 @@
   EXPECT_EQ(owner_->results[0].end, JobResult::End::kAnswered);
 }
 
+// Guards against commits that callers were told of and that a leader does not
+// learn of.
+TEST_F(SessionRouterWithThreeEndpoints, CommitIsReportedItsPositionIsKnown) {
+  const auto run = [&](bool effect, const StatementReply& reply) {
+    router_.Submit(Job(true, effect), now_);
+    link_.AcceptAll(now_);
+    EXPECT_TRUE(link_.Answer("primary", reply, now_));
+    return router_.AcknowledgedPosition("registro");
+  };
+  EXPECT_EQ(run(true, OkReply({1, 101})), (LogPosition{1, 101}));
+  EXPECT_EQ(run(false, OkReply({1, 105})), (LogPosition{1, 101}));
+  EXPECT_EQ(run(true, OkReply({1, 99})), (LogPosition{1, 101}));
+  // Without a position, it may be anywhere.
+  StatementReply unsigned_reply = OkReply({1, 102});
+  unsigned_reply.position.reset();
+  EXPECT_GT(run(true, unsigned_reply), (LogPosition{1, 1'000'000}));
+}
+
 class SessionRouterWithOrganisations : public SessionRouterWithThreeEndpoints {
  protected:
   SessionRouterWithOrganisations() {
