Failover: an order that cannot be repeated does not keep the service down

Cause: the old primary answered, so the leader searched again, found the order in the record, waited for its effect, did not repeat it, and began anew every 4 s. The held replica could not prove that it has all commits. Change: while the record has an order, the old primary does not go on, and the end of its log, stated after the last lease, is what a replica must reach to be promoted.

--- a/src/core/failover/primary_keeper.cc
+++ b/src/core/failover/primary_keeper.cc
@@ -824,6 +824,24 @@
   return logs;
 }
 
+// The endpoint was the primary when no lease was valid any more, so its log has
+// all acknowledged commits.
+std::optional<LogPosition> PrimarySupervisor::EndOfPrimaryLog(
+    const EndpointProbe& probe) const {
+  const ReplicationStatus* status = probe.StatusSince(state_entered_at_);
+  if (status == nullptr || !status->is_primary || status->term < term_) {
+    return std::nullopt;
+  }
+  return status->received;
+}
+
+// An order in the record may have been sent, and may still take effect. So the
+// old primary does not go on.
+bool PrimarySupervisor::HasOrder() const {
+  const PrimaryRecord* record = current_record();
+  return record != nullptr && record->phase == PrimaryPhase::kPromoting;
+}
+
 // A primary that was only silent may go on when it answers again, so it is not
 // ordered to step down before a replica can replace it.
 bool PrimarySupervisor::MustStepDown(TimePoint now) const {
@@ -846,16 +864,19 @@
   }
   const Duration elapsed = now - state_entered_at_;
   const std::vector<ReplicaLog> logs = CollectReplicaLogs(now);
-  ReplicaSelection selection =
-      SelectReplica(logs, *sync_replicas_, handover_position_);
+  const EndpointState* old = Find(primary_);
+  EndpointProbe* old_probe = old == nullptr ? nullptr : &ProbeOf(*old);
+  std::optional<LogPosition> log_end = handover_position_;
+  if (!log_end && HasOrder() && old_probe != nullptr) {
+    log_end = EndOfPrimaryLog(*old_probe);
+  }
+  ReplicaSelection selection = SelectReplica(logs, *sync_replicas_, log_end);
   // Commits that no caller was told of may be missing.
   if (held_ && !selection.is_complete && selection.best != nullptr) {
     selection = SelectReplica(logs, *sync_replicas_,
                               context_.acknowledgements.AcknowledgedUpTo(
                                   service_, *selection.best->reached));
   }
-  const EndpointState* old = Find(primary_);
-  EndpointProbe* old_probe = old == nullptr ? nullptr : &ProbeOf(*old);
   if (old_probe != nullptr && selection.best != nullptr) {
     if (selection.is_complete || MustStepDown(now)) {
       old_probe->StepDown(term_ + 1, now);
@@ -908,7 +929,7 @@
     if (status == nullptr || !status->is_primary) continue;
     const bool serves = name == primary_
                             ? status->term >= term_ && !IsLeaving() &&
-                                  !MostVmsReportFailure(now)
+                                  !HasOrder() && !MostVmsReportFailure(now)
                             : status->term > term_;
     if (serves) {
       Enter(State::kSearching, "answers_again", now - probe->status_as_of(),
--- a/src/core/failover/primary_keeper.h
+++ b/src/core/failover/primary_keeper.h
@@ -186,6 +186,10 @@
   bool IsCandidate(const EndpointState& endpoint, TimePoint now) const;
   /// True if the endpoint may hold commits that no other log contains.
   bool MayHoldLog(const EndpointState& endpoint, TimePoint now) const;
+  /// End of the log of the old primary if it still is the primary, or nothing.
+  std::optional<LogPosition> EndOfPrimaryLog(const EndpointProbe& probe) const;
+  /// True if an order to promote an endpoint is recorded.
+  bool HasOrder() const;
   /// True if the old primary must step down even if no replica can be promoted
   /// yet.
   bool MustStepDown(TimePoint now) const;
--- a/test/failover/failover_test.cc
+++ b/test/failover/failover_test.cc
@@ -405,6 +405,24 @@
   ExpectNoViolations();
 }
 
+// Guards against an order that cannot be repeated and is taken up again and
+// again, while the old primary, which has all commits, is back: the chosen
+// endpoint has started again, and the third one is lost for good.
+TEST_F(FailoverWithRestartedVms, ChosenReplicaRestartsServiceComesBack) {
+  simulation_.RepeatReplication();
+  simulation_.SetPromotionTime(seconds(1));
+  simulation_.CrashEndpoint(0, seconds(15));
+  while (simulation_.StoredPrimary().phase != PrimaryPhase::kPromoting) {
+    simulation_.RunFor(milliseconds(5));
+  }
+  simulation_.CrashProcess(1, seconds(2));
+  simulation_.CrashProcess(2, std::nullopt);
+  simulation_.CrashAllVms(seconds(1));
+  simulation_.RunFor(seconds(20));
+  EXPECT_LT(TimeToNextAcknowledgement(seconds(10)), seconds(1));
+  ExpectNoViolations();
+}
+
 // Guards against a wait that commits without replicas do not need. The bound is
 // that of a plain crash, with the start of the VMs in place of the detection:
 // searching for the primary takes 0.6 s, and becoming the leader 0.6 s.
