Soak: VMs start again while the primary and a replica are down

A replica receives nothing from a primary that is down, and receives what it missed when the primary is back. The faults have a random generator of their own, so the schedules of earlier seeds stay the same.

--- a/test/soak/database.py
+++ b/test/soak/database.py
@@ -113,6 +113,8 @@
         self.term = 1
         self.is_primary = False
         self.running = False
+        # Never starts again.
+        self.lost = False
         self.draining = False
         self.work_factor = 1.0
         self.lag_factor = 1.0
@@ -137,6 +139,8 @@
         group.endpoints.append(self)
 
     async def start(self):
+        if self.lost:
+            return
         self.server = await asyncio.start_server(
             self._serve, "127.0.0.1", self.port, limit=self.READ_LIMIT_BYTES)
         self.port = self.server.sockets[0].getsockname()[1]
@@ -148,6 +152,10 @@
         self.running = True
         if self.group.current_primary is not self:
             self.become_replica_of(self.group.current_primary)
+            return
+        for other in self.group.endpoints:
+            if other.running and not other.is_primary and not other.isolated:
+                other.become_replica_of(self)
 
     async def crash(self):
         self.running = False
@@ -162,6 +170,8 @@
 
     def become_replica_of(self, primary):
         self.is_primary = False
+        if not primary.running:
+            return
         self.term = primary.term
         common_length = 0
         for own_commit, other in zip(self.log, primary.log):
@@ -175,7 +185,8 @@
 
     def receive(self, primary, commits):
         if self.isolated or self.deaf or not self.running or \
-                self.is_primary or self.term != primary.term:
+                not primary.running or self.is_primary or \
+                self.term != primary.term:
             return
         missing = primary.log[len(self.log):]
         if len(missing) < len(commits):
--- a/test/soak/deployment.py
+++ b/test/soak/deployment.py
@@ -89,7 +89,10 @@
 
     def send_signal(self, number):
         if self.is_running():
-            os.kill(self.process.pid, number)
+            try:
+                os.kill(self.process.pid, number)
+            except ProcessLookupError:
+                pass  # It has just ended, and was not waited for yet.
 
     async def kill(self):
         self.disrupted_at = time.monotonic()
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -347,6 +347,80 @@
     await asyncio.gather(*tasks)
 
 
+async def _replace_after(vm, seconds):
+    await asyncio.sleep(seconds)
+    if vm.is_running() and vm.stop_sent_at is None:
+        await vm.terminate()
+    await vm.start()
+
+
+async def _restart_all_vms(deployment, rng):
+    """Kills all VMs, once or twice in a row, or replaces them in turn."""
+    pattern = rng.choice(["once", "twice", "in turn"])
+    if pattern == "in turn":
+        await asyncio.gather(
+            *(_replace_after(vm, 0.4 * number)
+              for number, vm in enumerate(deployment.vms)))
+        return
+    for _ in range(2 if pattern == "twice" else 1):
+        await asyncio.gather(
+            *(vm.kill() for vm in deployment.vms if vm.is_running()))
+        await _hold_fault(deployment, rng.uniform(0.1, 2), lambda: None)
+        await asyncio.gather(*(vm.start() for vm in deployment.vms))
+        await asyncio.sleep(rng.uniform(0, 1.5))
+
+
+async def _return_after(endpoint, seconds):
+    await asyncio.sleep(seconds)
+    if not endpoint.running:
+        await endpoint.start()
+
+
+async def vms_restarted_while_endpoints_are_down(deployment, rng):
+    """The primary and a replica crash, and all VMs start again, often when the
+    two have disappeared from the registry. One may be lost for good."""
+    group = rng.choice(list(deployment.groups.values()))
+    if any(endpoint.lost for endpoint in group.endpoints):
+        return
+    deployment.record_disruption()
+    replicas = [e for e in group.endpoints if e is not group.current_primary]
+    holder, other = rng.sample(replicas, 2)
+    other.deaf = True
+    await asyncio.sleep(rng.uniform(0.05, 0.3))
+    crashed = [e for e in (group.current_primary, holder) if e.running]
+    await asyncio.gather(*(endpoint.crash() for endpoint in crashed))
+    other.deaf = False
+    if crashed and rng.random() < 0.3:
+        lost = crashed.pop(rng.randrange(len(crashed)))
+        lost.lost = True
+    down_s = rng.uniform(3, 9)
+    returns = [asyncio.create_task(
+        _return_after(e, down_s + rng.uniform(0, 2))) for e in crashed]
+    await asyncio.sleep(rng.uniform(0, 2.5))
+    await _restart_all_vms(deployment, rng)
+    await asyncio.gather(*returns)
+    deployment.record_disruption()
+
+
+async def run_restarts(deployment, rng, seconds, on_fault_started):
+    """Restarts all VMs while endpoints are down, beside the faults of a
+    schedule.
+
+    They are not among FAULTS, so that the schedules of all seeds stay the same.
+    """
+    tasks = []
+    elapsed = 0.0
+    while elapsed < seconds:
+        pause = rng.uniform(1, 6)
+        await asyncio.sleep(pause)
+        elapsed += pause
+        on_fault_started(vms_restarted_while_endpoints_are_down.__name__)
+        tasks.append(asyncio.create_task(
+            vms_restarted_while_endpoints_are_down(
+                deployment, random.Random(rng.random()))))
+    await asyncio.gather(*tasks)
+
+
 async def answers_faulty(deployment, rng):
     endpoints = [e for g in deployment.groups.values() for e in g.endpoints]
     chosen = []
--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -14,8 +14,8 @@
 
 from callers import Balancer, Caller
 from deployment import Deployment
-from faults import run_answer_faults, run_replica_faults, run_restores, \
-    run_schedule
+from faults import run_answer_faults, run_replica_faults, run_restarts, \
+    run_restores, run_schedule
 from promises import GuaranteeChecker
 
 # Faults start during this time; then the deployment must recover.
@@ -89,6 +89,9 @@
                 schedules.append(run_replica_faults(
                     deployment, random.Random(f"replicas of {seed}"),
                     FAULT_DURATION_S, on_fault_started))
+                schedules.append(run_restarts(
+                    deployment, random.Random(f"restarts of {seed}"),
+                    FAULT_DURATION_S, on_fault_started))
             if with_faulty_answers:
                 schedules.append(run_answer_faults(
                     deployment, random.Random(f"answers of {seed}"),
