Log what a held promotion waits for

`primary_state` with `held` is written once and names one replica. `promotion_held` states the candidate, its log, the two limits that it is compared with, and the replica that may hold more; again when that changes, once a second at most.

--- a/src/core/failover/primary_keeper.cc
+++ b/src/core/failover/primary_keeper.cc
@@ -44,6 +44,8 @@
 // Expected time for comparing the replicas and for the two writes before an
 // order.
 constexpr Duration kExpectedOrderTime = milliseconds(200);
+// A log that grows while the promotion is held back is reported this often.
+constexpr Duration kHoldReportInterval = std::chrono::seconds(1);
 constexpr Duration kRetryInterval = milliseconds(150);
 constexpr Duration kMaxRetryDelay = milliseconds(1200);
 // An endpoint that refused an order is not chosen again for this long.
@@ -173,6 +175,7 @@
   record_written_ = false;
   holders_recorded_ = false;
   held_ = false;
+  reported_hold_.reset();
   next_query_ = now;
   next_tick_ = now;
   context_.observer.OnPrimaryStateChanged(
@@ -859,7 +862,7 @@
 void PrimarySupervisor::ChooseReplica(TimePoint now) {
   QueryAll(now);
   if (!sync_replicas_) {
-    HoldPromotion(nullptr, now);
+    HoldPromotion({}, std::nullopt, now);
     return;
   }
   const Duration elapsed = now - state_entered_at_;
@@ -892,7 +895,7 @@
   if (!selection.is_complete) {
     if (*sync_replicas_ > 0) {
       if (elapsed >= kReplicaAnswerTimeout) {
-        HoldPromotion(selection.unmatched, now);
+        HoldPromotion(selection, log_end, now);
       }
     } else if (elapsed > kHandoverTimeout) {
       Enter(State::kSearching, "no_candidate", elapsed, now);
@@ -922,7 +925,8 @@
   Enter(State::kPromoting, "longest_log", elapsed, now);
 }
 
-void PrimarySupervisor::HoldPromotion(const ReplicaLog* unmatched,
+void PrimarySupervisor::HoldPromotion(const ReplicaSelection& selection,
+                                      std::optional<LogPosition> log_end,
                                       TimePoint now) {
   for (const auto& [name, probe] : probes_) {
     const ReplicationStatus* status = probe->StatusSince(state_entered_at_);
@@ -937,11 +941,35 @@
       return;
     }
   }
-  if (std::exchange(held_, true)) return;
-  context_.observer.OnPrimaryStateChanged(
-      service_, "held", unmatched == nullptr ? primary_ : unmatched->endpoint,
-      term_, unmatched == nullptr ? "nothing_known" : "may_hold_commits",
-      now - state_entered_at_);
+  if (!std::exchange(held_, true)) {
+    const ReplicaLog* unmatched = selection.unmatched;
+    context_.observer.OnPrimaryStateChanged(
+        service_, "held", unmatched == nullptr ? primary_ : unmatched->endpoint,
+        term_, unmatched == nullptr ? "nothing_known" : "may_hold_commits",
+        now - state_entered_at_);
+  }
+  ReportHold(selection, log_end, now);
+}
+
+void PrimarySupervisor::ReportHold(const ReplicaSelection& selection,
+                                   std::optional<LogPosition> log_end,
+                                   TimePoint now) {
+  if (reported_hold_ && now - hold_reported_at_ < kHoldReportInterval) return;
+  PromotionHold hold;
+  hold.service = service_;
+  if (selection.best != nullptr) {
+    hold.candidate = selection.best->endpoint;
+    hold.reached = *selection.best->reached;
+  }
+  hold.base = holders_.base();
+  hold.log_end = log_end;
+  if (selection.unmatched != nullptr) {
+    hold.unmatched = selection.unmatched->endpoint;
+  }
+  if (reported_hold_ == hold) return;
+  context_.observer.OnPromotionHeld(hold);
+  reported_hold_ = std::move(hold);
+  hold_reported_at_ = now;
 }
 
 void PrimarySupervisor::WriteRecord(PrimaryRecord record, TimePoint now) {
--- a/src/core/failover/primary_keeper.h
+++ b/src/core/failover/primary_keeper.h
@@ -193,9 +193,13 @@
   /// True if the old primary must step down even if no replica can be promoted
   /// yet.
   bool MustStepDown(TimePoint now) const;
-  /// Holds the promotion back because `unmatched`, if there is one, may hold
-  /// commits that no candidate has. Goes on with a primary that can serve.
-  void HoldPromotion(const ReplicaLog* unmatched, TimePoint now);
+  /// Holds the promotion back, since no candidate is known to hold all commits.
+  /// Goes on with a primary that can serve.
+  void HoldPromotion(const ReplicaSelection& selection,
+                     std::optional<LogPosition> log_end, TimePoint now);
+  /// Reports what the promotion waits for if that has changed.
+  void ReportHold(const ReplicaSelection& selection,
+                  std::optional<LogPosition> log_end, TimePoint now);
   /// Writes the record, unless it is a serving record that the store holds
   /// already. Sets record_written_ once the store holds it.
   void WriteRecord(PrimaryRecord record, TimePoint now);
@@ -268,6 +272,9 @@
   std::optional<std::uint32_t> sync_replicas_;
   /// The promotion is held back, for an unknown time.
   bool held_ = false;
+  /// The last report of what the promotion waits for.
+  std::optional<PromotionHold> reported_hold_;
+  TimePoint hold_reported_at_;
   /// Time from the order of the last promotion until it took effect.
   Duration last_promotion_time_ = kAssumedPromotionTime;
   std::shared_ptr<PrimarySupervisor*> alive_;
--- a/src/proxy/session_log.cc
+++ b/src/proxy/session_log.cc
@@ -316,6 +316,16 @@
        {"input_age_ms", Milliseconds(age)}});
 }
 
+void SessionLog::OnPromotionHeld(const PromotionHold& hold) {
+  Log(LogLevel::kWarning, "promotion_held",
+      {{"service", hold.service},
+       {"candidate", hold.candidate},
+       {"reached", PositionText(hold.reached)},
+       {"base", PositionText(hold.base)},
+       {"log_end", PositionText(hold.log_end.value_or(LogPosition{}))},
+       {"unmatched", hold.unmatched}});
+}
+
 void SessionLog::OnStoreReachable(std::string_view prefix, bool reachable) {
   Log(reachable ? LogLevel::kInfo : LogLevel::kWarning,
       reachable ? "store_reachable" : "store_unreachable",
--- a/src/proxy/session_log.h
+++ b/src/proxy/session_log.h
@@ -59,6 +59,7 @@
   void OnPrimaryStateChanged(const ServiceName& service, std::string_view state,
                              const EndpointName& endpoint, Term term,
                              std::string_view reason, Duration age) override;
+  void OnPromotionHeld(const PromotionHold& hold) override;
   void OnStoreReachable(std::string_view prefix, bool reachable) override;
   void OnMalformedObject(std::string_view path,
                          std::string_view error) override;
--- a/test/failover/fake_failover_simulation.cc
+++ b/test/failover/fake_failover_simulation.cc
@@ -33,6 +33,7 @@
                              const EndpointName& /*endpoint*/, Term /*term*/,
                              std::string_view /*why*/,
                              Duration /*age*/) override {}
+  void OnPromotionHeld(const PromotionHold& /*hold*/) override {}
   void OnStoreReachable(std::string_view /*prefix*/,
                         bool /*reachable*/) override {}
   void OnMalformedObject(std::string_view /*path*/,
--- a/test/failover/lease_reply_test.cc
+++ b/test/failover/lease_reply_test.cc
@@ -24,6 +24,7 @@
   void OnPrimaryStateChanged(const ServiceName&, std::string_view,
                              const EndpointName&, Term, std::string_view,
                              Duration) override {}
+  void OnPromotionHeld(const PromotionHold&) override {}
   void OnStoreReachable(std::string_view, bool) override {}
   void OnMalformedObject(std::string_view, std::string_view) override {}
 };
