Promote a log that reaches a recorded order, also the old primary's

Cause: the order had taken effect, and the new primary was lost for good before a leader had seen it. The next leader took "not known whether the order took effect" for "it did not": the old primary was never a candidate, and the third endpoint lacked commits.

Change: a log that reaches the position in the recorded order is complete. If only the old primary reaches it, it is promoted; where that has no effect, the leader chooses again. The position proves this only if nothing was acknowledged after the order, so leases of the new primary wait for the record that it serves. That record was written before as well; there is no further write.

Failed before: OnlyChosenReplicaReturnsItIsPromoted, OnlyOtherReplicaReturnsItIsPromoted, NewPrimaryIsLostTheOldOneIsPromoted, StoreStopsAfterTheOrderNoCommitIsLost. With the old leases and the new rule, the last one loses commits; without the return to the choice, ChosenReplicaIsLostTheOtherIsPromotedInTime fails.

ChosenReplicaLosesItsLogItIsNotPromoted: its db-2 was meant to lack commits, but received them at the instant of the crash, when a period of 2 s and a timer of 100 ms met. It receives nothing for 1 ms longer; the checks are the same.

--- a/src/core/failover/primary_keeper.cc
+++ b/src/core/failover/primary_keeper.cc
@@ -188,9 +188,11 @@
       !context_.election.IsLeader(now)) {
     return std::nullopt;
   }
-  // A successor that does not know of a replica could promote another one that
-  // lacks its commits.
-  if (sync_replicas_ != 0U && !holders_recorded_) return std::nullopt;
+  // A successor that does not know of a replica, or that the order has taken
+  // effect, could promote an endpoint that lacks its commits.
+  if (sync_replicas_ != 0U && (!holders_recorded_ || HasOrder())) {
+    return std::nullopt;
+  }
   LeaseGrant lease;
   lease.service = service_;
   lease.endpoint = primary_;
@@ -400,6 +402,7 @@
 void PrimarySupervisor::BeginServing(std::string_view why, Duration age,
                                      TimePoint now) {
   Enter(State::kServing, why, age, now);
+  retry_at_ = {};
   holders_.SetPrimary(primary_, chosen_reached_);
   if (sync_replicas_ > 0U) RenewHolders(now);
 }
@@ -827,6 +830,29 @@
   return logs;
 }
 
+// A commit that is acknowledged after the order needs a lease, and that needs
+// another record.
+std::optional<LogPosition> PrimarySupervisor::EndOfOrderedLog() const {
+  return HasOrder() ? current_record()->base : std::nullopt;
+}
+
+// If the order took effect, and the endpoint was lost before a leader noticed,
+// the old primary may be the only one that has all acknowledged commits.
+std::optional<ReplicaLog> PrimarySupervisor::FindReplacedLog(
+    TimePoint now) const {
+  const std::optional<LogPosition> needed = EndOfOrderedLog();
+  const EndpointState* endpoint = Find(primary_);
+  const auto probe = probes_.find(primary_);
+  if (!needed || endpoint == nullptr || probe == probes_.end() ||
+      !IsCandidate(*endpoint, now)) {
+    return std::nullopt;
+  }
+  const ReplicationStatus* status =
+      probe->second->StatusSince(state_entered_at_);
+  if (status == nullptr || status->received < *needed) return std::nullopt;
+  return ReplicaLog{primary_, status->received, status->received, true};
+}
+
 // The endpoint was the primary when no lease was valid any more, so its log has
 // all acknowledged commits.
 std::optional<LogPosition> PrimarySupervisor::EndOfPrimaryLog(
@@ -866,14 +892,22 @@
     return;
   }
   const Duration elapsed = now - state_entered_at_;
-  const std::vector<ReplicaLog> logs = CollectReplicaLogs(now);
+  std::vector<ReplicaLog> logs = CollectReplicaLogs(now);
   const EndpointState* old = Find(primary_);
   EndpointProbe* old_probe = old == nullptr ? nullptr : &ProbeOf(*old);
-  std::optional<LogPosition> log_end = handover_position_;
+  const std::optional<LogPosition> ordered_end = EndOfOrderedLog();
+  std::optional<LogPosition> log_end =
+      ordered_end ? ordered_end : handover_position_;
   if (!log_end && HasOrder() && old_probe != nullptr) {
     log_end = EndOfPrimaryLog(*old_probe);
   }
   ReplicaSelection selection = SelectReplica(logs, *sync_replicas_, log_end);
+  if (!selection.is_complete && elapsed >= kHandoverTimeout) {
+    if (const auto replaced = FindReplacedLog(now)) {
+      logs.push_back(*replaced);
+      selection = SelectReplica(logs, *sync_replicas_, log_end);
+    }
+  }
   // Commits that no caller was told of may be missing.
   if (held_ && !selection.is_complete && selection.best != nullptr) {
     selection = SelectReplica(logs, *sync_replicas_,
@@ -881,7 +915,8 @@
                                   service_, *selection.best->reached));
   }
   if (old_probe != nullptr && selection.best != nullptr) {
-    if (selection.is_complete || MustStepDown(now)) {
+    const bool is_chosen = selection.best->endpoint == primary_;
+    if ((selection.is_complete && !is_chosen) || MustStepDown(now)) {
       old_probe->StepDown(term_ + 1, now);
     } else {
       old_probe->WithdrawStepDown();
@@ -920,7 +955,9 @@
   }
   chosen_ = selection.best->endpoint;
   chosen_started_ms_ = Find(chosen_)->record.started_ms;
-  chosen_reached_ = *selection.best->reached;
+  // Commits beyond the end of the ordered log were not acknowledged.
+  chosen_reached_ = std::min(*selection.best->reached,
+                             ordered_end.value_or(*selection.best->reached));
   chosen_at_ = now;
   Enter(State::kPromoting, "longest_log", elapsed, now);
 }
@@ -1115,7 +1152,15 @@
     return;
   }
   if (now - state_entered_at_ < kPromotionTimeout) return;
-  Enter(State::kPromoting, "no_effect", now - state_entered_at_, now);
+  const Duration elapsed = now - state_entered_at_;
+  if (chosen_ == primary_) {
+    // The order that was to replace it has not taken effect: it is still the
+    // primary for the platform, and cannot be promoted.
+    excluded_until_[chosen_] = now + kReplicaReturnTime;
+    Enter(State::kChoosing, "no_effect", elapsed, now);
+    return;
+  }
+  Enter(State::kPromoting, "no_effect", elapsed, now);
 }
 
 }  // namespace carawayhaven
--- a/src/core/failover/primary_keeper.h
+++ b/src/core/failover/primary_keeper.h
@@ -186,6 +186,13 @@
   bool IsCandidate(const EndpointState& endpoint, TimePoint now) const;
   /// True if the endpoint may hold commits that no other log contains.
   bool MayHoldLog(const EndpointState& endpoint, TimePoint now) const;
+  /// If an order is recorded, a position that all acknowledged commits are
+  /// within, or nothing.
+  std::optional<LogPosition> EndOfOrderedLog() const;
+  /// The log of the old primary if an order to replace it is recorded and it
+  /// has all acknowledged commits, or nothing. It can be promoted only if the
+  /// order has taken effect.
+  std::optional<ReplicaLog> FindReplacedLog(TimePoint now) const;
   /// End of the log of the old primary if it still is the primary, or nothing.
   std::optional<LogPosition> EndOfPrimaryLog(const EndpointProbe& probe) const;
   /// True if an order to promote an endpoint is recorded.
--- a/test/failover/failover_test.cc
+++ b/test/failover/failover_test.cc
@@ -166,10 +166,10 @@
     simulation_.RunFor(seconds(1));
   }
 
-  /// Lets db-2 receive nothing for a while, so that db-1 alone has the last
-  /// commits, and crashes the primary.
+  /// Lets db-2 receive nothing until after the crash, so that db-1 alone has
+  /// the last commits, and crashes the primary.
   void CrashPrimaryWithOneHolder(Duration down) {
-    simulation_.StopReplication(2, seconds(2));
+    simulation_.StopReplication(2, milliseconds(2001));
     simulation_.RunFor(seconds(2));
     simulation_.CrashEndpoint(0, down);
   }
@@ -277,16 +277,23 @@
 
 class FailoverWithRestartedVms : public FailoverWithSyncReplica {
  protected:
-  /// Lets db-2 receive nothing for a while, so that db-1 alone has the last
-  /// commits, and crashes the primary and db-1.
+  /// Lets db-2 receive nothing until after the crash, so that db-1 alone has
+  /// the last commits, and crashes the primary and db-1.
   void CrashPrimaryAndHolder(std::optional<Duration> primary_down,
                              std::optional<Duration> holder_down,
                              bool holder_keeps_log = true) {
-    simulation_.StopReplication(2, seconds(2));
+    simulation_.StopReplication(2, milliseconds(2001));
     simulation_.RunFor(seconds(2));
     simulation_.CrashProcess(0, primary_down);
     simulation_.CrashProcess(1, holder_down, holder_keeps_log);
   }
+
+  /// Runs until the order to promote an endpoint is recorded.
+  void RunUntilOrdered() {
+    while (simulation_.StoredPrimary().phase != PrimaryPhase::kPromoting) {
+      simulation_.RunFor(milliseconds(5));
+    }
+  }
 };
 
 // Guards against a leader that started after the entries of the old primary and
@@ -393,9 +400,7 @@
   simulation_.RepeatReplication();
   simulation_.SetPromotionTime(seconds(1));
   CrashPrimaryWithOneHolder(seconds(30));
-  while (simulation_.StoredPrimary().phase != PrimaryPhase::kPromoting) {
-    simulation_.RunFor(milliseconds(5));
-  }
+  RunUntilOrdered();
   simulation_.CrashProcess(1, seconds(2), false);
   simulation_.CrashAllVms(seconds(1));
   simulation_.RunFor(seconds(20));
@@ -412,9 +417,7 @@
   simulation_.RepeatReplication();
   simulation_.SetPromotionTime(seconds(1));
   simulation_.CrashEndpoint(0, seconds(15));
-  while (simulation_.StoredPrimary().phase != PrimaryPhase::kPromoting) {
-    simulation_.RunFor(milliseconds(5));
-  }
+  RunUntilOrdered();
   simulation_.CrashProcess(1, seconds(2));
   simulation_.CrashProcess(2, std::nullopt);
   simulation_.CrashAllVms(seconds(1));
@@ -423,6 +426,93 @@
   ExpectNoViolations();
 }
 
+// Guards against a wait for endpoints that never return while the chosen one is
+// back with its log, which the record of the order proves complete.
+TEST_F(FailoverWithRestartedVms, OnlyChosenReplicaReturnsItIsPromoted) {
+  simulation_.SetPromotionTime(seconds(1));
+  CrashPrimaryWithOneHolder(seconds(1000));
+  RunUntilOrdered();
+  simulation_.CrashProcess(0, std::nullopt);
+  simulation_.CrashProcess(1, seconds(2));
+  simulation_.CrashProcess(2, seconds(30), false);
+  simulation_.CrashAllVms(seconds(1));
+  simulation_.RunFor(seconds(10));
+  EXPECT_EQ(simulation_.Primary(), 1U);
+  // With no replica, commits are not acknowledged.
+  simulation_.RunFor(seconds(22));
+  EXPECT_LT(TimeToNextAcknowledgement(seconds(5)), seconds(2));
+  ExpectNoViolations();
+}
+
+// As before, with the replica that was not chosen and has all commits.
+TEST_F(FailoverWithRestartedVms, OnlyOtherReplicaReturnsItIsPromoted) {
+  simulation_.SetPromotionTime(seconds(1));
+  simulation_.CrashEndpoint(0, seconds(1000));
+  RunUntilOrdered();
+  const std::size_t other =
+      simulation_.StoredPrimary().primary == "db-1" ? 2 : 1;
+  simulation_.CrashProcess(0, std::nullopt);
+  simulation_.CrashProcess(3 - other, std::nullopt);
+  simulation_.CrashAllVms(seconds(1));
+  simulation_.RunFor(seconds(12));
+  EXPECT_EQ(simulation_.Primary(), other);
+  ExpectNoViolations();
+}
+
+// Guards against a service that stays down although the old primary, which has
+// all commits, is back: the one that was promoted in its place is lost before a
+// leader has noticed, and the third one lacks commits.
+TEST_F(FailoverWithRestartedVms, NewPrimaryIsLostTheOldOneIsPromoted) {
+  simulation_.SetPromotionTime(milliseconds(100));
+  CrashPrimaryWithOneHolder(seconds(10));
+  simulation_.IsolateEndpoint(2, {}, seconds(30));
+  RunUntilOrdered();
+  while (simulation_.Primary() != 1) simulation_.RunFor(milliseconds(1));
+  simulation_.CrashProcess(1, std::nullopt);
+  simulation_.CrashAllVms(seconds(1));
+  simulation_.RunFor(seconds(20));
+  EXPECT_EQ(simulation_.Primary(), 0U);
+  simulation_.RunFor(seconds(10));
+  EXPECT_LT(TimeToNextAcknowledgement(seconds(5)), seconds(1));
+  ExpectNoViolations();
+}
+
+// Guards against a second order that keeps the leader from promoting the third
+// replica once that has all commits: the chosen one is lost before it leads, so
+// the old primary cannot be promoted.
+TEST_F(FailoverWithRestartedVms, ChosenReplicaIsLostTheOtherIsPromotedInTime) {
+  simulation_.RepeatReplication();
+  simulation_.SetPromotionTime(seconds(1));
+  CrashPrimaryWithOneHolder(seconds(10));
+  simulation_.StopReplication(2, seconds(20));
+  RunUntilOrdered();
+  simulation_.CrashProcess(1, std::nullopt);
+  simulation_.CrashAllVms(seconds(1));
+  simulation_.RunFor(seconds(19));
+  EXPECT_EQ(simulation_.promotions(), 0U);
+  simulation_.RunFor(seconds(6));
+  EXPECT_EQ(simulation_.Primary(), 2U);
+  ExpectNoViolations();
+}
+
+// Guards against commits that are acknowledged while the record still says that
+// the promotion was ordered: the next leader would not know of them.
+TEST_F(FailoverWithRestartedVms, StoreStopsAfterTheOrderNoCommitIsLost) {
+  simulation_.SetPromotionTime(seconds(1));
+  CrashPrimaryWithOneHolder(seconds(12));
+  RunUntilOrdered();
+  simulation_.RunFor(milliseconds(500));
+  simulation_.StopStore(seconds(6));
+  simulation_.RunFor(seconds(4));
+  ASSERT_EQ(simulation_.Primary(), 1U);
+  simulation_.CrashProcess(1, std::nullopt);
+  simulation_.CrashProcess(2, std::nullopt);
+  simulation_.CrashAllVms(seconds(1));
+  simulation_.RunFor(seconds(20));
+  EXPECT_EQ(simulation_.Primary(), 0U);
+  ExpectNoViolations();
+}
+
 // Guards against a wait that commits without replicas do not need. The bound is
 // that of a plain crash, with the start of the VMs in place of the detection:
 // searching for the primary takes 0.6 s, and becoming the leader 0.6 s.
