Do not take an unreadable primary record for none

Cause: a leader that could not read the record took the endpoint that says it is primary in the highest term. This was the old one of term 1, as the successor was down, although a replica and the leader's lease knew term 2. Terms were compared only after a restore of the store.

Change: the search without a record, which compares terms, is used whenever there was a record, and also when an endpoint knows of a higher term.

--- a/src/core/failover/primary_keeper.cc
+++ b/src/core/failover/primary_keeper.cc
@@ -343,7 +343,7 @@
       best = probe.get();
     }
   }
-  if (record == nullptr && era_ != 0) {
+  if (record == nullptr && IsRecordMissing(best)) {
     SearchWithoutRecord(best, now);
     return;
   }
@@ -373,6 +373,13 @@
   }
 }
 
+// An endpoint that leads an older term than another one has seen was replaced,
+// and so there was a record.
+bool PrimarySupervisor::IsRecordMissing(const EndpointProbe* best) const {
+  return era_ != 0 || recorded_ || unreadable_version_ != 0 ||
+         (best != nullptr && best->LastStatus()->term < KnownTerm());
+}
+
 // The endpoint may have started again since it was chosen, and then it may have
 // lost its log. It is not promoted unless the order has taken effect already.
 void PrimarySupervisor::ResumePromotion(const PrimaryRecord& record,
--- a/src/core/failover/primary_keeper.h
+++ b/src/core/failover/primary_keeper.h
@@ -127,8 +127,10 @@
   void Enter(State state, std::string_view why, Duration age, TimePoint now);
   EndpointProbe& ProbeOf(const EndpointState& endpoint);
   void SearchPrimary(TimePoint now);
-  /// As SearchPrimary, without a record of the present era. `best` is the
-  /// endpoint that says that it is primary in the highest term, or null.
+  /// True if there was a record, when none can be read. `best` is the endpoint
+  /// that says that it is primary in the highest term, or null.
+  bool IsRecordMissing(const EndpointProbe* best) const;
+  /// As SearchPrimary, without a record of the present era. `best` as above.
   void SearchWithoutRecord(const EndpointProbe* best, TimePoint now);
   /// True if the endpoint was the primary when it reported its position. There
   /// must be one.
--- a/test/failover/failover_test.cc
+++ b/test/failover/failover_test.cc
@@ -923,6 +923,22 @@
   ExpectNoViolations();
 }
 
+// Guards against an unreadable record that is taken for none, so that an old
+// primary is used that has not noticed its replacement.
+TEST_F(FailoverWithFiveVms, PrimaryRecordIsOddOldPrimaryIsNotUsed) {
+  simulation_.IsolateEndpoint(0, {0, 1, 2, 3, 4}, seconds(8));
+  simulation_.RunFor(seconds(6));
+  const std::size_t second = simulation_.Primary();
+  ASSERT_NE(second, 0U);
+  simulation_.CrashEndpoint(second, seconds(60));
+  simulation_.IsolateEndpoint(0, {}, seconds(60));
+  simulation_.OverwriteObject("carawayhaven/primary.registro", "1e999");
+  simulation_.CrashVm(simulation_.Leaders().at(0), seconds(30));
+  simulation_.RunFor(seconds(30));
+  EXPECT_EQ(simulation_.Primary(), 3 - second);
+  ExpectNoViolations();
+}
+
 // Ends all faults. Callers must be served again some time later.
 void ExpectRecovery(FailoverSimulation& simulation, std::uint64_t seed) {
   simulation.EndAllFaults();
