Use a primary that came back under another name

Cause: an endpoint of another name than the recorded primary's was taken for an old primary unless its term was newer. So the new leader went on to promote another one, which has to wait for the leases of the lost leader.

Change: a term has one primary, so an endpoint that leads in the recorded term is used under any name. While the recorded one is missing from the registry, the leader asks the others as well.

ReplacedPrimaryIsRenamedItIsNotUsed guards the other side.

--- a/src/core/failover/primary_keeper.cc
+++ b/src/core/failover/primary_keeper.cc
@@ -339,9 +339,13 @@
   for (const auto& [name, probe] : probes_) {
     const ReplicationStatus* status = probe->StatusSince(state_entered_at_);
     if (status == nullptr || !status->is_primary) continue;
-    if (best == nullptr || status->term > best->LastStatus()->term) {
-      best = probe.get();
-    }
+    // Also the former name of an endpoint may still lead to it.
+    const auto rank = [this, now](const EndpointProbe& candidate) {
+      const EndpointState* endpoint = Find(candidate.record().name);
+      return std::pair(candidate.LastStatus()->term,
+                       endpoint != nullptr && endpoint->AcceptsWork(now));
+    };
+    if (best == nullptr || rank(*probe) > rank(*best)) best = probe.get();
   }
   if (record == nullptr && IsRecordMissing(best)) {
     SearchWithoutRecord(best, now);
@@ -362,10 +366,12 @@
   }
   // An endpoint other than the recorded primary may be an old primary that was
   // cut off when it was replaced, unless its term is newer than the record's.
+  // In the same term it is the recorded one, which came back under another
+  // name.
   const bool expected =
       best != nullptr &&
       (record == nullptr || record->primary == best->record().name ||
-       best->LastStatus()->term > record->term);
+       best->LastStatus()->term >= record->term);
   if (expected) {
     Serve(*best, "status", now);
   } else if (now - state_entered_at_ >= kSuspectAfter) {
@@ -619,9 +625,27 @@
          LeaderElection::kClockDriftMargin;
 }
 
+// A term has one primary.
+const EndpointProbe* PrimarySupervisor::FindReturnedPrimary() const {
+  for (const auto& [name, probe] : probes_) {
+    const ReplicationStatus* status = probe->StatusSince(state_entered_at_);
+    if (name != primary_ && status != nullptr && status->is_primary &&
+        status->term >= term_) {
+      return probe.get();
+    }
+  }
+  return nullptr;
+}
+
 void PrimarySupervisor::AwaitLeaseExpiry(TimePoint now) {
   const EndpointState* endpoint = Find(primary_);
-  if (endpoint != nullptr && now >= next_query_) {
+  if (endpoint == nullptr || endpoint->missing_since != TimePoint::max()) {
+    QueryAll(now);
+    if (const EndpointProbe* returned = FindReturnedPrimary()) {
+      Enter(State::kSearching, "returned", now - returned->status_as_of(), now);
+      return;
+    }
+  } else if (now >= next_query_) {
     next_query_ = now + kFastQueryInterval;
     ProbeOf(*endpoint).Query(now);
   }
--- a/src/core/failover/primary_keeper.h
+++ b/src/core/failover/primary_keeper.h
@@ -157,6 +157,9 @@
   /// When the last lease ends, if the record was withdrawn at this time.
   TimePoint LeaseEndAfter(TimePoint withdrawn) const;
   void AwaitLeaseExpiry(TimePoint now);
+  /// Another endpoint than the present primary that says that it is primary in
+  /// the present term, or null. It is the present primary under another name.
+  const EndpointProbe* FindReturnedPrimary() const;
   void ChooseReplica(TimePoint now);
   /// Updates which replicas may hold acknowledged commits.
   void UpdateHolders(TimePoint now);
--- a/test/failover/failover_simulation.h
+++ b/test/failover/failover_simulation.h
@@ -53,6 +53,8 @@
   /// `down` it is lost for good.
   void CrashProcess(std::size_t endpoint, std::optional<Duration> down,
                     bool keeps_log = true);
+  /// Changes the name of an endpoint that has disappeared from the registry.
+  void RenameEndpoint(std::size_t endpoint, const EndpointName& name);
   /// From now on, replicas receive commits that they missed also without a
   /// newer one, from the endpoint that was promoted last, even if that one has
   /// stepped down.
--- a/test/failover/failover_test.cc
+++ b/test/failover/failover_test.cc
@@ -513,6 +513,43 @@
   ExpectNoViolations();
 }
 
+// Guards against a wait for the leases of a leader that was lost, which only a
+// promotion needs: the primary is back under another name, and its term shows
+// that it was not replaced. The bound is that of a search for the primary and
+// of the next query.
+TEST_F(FailoverWithFiveVms, PrimaryReturnsUnderAnotherNameItServesAtOnce) {
+  const std::size_t leader = simulation_.Leaders().at(0);
+  simulation_.CrashProcess(0, seconds(6));
+  for (std::size_t vm = 0; vm < 5; ++vm) {
+    simulation_.CrashVm(vm, vm == leader ? seconds(1000) : seconds(1));
+  }
+  simulation_.RunFor(seconds(5));
+  simulation_.RenameEndpoint(0, "db-9");
+  simulation_.RunFor(seconds(1));
+  EXPECT_LT(TimeToNextAcknowledgement(seconds(10)), milliseconds(700));
+  EXPECT_EQ(simulation_.promotions(), 0U);
+  ExpectNoViolations();
+}
+
+// Guards against an old primary that is taken for one which came back under
+// another name: its term is that of an earlier record.
+TEST_F(FailoverWithFiveVms, ReplacedPrimaryIsRenamedItIsNotUsed) {
+  simulation_.IsolateEndpoint(0, {0, 1, 2, 3, 4}, seconds(12));
+  simulation_.RunFor(seconds(6));
+  const std::size_t second = simulation_.Primary();
+  ASSERT_NE(second, 0U);
+  simulation_.SetRegistered(0, false);
+  simulation_.RenameEndpoint(0, "db-9");
+  simulation_.CrashProcess(second, seconds(30));
+  simulation_.RunFor(seconds(4));
+  simulation_.IsolateEndpoint(0, {}, seconds(60));
+  simulation_.SetRegistered(0, true);
+  simulation_.CrashAllVms(seconds(1));
+  simulation_.RunFor(seconds(20));
+  EXPECT_NE(simulation_.Primary(), 0U);
+  ExpectNoViolations();
+}
+
 // Guards against a wait that commits without replicas do not need. The bound is
 // that of a plain crash, with the start of the VMs in place of the detection:
 // searching for the primary takes 0.6 s, and becoming the leader 0.6 s.
--- a/test/failover/fake_failover_simulation.cc
+++ b/test/failover/fake_failover_simulation.cc
@@ -923,6 +923,11 @@
   SetRegistered(index, true);
 }
 
+void FailoverSimulation::RenameEndpoint(std::size_t endpoint,
+                                        const EndpointName& name) {
+  endpoints_[endpoint]->record.name = name;
+}
+
 void FailoverSimulation::RepeatReplication() {
   simulation_.After(milliseconds(100), [this] { RepeatReplication(); });
   for (std::size_t i = 0; i < endpoints_.size(); ++i) {
