Simulation: a second crash does not shorten the first

Trace: db-0 crashed for 8 s and was to come back without its log. A later, shorter crash ended its downtime early, so its log vanished while it ran, 0.3 s before an accepted order to promote it took effect. No proxy can see that. A crash now lasts as long as the longer of the two; the checks are as they were.

--- a/test/failover/fake_failover_simulation.cc
+++ b/test/failover/fake_failover_simulation.cc
@@ -888,7 +888,7 @@
 
 void FailoverSimulation::CrashEndpoint(std::size_t index, Duration down) {
   Endpoint& endpoint = *endpoints_[index];
-  endpoint.down_until = simulation_.now() + down;
+  endpoint.down_until = std::max(endpoint.down_until, simulation_.now() + down);
   ++endpoint.process;
 }
 
