Compare the number of commits too when a log must be complete

Cause: the position of an empty log, or of one that is still being received, states the present term, and compares as newer than the position that the log must reach. The old primary, which had lost its log, was promoted by the rule for recorded orders.

Change: a log contains a position only if it is not older and has as many commits, since the number of commits never falls from term to term. This also holds for the base of a record and for the log of an old primary that steps down.

--- a/src/core/failover/primary_keeper.cc
+++ b/src/core/failover/primary_keeper.cc
@@ -841,7 +841,8 @@
                sync_replicas_ > 0U && holder != nullptr) {
       log.end = holder->last_acknowledged;
     }
-    if (sync_replicas_ > 0U && log.reached < holders_.base()) {
+    if (sync_replicas_ > 0U &&
+        !Contains(log.reached.value_or(LogPosition{}), holders_.base())) {
       log.is_candidate = false;
     }
     logs.push_back(std::move(log));
@@ -880,7 +881,9 @@
   }
   const ReplicationStatus* status =
       probe->second->StatusSince(state_entered_at_);
-  if (status == nullptr || status->received < *needed) return std::nullopt;
+  if (status == nullptr || !Contains(EndOfLog(status->received), *needed)) {
+    return std::nullopt;
+  }
   return ReplicaLog{primary_, status->received, status->received, true};
 }
 
@@ -954,7 +957,7 @@
     }
     // A log that is shorter than that of a replica was lost in a restart.
     if (old_probe->stepped_down() && !handover_position_ &&
-        old_probe->LastStatus()->received >= *selection.best->reached) {
+        Contains(old_probe->LastStatus()->received, *selection.best->reached)) {
       handover_position_ = old_probe->LastStatus()->received;
     }
   }
--- a/src/core/failover/replica_selection.cc
+++ b/src/core/failover/replica_selection.cc
@@ -1,6 +1,11 @@
 #include "core/failover/replica_selection.h"
 
 namespace carawayhaven {
+
+bool Contains(LogPosition end, LogPosition position) {
+  return end >= position && end.index >= position.index;
+}
+
 namespace {
 
 ReplicaSelection Assess(const ReplicaLog& candidate,
@@ -8,7 +13,7 @@
                         std::uint32_t sync_replicas,
                         std::optional<LogPosition> log_end) {
   ReplicaSelection selection{&candidate, true, nullptr};
-  const bool has_all = log_end && *candidate.reached >= *log_end;
+  const bool has_all = log_end && Contains(*candidate.reached, *log_end);
   if (sync_replicas == 0 || has_all) return selection;
   // A commit that the candidate lacks is held by `sync_replicas` others. If
   // fewer logs are unknown, it is in a known one, which then is longer.
--- a/src/core/failover/replica_selection.h
+++ b/src/core/failover/replica_selection.h
@@ -22,6 +22,10 @@
   bool is_candidate = false;
 };
 
+/// True if a log with this end contains the commit at `position`. A log of a
+/// newer term that has fewer commits is still being received.
+bool Contains(LogPosition end, LogPosition position);
+
 struct ReplicaSelection {
   /// The candidate to promote, or null if no log of a candidate is known.
   const ReplicaLog* best = nullptr;
--- a/test/failover/failover_test.cc
+++ b/test/failover/failover_test.cc
@@ -477,6 +477,23 @@
   ExpectNoViolations();
 }
 
+// As before, with an old primary that has lost its log since: an empty log that
+// states the present term is not one that reaches the position in the order.
+TEST_F(FailoverWithRestartedVms, NewPrimaryIsLostOldLogIsLostItIsNotPromoted) {
+  simulation_.SetPromotionTime(milliseconds(100));
+  CrashPrimaryWithOneHolder(seconds(3));
+  simulation_.IsolateEndpoint(2, {}, seconds(60));
+  RunUntilOrdered();
+  while (simulation_.Primary() != 1) simulation_.RunFor(milliseconds(1));
+  simulation_.CrashAllVms(seconds(4));
+  simulation_.RunFor(seconds(3));
+  simulation_.CrashProcess(0, milliseconds(500), false);
+  simulation_.CrashProcess(1, std::nullopt);
+  simulation_.RunFor(seconds(20));
+  EXPECT_EQ(simulation_.promotions(), 1U);
+  ExpectNoViolations();
+}
+
 // Guards against a second order that keeps the leader from promoting the third
 // replica once that has all commits: the chosen one is lost before it leads, so
 // the old primary cannot be promoted.
