Refuse at once while a new primary waits for the store

With SyncReplicas, leases for a new primary wait for its record. If the store goes down during a promotion, callers would wait until the limit of their route, though nobody knows how long that lasts. From 0.5 s after the promotion took effect, the leader now reports the primary as absent for an unknown time, so statements are refused at once with Retry-After 1 s.

--- a/src/core/failover/primary_keeper.cc
+++ b/src/core/failover/primary_keeper.cc
@@ -46,6 +46,8 @@
 constexpr Duration kExpectedOrderTime = milliseconds(200);
 // A log that grows while the promotion is held back is reported this often.
 constexpr Duration kHoldReportInterval = std::chrono::seconds(1);
+// The store usually answers a write within this time, also from another region.
+constexpr Duration kExpectedWriteTime = milliseconds(500);
 constexpr Duration kRetryInterval = milliseconds(150);
 constexpr Duration kMaxRetryDelay = milliseconds(1200);
 // An endpoint that refused an order is not chosen again for this long.
@@ -223,10 +225,16 @@
          state_ == State::kPromoting || state_ == State::kConfirming;
 }
 
+bool PrimarySupervisor::AwaitsStore(TimePoint now) const {
+  return state_ == State::kServing && sync_replicas_ > 0U && HasOrder() &&
+         now - state_entered_at_ >= kExpectedWriteTime;
+}
+
 std::optional<PrimaryAbsence> PrimarySupervisor::FindAbsence(
     TimePoint now) const {
-  if (!IsReplacing()) return std::nullopt;
   PrimaryAbsence absence{service_, std::nullopt};
+  if (AwaitsStore(now)) return absence;
+  if (!IsReplacing()) return std::nullopt;
   if (state_ == State::kStopped) {
     const TimePoint withdrawn = record_written_ ? record_written_at_ : now;
     const TimePoint expired = LeaseEndAfter(withdrawn);
--- a/src/core/failover/primary_keeper.h
+++ b/src/core/failover/primary_keeper.h
@@ -95,8 +95,9 @@
   /// The lease for the primary that may be granted now, or nothing.
   std::optional<LeaseGrant> GrantableLease(TimePoint now) const;
 
-  /// The absence of the primary while it is being replaced, with the expected
-  /// time until leases are granted again; nothing in all other states.
+  /// The absence of the primary while it is being replaced or waits for the
+  /// store, with the expected time until leases are granted again, if it is
+  /// known; nothing in all other states.
   std::optional<PrimaryAbsence> FindAbsence(TimePoint now) const;
 
  private:
@@ -153,6 +154,9 @@
   /// Enters kServing with `primary_`.
   void BeginServing(std::string_view why, Duration age, TimePoint now);
   void StopWithoutPrimary(TimePoint now);
+  /// True if leases for a new primary have been waiting for its record for
+  /// long.
+  bool AwaitsStore(TimePoint now) const;
   void MonitorPrimary(TimePoint now);
   /// When the last lease ends, if the record was withdrawn at this time.
   TimePoint LeaseEndAfter(TimePoint withdrawn) const;
--- a/test/failover/failover_test.cc
+++ b/test/failover/failover_test.cc
@@ -567,6 +567,24 @@
   ExpectNoViolations();
 }
 
+// Guards against callers that wait while nobody knows how long the store, and
+// so the record of the new primary, will be missing.
+TEST_F(FailoverWithRestartedVms, StoreStopsAfterTheOrderWritesAreRefused) {
+  simulation_.SetPromotionTime(seconds(1));
+  CrashPrimaryWithOneHolder(seconds(60));
+  RunUntilOrdered();
+  simulation_.RunFor(milliseconds(500));
+  simulation_.StopStore(seconds(6));
+  simulation_.RunFor(milliseconds(2500));
+  simulation_.ResetRefusals();
+  simulation_.RunFor(seconds(2));
+  EXPECT_GT(simulation_.refusals(), 20U);
+  EXPECT_EQ(simulation_.longest_refusal(), Duration{0});
+  simulation_.RunFor(seconds(1));
+  EXPECT_LT(TimeToNextAcknowledgement(seconds(5)), seconds(2));
+  ExpectNoViolations();
+}
+
 // Guards against a wait that commits without replicas do not need. The bound is
 // that of a plain crash, with the start of the VMs in place of the detection:
 // searching for the primary takes 0.6 s, and becoming the leader 0.6 s.
