Review case 12: no machine in touch learns of a configuration

Claim: when the machines that read the configuration, one a zone, are cut from the store, the machines in touch refuse a new database 4 s after the acknowledgement (CONFIG).

--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -136,9 +136,10 @@
         self.machine = machine
         self.port = 0
         self.server = None
-        # An async function that gets method, path and writer and returns True
-        # if it has answered in the place of the store.
-        self.intercept = None
+        # The machine is partitioned from the store: bytes get lost silently.
+        self.cut = False
+        # When this machine last waited for changes of a kind.
+        self.watched_at = {}
 
     async def start(self):
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -159,12 +160,11 @@
                 body = await reader.readexactly(length) if length else b""
                 path, _, query = target.partition("?")
                 query = dict(urllib.parse.parse_qsl(query))
-                if self.intercept is not None and \
-                        await self.intercept(method, target, writer):
-                    continue
+                await self._hang_while_cut()
                 await asyncio.sleep(self.ANSWER_S)
                 status, answer = await self._answer(
                     method, urllib.parse.unquote(path), query, headers, body)
+                await self._hang_while_cut()
                 text = json.dumps(answer).encode()
                 writer.write(
                     f"HTTP/1.1 {status} -\r\nContent-Type: application/json"
@@ -175,6 +175,11 @@
         finally:
             writer.close()
 
+    async def _hang_while_cut(self):
+        """A connection that lost bytes is silent for good."""
+        if self.cut:
+            await asyncio.sleep(3600)
+
     async def _answer(self, method, path, query, headers, body):
         if path == "/promotion" and method == "POST":
             return self._promote(headers, json.loads(body))
@@ -215,6 +220,7 @@
 
     async def _watch(self, kind, query):
         after = int(query["Watch"])
+        self.watched_at[kind] = time.monotonic()
         deadline = time.monotonic() + \
             min(int(query.get("WaitMs", "0")), 30000) / 1000
         while True:
@@ -269,7 +275,7 @@
 class Group:
     """A service: one primary and its replicas."""
 
-    def __init__(self, name, record, lag_s=0.02, promote_s=1.0):
+    def __init__(self, name, record, lag_s=0.008, promote_s=0.6):
         self.name, self.record = name, record
         self.lag_s, self.promote_s = lag_s, promote_s
         self.backends = []
@@ -306,8 +312,8 @@
 class Backend:
     """A database process that speaks the wire protocol."""
 
-    def __init__(self, group, name, zone, slots=3, connections=21,
-                 work_s=0.007):
+    def __init__(self, group, name, zone, slots=5, connections=60,
+                 work_s=0.0093):
         self.group, self.name, self.zone = group, name, zone
         self.slots, self.connections, self.work_s = slots, connections, work_s
         self.term, self.log, self.applied = group.term, [], 0
@@ -575,12 +581,12 @@
 
 
 class Deployment:
-    """Six machines in three zones and one service of three backends."""
+    """The machines of kw-hirehub and one service of three backends."""
 
     BOUNDS = {"GraceS": 6}
-    ZONES = ["mendoza", "cordoba", "parana"]
+    ZONES = ["zrh-a", "gva-a", "lug-a"]
 
-    def __init__(self, record, machines=6, service="registro"):
+    def __init__(self, record, machines=(4, 3, 2), service="hire-core"):
         self.record = record
         self.directory = tempfile.mkdtemp(prefix="review-")
         deploy = tomllib.loads(
@@ -591,9 +597,9 @@
         self.group = Group(service, record)
         self.groups = {service: self.group}
         self.machines = [
-            Machine(f"front-{self.ZONES[i % 3]}-{i // 3 + 1}",
-                    self.ZONES[i % 3], self.directory, run)
-            for i in range(machines)]
+            Machine(f"front-{zone}-{number}", zone, self.directory, run)
+            for zone, count in zip(self.ZONES, machines)
+            for number in range(1, count + 1)]
         self.tasks = []
         self.version = 4
         self.routes = [
@@ -610,12 +616,13 @@
         self.version += 3
         self.store.put("config", "main", {
             "Version": self.version, "Routes": self.routes,
-            "Services": [{"Name": self.service, "MaxConnections": 21,
+            "Services": [{"Name": self.service, "MaxConnections": 60,
                           "SyncReplicas": 0}],
             "Limits": {"TxIdleMs": 5000}})
         self.record.add("config", self.version, "acknowledged")
 
-    async def start(self):
+    async def start(self, first=()):
+        """The machines named in `first` start 0.25 s before the others."""
         for i, zone in enumerate(self.ZONES):
             backend = Backend(self.group, f"i-{i}a4c{i}e7f", zone)
             if i == 0:
@@ -627,7 +634,12 @@
             machine.store = StoreServer(self.store, self.groups, self.record,
                                         machine.name)
             await machine.store.start()
-            await machine.start(self.BOUNDS)
+        for early in (True, False):
+            for machine in self.machines:
+                if (machine.name in first) == early:
+                    await machine.start(self.BOUNDS)
+            if first and early:
+                await asyncio.sleep(0.25)
 
     async def _beat(self, backend):
         """The entry changes when more than its sequence changes."""
@@ -664,6 +676,11 @@
                 return False
         return True
 
+    def leader(self):
+        """The machine that the leader record names."""
+        stored = self.store.objects.get(("carawayhaven", "duty"))
+        return stored["spec"]["holder"] if stored else None
+
     async def stop(self):
         for task in self.tasks:
             task.cancel()
