Review case 12: also writes by a dropped route

Claim: as before; the machines in touch also run writes for a client whose route the configuration has dropped. Only machines that run sessions themselves are judged now.

--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -170,7 +170,8 @@
                     f"HTTP/1.1 {status} -\r\nContent-Type: application/json"
                     f"\r\nContent-Length: {len(text)}\r\n\r\n".encode() + text)
                 await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError, OSError):
+        except (asyncio.IncompleteReadError, ConnectionError, OSError,
+                asyncio.CancelledError):
             pass
         finally:
             writer.close()
@@ -327,6 +328,7 @@
         self.queued = 0
         self.signatures = itertools.count(1)
         self.tables = {}  # rows of items that are not the usual ones
+        self.arrived = set()  # ids of the requests that reached this backend
         group.backends.append(self)
 
     async def start(self):
@@ -399,6 +401,8 @@
                 if not line.endswith(b"\r\n") or not line.startswith(b"QUERY"):
                     return
                 _, query, text = line[:-2].decode().split(" ", 2)
+                if query != "-":
+                    self.arrived.add(query)
                 rows, code, signature = await self._run(session, query, text)
                 if code and session.writes is not None and \
                         code not in ("BUSY", "LAGGING"):
@@ -412,7 +416,7 @@
                     f"READY {session.state()} {position}\r\n".encode())
                 await writer.drain()
         except (ConnectionError, OSError, asyncio.IncompleteReadError,
-                ValueError):
+                ValueError, asyncio.CancelledError):
             pass
         finally:
             self.writers.discard(writer)
@@ -694,6 +698,36 @@
         shutil.rmtree(self.directory, ignore_errors=True)
 
 
+class Balancer:
+    """The platform's choice of the machine for a new connection."""
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.misses = {m.name: 0 for m in deployment.machines}
+        self.tasks = [asyncio.create_task(self._ask(m))
+                      for m in deployment.machines]
+
+    async def _ask(self, machine):
+        while True:
+            ready = await machine.is_ready()
+            self.misses[machine.name] = \
+                0 if ready else self.misses[machine.name] + 1
+            await asyncio.sleep(1)
+
+    def machines(self, zone):
+        """The machines that get new connections of the zone's clients."""
+        own = [m for m in self.deployment.machines if m.zone == zone]
+        used = [m for m in own if self.misses[m.name] < 2]
+        if not used:
+            return [m for m in self.deployment.machines
+                    if self.misses[m.name] < 2]
+        return own if 2 * len(used) < len(own) else used
+
+    def stop(self):
+        for task in self.tasks:
+            task.cancel()
+
+
 # --- clients ---
 
 
